--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,462 @@
+package admission
+
+import (
+	"container/heap"
+	"math"
+	"slices"
+	"time"
+
+	"tanagerpoint.example/tanager/policy"
+)
+
+const (
+	// usageHalfLife is the time in which served work loses half its weight.
+	usageHalfLife = 10 * time.Second
+	// creditLimit bounds a rank's floor credit, in seconds of its floor.
+	creditLimit = 1.0
+	// smoothing weighs a new measurement against the mean so far.
+	smoothing = 0.05
+	// shareSmoothing is the time constant of the ranks' measured shares.
+	shareSmoothing = 2 * time.Second
+	minRetryWait   = time.Second
+	maxRetryWait   = 30 * time.Second
+	noCapacityWait = 2 * time.Second
+	// renormaliseAt bounds the inflated usage before it is scaled down.
+	renormaliseAt = 1 << 40
+	// firstSecondsPerCost is assumed until requests have ended.
+	firstSecondsPerCost = 0.02
+)
+
+// Queue decides for one pool. It is not safe for concurrent use.
+type Queue struct {
+	ranks    []*rankQueue
+	capacity Slots
+	maxWait  int
+	running  int
+	waiting  int
+	at       time.Time
+	epoch    time.Time
+	// secondsPerCost is the measured time that a unit of cost holds a slot.
+	secondsPerCost float64
+}
+
+// rankQueue is the state of one rank.
+type rankQueue struct {
+	Rank
+	running int
+	waiting int
+	queued  Cost
+	// credit is the slot-seconds that the rank may still claim of its floor.
+	credit float64
+	// used is the smoothed share of the capacity that runs this rank.
+	used  float64
+	orgs  map[policy.OrganisationID]*orgQueue
+	ready orgHeap
+	// shares adds up the weights of the organisations that wait.
+	shares float64
+}
+
+// orgQueue is one organisation's state within a rank. Usage is inflated by
+// the time since the epoch in place of being decayed, which keeps the order of
+// organisations as time passes.
+type orgQueue struct {
+	id     policy.OrganisationID
+	share  float64
+	used   float64
+	remote float64
+	queued Cost
+	wait   []*Ticket
+	index  int
+}
+
+func (or *orgQueue) score() float64 { return (or.used + or.remote) / or.share }
+
+// NewQueue gives an empty queue without capacity. maxWaiting bounds the
+// requests that wait.
+func NewQueue(now time.Time, maxWaiting int) *Queue {
+	return &Queue{at: now, epoch: now, maxWait: maxWaiting, secondsPerCost: firstSecondsPerCost}
+}
+
+// SetRanks sets the ranks. Those that stay keep their state.
+func (qu *Queue) SetRanks(ras []Rank) {
+	var next []*rankQueue
+	for _, ra := range ras {
+		rq := qu.rank(ra.ID)
+		if rq == nil {
+			rq = &rankQueue{orgs: map[policy.OrganisationID]*orgQueue{}}
+		}
+		rq.Rank = ra
+		next = append(next, rq)
+	}
+	for _, rq := range qu.ranks {
+		if rq.running+rq.waiting > 0 && !slices.Contains(next, rq) {
+			next = append(next, rq)
+		}
+	}
+	slices.SortFunc(next, func(a, b *rankQueue) int { return int(a.Order - b.Order) })
+	qu.ranks = next
+}
+
+// SetCapacity sets the slots of this queue.
+func (qu *Queue) SetCapacity(now time.Time, slots Slots) {
+	qu.advance(now)
+	qu.capacity = slots
+}
+
+// Load gives the requests in service and waiting.
+func (qu *Queue) Load() (running, waiting int) { return qu.running, qu.waiting }
+
+// Capacity gives the slots of this queue.
+func (qu *Queue) Capacity() Slots { return qu.capacity }
+
+func (qu *Queue) rank(id policy.RankID) *rankQueue {
+	for _, rq := range qu.ranks {
+		if rq.ID == id {
+			return rq
+		}
+	}
+	return nil
+}
+
+// Offer puts a request into the queue, or refuses it. Next tells when it may
+// run. A full queue makes room by refusing the newest request of the
+// organisation that waits for most beyond its share.
+func (qu *Queue) Offer(now time.Time, ti *Ticket) []*Refusal {
+	qu.advance(now)
+	rq := qu.rank(ti.Rank)
+	if rq == nil {
+		return []*Refusal{{Ticket: ti, Reason: ReasonRank, RetryAt: now.Add(minRetryWait)}}
+	}
+	if qu.capacity <= 0 {
+		return []*Refusal{{Ticket: ti, Reason: ReasonNoCapacity, RetryAt: now.Add(noCapacityWait)}}
+	}
+	or := rq.org(ti.Organisation, ti.Share)
+	startAt := qu.expectedStart(now, rq, or, ti.Cost)
+	if startAt.After(ti.LatestStart) {
+		return []*Refusal{qu.refusal(now, ti, ReasonLate, startAt.Sub(ti.LatestStart))}
+	}
+	var out []*Refusal
+	if qu.waiting >= qu.maxWait {
+		victim := qu.victim(rq, or)
+		if victim == nil {
+			return []*Refusal{qu.refusal(now, ti, ReasonQueueFull, startAt.Sub(now))}
+		}
+		qu.remove(victim)
+		out = append(out, qu.refusal(now, victim, ReasonQueueFull, startAt.Sub(now)))
+	}
+	ti.rank, ti.org, ti.state = rq, or, stateWaiting
+	qu.push(ti)
+	return out
+}
+
+func (qu *Queue) refusal(now time.Time, ti *Ticket, re Reason, wait time.Duration) *Refusal {
+	ti.state = stateEnded
+	wait = min(maxRetryWait, max(minRetryWait, wait))
+	return &Refusal{Ticket: ti, Reason: re, RetryAt: now.Add(wait)}
+}
+
+// expectedStart estimates when a request would start. Fair sharing puts at
+// most the organisation's own work, scaled by all waiting weights, before it.
+func (qu *Queue) expectedStart(now time.Time, rq *rankQueue, or *orgQueue, co Cost) time.Time {
+	if qu.waiting == 0 && float64(qu.running) < float64(qu.capacity) {
+		return now
+	}
+	shares := rq.shares
+	if len(or.wait) == 0 {
+		shares += or.share
+	}
+	ahead := min(float64(rq.queued), float64(or.queued+co)*shares/or.share)
+	rate := qu.available(rq) * float64(qu.capacity) / qu.secondsPerCost
+	return now.Add(time.Duration(ahead / rate * float64(time.Second)))
+}
+
+// available is the share of the capacity that a rank can count on.
+func (qu *Queue) available(rq *rankQueue) float64 {
+	left := 1.0
+	for _, other := range qu.ranks {
+		switch {
+		case other.Order < rq.Order:
+			left -= other.used
+		case other.Order > rq.Order && other.waiting > 0:
+			left -= other.Floor
+		}
+	}
+	const least = 0.01
+	return max(left, rq.Floor, least)
+}
+
+// victim chooses whom to refuse in a full queue, nil for the newcomer itself.
+func (qu *Queue) victim(rq *rankQueue, or *orgQueue) *Ticket {
+	for i := len(qu.ranks) - 1; i >= 0 && qu.ranks[i].Order >= rq.Order; i-- {
+		worst := qu.ranks[i].heaviest()
+		if worst == nil {
+			continue
+		}
+		mine := float64(or.queued) / or.share
+		if qu.ranks[i] == rq && float64(worst.queued)/worst.share <= mine {
+			return nil
+		}
+		return worst.wait[len(worst.wait)-1]
+	}
+	return nil
+}
+
+func (rq *rankQueue) heaviest() *orgQueue {
+	var worst *orgQueue
+	for _, or := range rq.ready {
+		if worst == nil || float64(or.queued)/or.share > float64(worst.queued)/worst.share {
+			worst = or
+		}
+	}
+	return worst
+}
+
+// Next gives the requests that start now, and those that can no longer be
+// answered in time and are refused.
+func (qu *Queue) Next(now time.Time) (started []*Ticket, refused []*Refusal) {
+	qu.advance(now)
+	for qu.waiting > 0 && float64(qu.running) < float64(qu.capacity) {
+		rq := qu.nextRank()
+		if rq == nil {
+			return started, refused
+		}
+		ti := rq.ready[0].wait[0]
+		qu.remove(ti)
+		if now.After(ti.LatestStart) {
+			refused = append(refused, qu.refusal(now, ti, ReasonLate, minRetryWait))
+			continue
+		}
+		qu.start(now, ti)
+		started = append(started, ti)
+	}
+	return started, refused
+}
+
+// Expire refuses the waiting requests whose latest start has passed.
+func (qu *Queue) Expire(now time.Time) []*Refusal {
+	qu.advance(now)
+	var late []*Ticket
+	for _, rq := range qu.ranks {
+		for _, or := range rq.ready {
+			for _, ti := range or.wait {
+				if now.After(ti.LatestStart) {
+					late = append(late, ti)
+				}
+			}
+		}
+	}
+	var out []*Refusal
+	for _, ti := range late {
+		qu.remove(ti)
+		out = append(out, qu.refusal(now, ti, ReasonLate, minRetryWait))
+	}
+	return out
+}
+
+// nextRank chooses the rank that gets a free slot: first one that is below
+// its floor, then the most urgent that leaves the headroom free.
+func (qu *Queue) nextRank() *rankQueue {
+	for _, rq := range qu.ranks {
+		if rq.waiting > 0 && rq.Floor > 0 && rq.credit > 0 {
+			return rq
+		}
+	}
+	lower := qu.running
+	for _, rq := range qu.ranks {
+		if rq.waiting > 0 && float64(lower) < float64(qu.capacity)*(1-rq.Headroom) {
+			return rq
+		}
+		lower -= rq.running
+	}
+	return nil
+}
+
+func (qu *Queue) start(now time.Time, ti *Ticket) {
+	ti.state, ti.startedAt = stateRunning, now
+	ti.rank.running++
+	qu.running++
+	qu.charge(now, ti, ti.Cost)
+}
+
+// charge adds served cost to an organisation's usage.
+func (qu *Queue) charge(now time.Time, ti *Ticket, co Cost) {
+	ti.org.used += float64(co) * qu.inflation(now)
+	if ti.org.index >= 0 {
+		heap.Fix(&ti.rank.ready, ti.org.index)
+	}
+}
+
+// inflation is the weight of work at a time against work at the epoch.
+func (qu *Queue) inflation(now time.Time) float64 {
+	return math.Exp2(now.Sub(qu.epoch).Seconds() / usageHalfLife.Seconds())
+}
+
+// Done ends a request in service; actual is what it cost.
+func (qu *Queue) Done(now time.Time, ti *Ticket, actual Cost) {
+	if ti.state != stateRunning {
+		return
+	}
+	qu.advance(now)
+	ti.state = stateEnded
+	ti.rank.running--
+	qu.running--
+	qu.charge(now, ti, actual-ti.Cost)
+	if actual > 0 {
+		seconds := now.Sub(ti.startedAt).Seconds() / float64(actual)
+		qu.secondsPerCost += smoothing * (seconds - qu.secondsPerCost)
+	}
+}
+
+// Cancel takes a request out of the queue when its caller has gone. False when
+// it was not waiting.
+func (qu *Queue) Cancel(now time.Time, ti *Ticket) bool {
+	if ti.state != stateWaiting {
+		return false
+	}
+	qu.advance(now)
+	qu.remove(ti)
+	ti.state = stateEnded
+	return true
+}
+
+func (qu *Queue) push(ti *Ticket) {
+	rq, or := ti.rank, ti.org
+	or.wait = append(or.wait, ti)
+	or.queued += ti.Cost
+	rq.queued += ti.Cost
+	rq.waiting++
+	qu.waiting++
+	if len(or.wait) == 1 {
+		heap.Push(&rq.ready, or)
+		rq.shares += or.share
+	}
+}
+
+func (qu *Queue) remove(ti *Ticket) {
+	rq, or := ti.rank, ti.org
+	i := slices.Index(or.wait, ti)
+	or.wait = slices.Delete(or.wait, i, i+1)
+	or.queued -= ti.Cost
+	rq.queued -= ti.Cost
+	rq.waiting--
+	qu.waiting--
+	if len(or.wait) == 0 {
+		heap.Remove(&rq.ready, or.index)
+		rq.shares -= or.share
+	}
+}
+
+func (rq *rankQueue) org(id policy.OrganisationID, share float64) *orgQueue {
+	or, ok := rq.orgs[id]
+	if !ok {
+		or = &orgQueue{id: id, share: share, index: -1}
+		rq.orgs[id] = or
+	}
+	if len(or.wait) == 0 {
+		or.share = share
+	}
+	return or
+}
+
+// advance brings credits and smoothed shares up to a time.
+func (qu *Queue) advance(now time.Time) {
+	dt := now.Sub(qu.at).Seconds()
+	if dt <= 0 {
+		return
+	}
+	qu.at = now
+	weight := 1 - math.Exp(-dt/shareSmoothing.Seconds())
+	for _, rq := range qu.ranks {
+		floor := rq.Floor * float64(qu.capacity)
+		limit := max(1, floor*creditLimit)
+		rq.credit = min(limit, max(-limit, rq.credit+(floor-float64(rq.running))*dt))
+		if qu.capacity > 0 {
+			rq.used += weight * (float64(rq.running)/float64(qu.capacity) - rq.used)
+		}
+	}
+	if qu.inflation(now) > renormaliseAt {
+		qu.renormalise(now)
+	}
+}
+
+// renormalise moves the epoch, and forgets organisations without usage.
+func (qu *Queue) renormalise(now time.Time) {
+	scale := 1 / qu.inflation(now)
+	for _, rq := range qu.ranks {
+		for id, or := range rq.orgs {
+			or.used *= scale
+			or.remote *= scale
+			if or.score() < 1e-6 && len(or.wait) == 0 {
+				delete(rq.orgs, id)
+			}
+		}
+	}
+	qu.epoch = now
+}
+
+// Usage is one organisation's decayed served cost within a rank.
+type Usage struct {
+	Organisation policy.OrganisationID
+	Rank         policy.RankID
+	Cost         Cost
+}
+
+// Usage lists what this queue served of late, with decay.
+func (qu *Queue) Usage(now time.Time) []Usage {
+	scale := 1 / qu.inflation(now)
+	var out []Usage
+	for _, rq := range qu.ranks {
+		for id, or := range rq.orgs {
+			if co := or.used * scale; co >= 1 {
+				out = append(out, Usage{Organisation: id, Rank: rq.ID, Cost: Cost(co)})
+			}
+		}
+	}
+	return out
+}
+
+// SetRemote sets what the other entries served of late.
+func (qu *Queue) SetRemote(now time.Time, uss []Usage) {
+	scale := qu.inflation(now)
+	for _, rq := range qu.ranks {
+		for _, or := range rq.orgs {
+			or.remote = 0
+		}
+	}
+	for _, us := range uss {
+		if rq := qu.rank(us.Rank); rq != nil {
+			if or, ok := rq.orgs[us.Organisation]; ok {
+				or.remote += float64(us.Cost) * scale
+			}
+		}
+	}
+	for _, rq := range qu.ranks {
+		heap.Init(&rq.ready)
+	}
+}
+
+// orgHeap orders the organisations that wait by their usage.
+type orgHeap []*orgQueue
+
+func (oh orgHeap) Len() int           { return len(oh) }
+func (oh orgHeap) Less(i, j int) bool { return oh[i].score() < oh[j].score() }
+func (oh orgHeap) Swap(i, j int) {
+	oh[i], oh[j] = oh[j], oh[i]
+	oh[i].index, oh[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (oh *orgHeap) Push(va any) {
+	or := va.(*orgQueue)
+	or.index = len(*oh)
+	*oh = append(*oh, or)
+}
+
+// Pop implements heap.Interface.
+func (oh *orgHeap) Pop() any {
+	old := *oh
+	last := old[len(old)-1]
+	last.index = -1
+	*oh = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/bill/list.go
@@ -0,0 +1,95 @@
+package bill
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+)
+
+// Listing is what the store has of bills.
+type Listing struct {
+	Bills []*rpc.Bill
+	// Stored counts the bills as stored; a greater number than Bills shows a
+	// bill stored twice.
+	Stored int
+	// Repeated are bills of a request that has a bill already: its caller
+	// asked again under the same request id. They are not charged.
+	Repeated []*rpc.Bill
+}
+
+// List reads all sealed bills. A bill, and a caller's request id within its
+// organisation, is charged once.
+func List(ctx context.Context, st store.Store, prefix store.Key) (Listing, error) {
+	pa, err := st.Range(ctx, prefix+"bill/")
+	if err != nil {
+		return Listing{}, eris.Wrap(err, "bill.List")
+	}
+	var li Listing
+	seen, requests := map[string]bool{}, map[string]bool{}
+	for _, kv := range pa.KeyValues {
+		var sb rpc.SealedBatch
+		if err := proto.Unmarshal(kv.Value, &sb); err != nil {
+			return Listing{}, eris.Wrapf(err, "bill.List: %s", kv.Key)
+		}
+		for _, bi := range sb.GetBills() {
+			li.Stored++
+			if seen[bi.GetId()] {
+				continue
+			}
+			seen[bi.GetId()] = true
+			request := bi.GetOrganisation() + "\x00" + bi.GetRequestId()
+			if requests[request] {
+				li.Repeated = append(li.Repeated, bi)
+				continue
+			}
+			requests[request] = true
+			li.Bills = append(li.Bills, bi)
+		}
+	}
+	return li, nil
+}
+
+func shuffled(n int) []int { return rand.Perm(n) }
+
+// Total sums an organisation's bills for one version or service.
+type Total struct {
+	Organisation string
+	What         string
+	Bills        int
+	InputTokens  int64
+	OutputTokens int64
+	Cost         int64
+}
+
+// Sum adds up bills by organisation and version or service, in that order.
+func Sum(bis []*rpc.Bill) []Total {
+	type group struct{ organisation, what string }
+	sums := map[group]*Total{}
+	for _, bi := range bis {
+		gr := group{bi.GetOrganisation(), cmp.Or(bi.GetService(), bi.GetVersion())}
+		su, ok := sums[gr]
+		if !ok {
+			su = &Total{Organisation: gr.organisation, What: gr.what}
+			sums[gr] = su
+		}
+		su.Bills++
+		su.InputTokens += bi.GetInputTokens()
+		su.OutputTokens += bi.GetOutputTokens()
+		su.Cost += bi.GetCost()
+	}
+	out := make([]Total, 0, len(sums))
+	for _, su := range sums {
+		out = append(out, *su)
+	}
+	slices.SortFunc(out, func(a, b Total) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.What, b.What))
+	})
+	return out
+}
--- /dev/null
+++ b/cmd/tanagerctl/record.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"github.com/tidwall/pretty"
+	"github.com/tidwall/sjson"
+
+	"tanagerpoint.example/tanager/command"
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/policy"
+)
+
+const checkHelp = `Check the records in files, together with those in the store, and print every
+finding with its file, record and field. With --offline the store is not asked.
+Exits with 3 when there are findings.`
+
+func newCheckCommand(opt *options) *cobra.Command {
+	var offline bool
+	co := &cobra.Command{
+		Use: "check FILE...", Short: "Check records in files", Long: checkHelp, Args: needFiles,
+		RunE: func(co *cobra.Command, files []string) error {
+			frs, err := policy.ReadFiles(files)
+			if err != nil {
+				return exit(err)
+			}
+			se := policy.NewSet()
+			if !offline {
+				cl := opt.client()
+				defer cl.Close()
+				if se, _, err = opt.writer(cl).Load(co.Context()); err != nil {
+					return exit(err)
+				}
+			}
+			if err := policy.ValidateFiles(se, frs).Err(); err != nil {
+				return exit(err)
+			}
+			_, err = fmt.Fprintf(co.OutOrStdout(), "%d records: no findings\n", len(frs))
+			return err
+		},
+	}
+	co.Flags().BoolVar(&offline, "offline", false, "check the files by themselves")
+	return co
+}
+
+func needFiles(_ *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return command.Exit(command.ExitUsage, eris.New("name at least one file"))
+	}
+	return nil
+}
+
+const diffHelp = `Print how the records in files differ from those in the store.`
+
+func newDiffCommand(opt *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "diff FILE...", Short: "Compare records in files with the store", Long: diffHelp, Args: needFiles,
+		RunE: func(co *cobra.Command, files []string) error {
+			frs, err := policy.ReadFiles(files)
+			if err != nil {
+				return exit(err)
+			}
+			cl := opt.client()
+			defer cl.Close()
+			se, _, err := opt.writer(cl).Load(co.Context())
+			if err != nil {
+				return exit(err)
+			}
+			for _, fr := range frs {
+				writeDiff(co.OutOrStdout(), se, fr.Record)
+			}
+			return nil
+		},
+	}
+}
+
+func writeDiff(wr io.Writer, se *policy.Set, re policy.Record) {
+	old, _, ok := se.Record(policy.Kind(re.GetKind()), re.GetId())
+	switch {
+	case !ok:
+		_, _ = fmt.Fprintf(wr, "+ %s\n%s", re.Key(), indent("+ ", re.Spec()))
+	case re.GetDeleted():
+		_, _ = fmt.Fprintf(wr, "- %s\n%s", re.Key(), indent("- ", old.Spec()))
+	case !old.SameContent(re):
+		_, _ = fmt.Fprintf(wr, "~ %s\n%s%s", re.Key(), indent("- ", old.Spec()), indent("+ ", re.Spec()))
+	}
+}
+
+func indent(mark string, text []byte) string {
+	var sb strings.Builder
+	for line := range strings.Lines(string(pretty.Pretty(text))) {
+		sb.WriteString("    " + mark + line)
+	}
+	return sb.String()
+}
+
+const applyHelp = `Write the records in files, all or none. Unchanged records are left alone. A
+record with a "revision", as "get" prints it, is written only if it has not
+changed since; in a conflict both sides are printed. An answer of the store that
+was lost is resolved, so that the change is neither made twice nor reported as
+failed when it was made.`
+
+func newApplyCommand(opt *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "apply FILE...", Short: "Write records from files", Long: applyHelp, Args: needFiles,
+		RunE: func(co *cobra.Command, files []string) error {
+			frs, err := policy.ReadFiles(files)
+			if err != nil {
+				return exit(err)
+			}
+			place := map[string]string{}
+			rq := configuration.Request{ChangedBy: opt.by}
+			for _, fr := range frs {
+				place[fr.Record.Key()] = fr.File
+				rq.Changes = append(rq.Changes, configuration.Change{Record: fr.Record, Base: fr.Base})
+			}
+			rq.Place = func(key string) finding.Place { return finding.Place{File: place[key], Section: key} }
+			return opt.apply(co, rq)
+		},
+	}
+}
+
+// apply makes a change and prints what it did.
+func (opt *options) apply(co *cobra.Command, rq configuration.Request) error {
+	cl := opt.client()
+	defer cl.Close()
+	ctx, cancel := context.WithTimeout(co.Context(), changeTimeout)
+	defer cancel()
+	rs, err := opt.writer(cl).Apply(ctx, rq)
+	if err != nil {
+		return exit(err)
+	}
+	if rs.Revision == 0 {
+		_, err = fmt.Fprintln(co.OutOrStdout(), "nothing differs")
+		return err
+	}
+	_, err = fmt.Fprintf(co.OutOrStdout(), "revision %d, operation %s: %s\n", rs.Revision, rs.OperationID, strings.Join(rs.Changed, " "))
+	return err
+}
+
+const getHelp = `Print records, with the revision that "apply" compares. Without a KIND/ID all
+records are listed; with a KIND, those of that kind.`
+
+func newGetCommand(opt *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "get [KIND[/ID]]", Short: "Print records", Long: getHelp, Args: cobra.MaximumNArgs(1),
+		RunE: func(co *cobra.Command, args []string) error {
+			cl := opt.client()
+			defer cl.Close()
+			se, _, err := opt.writer(cl).Load(co.Context())
+			if err != nil {
+				return exit(err)
+			}
+			if len(args) == 1 && strings.Contains(args[0], "/") {
+				return writeRecord(co.OutOrStdout(), se, args[0])
+			}
+			for _, re := range se.Records() {
+				if len(args) == 0 || re.GetKind() == args[0] {
+					_, _ = fmt.Fprintf(co.OutOrStdout(), "%-40s schema %d  by %s\n", re.Key(), re.GetSchemaVersion(), re.GetChangedBy())
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func writeRecord(wr io.Writer, se *policy.Set, key string) error {
+	ki, id, _ := strings.Cut(key, "/")
+	re, revision, ok := se.Record(policy.Kind(ki), id)
+	if !ok {
+		return command.Exit(command.ExitFailed, eris.Errorf("no record %q", key))
+	}
+	text, err := sjson.SetBytes(re.JSON, "revision", int64(revision))
+	if err != nil {
+		return exit(err)
+	}
+	_, err = wr.Write(pretty.Pretty(text))
+	return err
+}
+
+const deleteHelp = `Delete records, all or none. A record that others refer to cannot be deleted.`
+
+func newDeleteCommand(opt *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "delete KIND/ID...", Short: "Delete records", Long: deleteHelp, Args: cobra.MinimumNArgs(1),
+		RunE: func(co *cobra.Command, args []string) error {
+			return opt.edit(co, args, func(re policy.Record) (policy.Record, error) { return re.With("deleted", true) })
+		},
+	}
+}
+
+// edit changes stored records by a function, comparing what it read.
+func (opt *options) edit(co *cobra.Command, keys []string, change func(re policy.Record) (policy.Record, error)) error {
+	cl := opt.client()
+	defer cl.Close()
+	se, _, err := opt.writer(cl).Load(co.Context())
+	if err != nil {
+		return exit(err)
+	}
+	rq := configuration.Request{ChangedBy: opt.by}
+	for _, key := range keys {
+		ki, id, _ := strings.Cut(key, "/")
+		re, revision, ok := se.Record(policy.Kind(ki), id)
+		if !ok {
+			return command.Exit(command.ExitFailed, eris.Errorf("no record %q", key))
+		}
+		if re, err = change(re); err != nil {
+			return exit(err)
+		}
+		rq.Changes = append(rq.Changes, configuration.Change{Record: re, Base: revision})
+	}
+	return opt.apply(co, rq)
+}
+
+const historyHelp = `Print a record's states, oldest first, with who made each and under which
+operation.`
+
+func newHistoryCommand(opt *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "history KIND/ID", Short: "Print a record's earlier states", Long: historyHelp, Args: cobra.ExactArgs(1),
+		RunE: func(co *cobra.Command, args []string) error {
+			cl := opt.client()
+			defer cl.Close()
+			res, err := opt.writer(cl).History(co.Context(), args[0])
+			if err != nil {
+				return exit(err)
+			}
+			for _, re := range res {
+				_, _ = fmt.Fprintf(co.OutOrStdout(), "%s by %s\n%s", re.GetOperationId(), re.GetChangedBy(), indent("", re.JSON))
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,85 @@
+// Package command holds what the programs' command lines share: exit codes,
+// the life of a daemon, and the sub-commands that daemons have in common.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of all programs.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitBadSettings = 3
+	ExitUnreachable = 4
+	ExitRefused     = 5
+)
+
+// exitError carries an exit code with an error.
+type exitError struct {
+	code int
+	err  error
+}
+
+func (ee *exitError) Error() string { return ee.err.Error() }
+
+func (ee *exitError) Unwrap() error { return ee.err }
+
+// Exit gives an error with which Execute ends the program.
+func Exit(code int, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &exitError{code: code, err: err}
+}
+
+// Execute runs a program's command line and gives its exit code.
+func Execute(root *cobra.Command) int {
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return Exit(ExitUsage, err) })
+	root.AddCommand(newVersionCommand(root.Name()))
+	err := root.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(os.Stderr, root.Name()+": "+err.Error())
+	var ee *exitError
+	if errors.As(err, &ee) {
+		return ee.code
+	}
+	return ExitUsage
+}
+
+// NoArguments refuses arguments, as a usage error.
+func NoArguments(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return Exit(ExitUsage, eris.Errorf("unexpected argument %q", args[0]))
+	}
+	return nil
+}
+
+const versionHelp = `Print the program's version: its commit, when it was built from one.`
+
+// Version is set when a release is built.
+var Version = "development"
+
+func newVersionCommand(name string) *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the program's version", Long: versionHelp, Args: NoArguments,
+		RunE: func(co *cobra.Command, _ []string) error {
+			goVersion := ""
+			if bi, ok := debug.ReadBuildInfo(); ok {
+				goVersion = bi.GoVersion
+			}
+			_, err := fmt.Fprintln(co.OutOrStdout(), name, Version, goVersion)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/configuration/holder.go
@@ -0,0 +1,79 @@
+// Package configuration spreads the operators' policy records: Writer changes
+// them in the store, Watcher follows the store, and Holder keeps what is in
+// force in this daemon.
+package configuration
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/store"
+)
+
+// Holder keeps the policy set in force. Its revision only rises.
+//
+// mu guards changed and evidence; the set itself is read without a lock.
+type Holder struct {
+	log *event.Log
+	set atomic.Pointer[policy.Set]
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	evidence time.Time
+}
+
+// NewHolder gives a holder of the empty set.
+func NewHolder(lo *event.Log) *Holder {
+	ho := &Holder{log: lo, changed: make(chan struct{})}
+	ho.set.Store(policy.NewSet())
+	return ho
+}
+
+// Set gives the set in force.
+func (ho *Holder) Set() *policy.Set { return ho.set.Load() }
+
+// Changed gives a channel that is closed when the next set comes into force.
+func (ho *Holder) Changed() <-chan struct{} {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return ho.changed
+}
+
+// Update brings changes into force that are complete from the holder's own
+// revision, or an earlier one, up to revision. Older changes have no effect.
+func (ho *Holder) Update(revision store.Revision, changes []policy.Stored) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	old := ho.set.Load()
+	if revision <= old.Revision {
+		return
+	}
+	next := old.With(revision, changes)
+	ho.set.Store(next)
+	close(ho.changed)
+	ho.changed = make(chan struct{})
+	ho.log.Info(event.PolicyApplied, event.Fields{"revision": next.Revision})
+	for _, fi := range next.Findings {
+		ho.log.Warn(event.PolicyRecordUnusable, nil, event.Fields{"finding": fi.String()})
+	}
+}
+
+// Confirm records that at a time the set at revision was the store's newest.
+func (ho *Holder) Confirm(revision store.Revision, at time.Time) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if revision >= ho.set.Load().Revision && at.After(ho.evidence) {
+		ho.evidence = at
+	}
+}
+
+// Evidence gives the latest time at which the set in force is known to have
+// been the store's newest.
+func (ho *Holder) Evidence() time.Time {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return ho.evidence
+}
--- /dev/null
+++ b/configuration/writer.go
@@ -0,0 +1,265 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/store"
+)
+
+// maxApplyTries bounds the tries of one change against unrelated ones.
+const maxApplyTries = 16
+
+// maxHistory is how many earlier states of a record are kept.
+const maxHistory = 50
+
+// ErrFenced marks a change refused because its lease is no longer held.
+var ErrFenced = eris.New("configuration: fencing token is out of date")
+
+// Conflict is a change refused because the record changed in the meantime.
+type Conflict struct {
+	Key    string
+	Mine   string
+	Theirs string
+	// TheirBy wrote Theirs.
+	TheirBy string
+}
+
+// Error gives both sides.
+func (co *Conflict) Error() string {
+	return fmt.Sprintf("%s was changed by %s in the meantime\n  yours:  %s\n  theirs: %s", co.Key, co.TheirBy, co.Mine, co.Theirs)
+}
+
+// Fence is a lease that must still be held when a change takes effect.
+type Fence struct {
+	Key   store.Key
+	Token store.Revision
+}
+
+// Change is one record to write. Base is the revision that it was made from;
+// 0 leaves the comparison to the state that the writer reads first.
+type Change struct {
+	Record policy.Record
+	Base   store.Revision
+}
+
+// Request is a change of configuration: all of its records or none.
+type Request struct {
+	Changes   []Change
+	ChangedBy string
+	Fence     *Fence
+	// Place names where a record was written, for findings.
+	Place func(key string) finding.Place
+}
+
+// Result tells what a change did. Revision is 0 when nothing differed.
+type Result struct {
+	OperationID string
+	Revision    store.Revision
+	Changed     []string
+}
+
+// Writer changes policy records by compare-and-swap on the head.
+type Writer struct {
+	keys  Keys
+	store store.Store
+}
+
+// NewWriter gives a writer.
+func NewWriter(ke Keys, st store.Store) *Writer { return &Writer{keys: ke, store: st} }
+
+// Load reads all records and the head's revision.
+func (wr *Writer) Load(ctx context.Context) (*policy.Set, store.Revision, error) {
+	pa, err := wr.store.Range(ctx, wr.keys.All())
+	if err != nil {
+		return nil, 0, eris.Wrap(err, "Writer.Load")
+	}
+	var changes []policy.Stored
+	head := store.Revision(0)
+	for _, kv := range pa.KeyValues {
+		if kv.Key == wr.keys.Head() {
+			head = kv.ModRevision
+			continue
+		}
+		key := strings.TrimPrefix(string(kv.Key), string(wr.keys.Records()))
+		changes = append(changes, policy.Stored{Key: key, Value: kv.Value, ModRevision: kv.ModRevision})
+	}
+	return policy.NewSet().With(head, changes), head, nil
+}
+
+// Apply writes the records of a request. The error is a finding.List, a
+// *Conflict, ErrFenced, store.ErrUnavailable (nothing was written) or
+// store.ErrUnknown.
+func (wr *Writer) Apply(ctx context.Context, rq Request) (Result, error) {
+	rs := Result{OperationID: ulid.Make().String()}
+	var first *policy.Set
+	for range maxApplyTries {
+		se, head, err := wr.Load(ctx)
+		if err != nil {
+			return rs, eris.Wrap(err, "Writer.Apply")
+		}
+		if first == nil {
+			first = se
+		}
+		if err := rq.conflict(first, se); err != nil {
+			return rs, err
+		}
+		changed, err := rq.stamped(se, rs.OperationID)
+		if err != nil {
+			return rs, eris.Wrap(err, "Writer.Apply")
+		}
+		if len(changed) == 0 {
+			return rs, nil
+		}
+		if err := newFindings(se, changed, rq.Place); err != nil {
+			return rs, err
+		}
+		ou, err := wr.commit(ctx, rq, changed, head, rs.OperationID)
+		if err != nil {
+			return rs, eris.Wrap(err, "Writer.Apply")
+		}
+		if ou.Applied {
+			return wr.result(rs, ou, changed), nil
+		}
+		if rq.Fence != nil && !held(*rq.Fence, ou.Found) {
+			return rs, eris.Wrap(ErrFenced, "Writer.Apply")
+		}
+	}
+	return rs, eris.Wrap(store.ErrUnavailable, "Writer.Apply: other changes kept coming first")
+}
+
+func (wr *Writer) result(rs Result, ou store.Outcome, changed []policy.Record) Result {
+	rs.Revision = ou.Revision
+	for _, re := range changed {
+		rs.Changed = append(rs.Changed, re.Key())
+	}
+	return rs
+}
+
+// conflict refuses the request when a record that it writes has changed since
+// its base, or since the first read.
+func (rq Request) conflict(first, now *policy.Set) error {
+	for _, ch := range rq.Changes {
+		ki, id := policy.Kind(ch.Record.GetKind()), ch.Record.GetId()
+		theirs, revision, _ := now.Record(ki, id)
+		base := ch.Base
+		if base == 0 {
+			_, base, _ = first.Record(ki, id)
+		}
+		if revision != base {
+			co := &Conflict{Key: ch.Record.Key(), Mine: string(ch.Record.JSON), Theirs: string(theirs.JSON), TheirBy: theirs.GetChangedBy()}
+			if theirs.Record == nil {
+				co.Theirs = "deleted"
+			}
+			return co
+		}
+	}
+	return nil
+}
+
+// stamped gives the records that differ from those stored, with their stamps.
+func (rq Request) stamped(se *policy.Set, operation string) ([]policy.Record, error) {
+	st := policy.Stamp{ChangedBy: rq.ChangedBy, OperationID: operation, ChangedAtMS: time.Now().UnixMilli()}
+	if rq.Fence != nil {
+		st.FencingToken = int64(rq.Fence.Token)
+	}
+	var out []policy.Record
+	for _, ch := range rq.Changes {
+		old, _, ok := se.Record(policy.Kind(ch.Record.GetKind()), ch.Record.GetId())
+		if ok && old.SameContent(ch.Record) || !ok && ch.Record.GetDeleted() {
+			continue
+		}
+		re, err := ch.Record.Stamped(st)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, re)
+	}
+	return out, nil
+}
+
+// newFindings gives the mistakes that the changes bring. Those that the set
+// has already do not stand in the way of an unrelated change.
+func newFindings(se *policy.Set, changed []policy.Record, place func(string) finding.Place) error {
+	if place == nil {
+		place = func(key string) finding.Place { return finding.Place{Section: key} }
+	}
+	old := se.Validate(place)
+	var li finding.List
+	for _, fi := range se.WithRecords(changed).Validate(place) {
+		if !slices.Contains(old, fi) {
+			li = append(li, fi)
+		}
+	}
+	return li.Err()
+}
+
+func (wr *Writer) commit(ctx context.Context, rq Request, changed []policy.Record, head store.Revision, operation string) (store.Outcome, error) {
+	mark := wr.keys.History(changed[0].Key()) + store.Key(operation)
+	co := store.Commit{
+		Compares: []store.Compare{{Key: wr.keys.Head(), ModRevision: head}, {Key: mark}},
+		Puts:     []store.Put{{Key: wr.keys.Head(), Value: []byte(operation)}},
+	}
+	if rq.Fence != nil {
+		co.Compares = append(co.Compares, store.Compare{Key: rq.Fence.Key, ModRevision: rq.Fence.Token})
+	}
+	for _, re := range changed {
+		co.Puts = append(co.Puts,
+			store.Put{Key: wr.keys.Record(re.Key()), Value: re.JSON},
+			store.Put{Key: wr.keys.History(re.Key()) + store.Key(operation), Value: re.JSON})
+	}
+	return store.ApplyResolved(ctx, wr.store, co, func(found []store.KeyValue) bool {
+		return slices.ContainsFunc(found, func(kv store.KeyValue) bool { return kv.Key == mark })
+	})
+}
+
+func held(fe Fence, found []store.KeyValue) bool {
+	return slices.ContainsFunc(found, func(kv store.KeyValue) bool {
+		return kv.Key == fe.Key && kv.ModRevision == fe.Token
+	})
+}
+
+// History lists a record's states, oldest first.
+func (wr *Writer) History(ctx context.Context, key string) ([]policy.Record, error) {
+	pa, err := wr.store.Range(ctx, wr.keys.History(key))
+	if err != nil {
+		return nil, eris.Wrap(err, "Writer.History")
+	}
+	var out []policy.Record
+	for _, kv := range pa.KeyValues {
+		re, err := policy.ParseRecord(kv.Value)
+		if err != nil {
+			return nil, eris.Wrapf(err, "Writer.History: %s", kv.Key)
+		}
+		out = append(out, re)
+	}
+	return out, nil
+}
+
+// Trim deletes a record's oldest states beyond those that are kept.
+func (wr *Writer) Trim(ctx context.Context, key string) error {
+	pa, err := wr.store.Range(ctx, wr.keys.History(key))
+	if err != nil {
+		return eris.Wrap(err, "Writer.Trim")
+	}
+	var co store.Commit
+	for i := 0; i < len(pa.KeyValues)-maxHistory; i++ {
+		co.Deletes = append(co.Deletes, pa.KeyValues[i].Key)
+	}
+	if len(co.Deletes) == 0 {
+		return nil
+	}
+	_, err = wr.store.Apply(ctx, co)
+	return eris.Wrap(err, "Writer.Trim")
+}
+
+func isCompacted(err error) bool { return errors.Is(err, store.ErrCompacted) }
--- /dev/null
+++ b/entry/pool.go
@@ -0,0 +1,297 @@
+package entry
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/admission"
+	"tanagerpoint.example/tanager/peer"
+	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+)
+
+// poolID names the endpoints behind one queue: a model's or a service's.
+type poolID string
+
+func modelPool(id policy.ModelID) poolID     { return poolID("model/" + string(id)) }
+func servicePool(id policy.ServiceID) poolID { return poolID("service/" + string(id)) }
+
+const (
+	usagePrefix = "usage/"
+	// leastShare is the least part of an equal share of a pool that an entry
+	// without demand keeps, so that its first requests need not wait.
+	leastShare = 0.5
+	// firstSecondsPerToken is assumed until answers have ended.
+	firstSecondsPerToken = 0.01
+	paceSmoothing        = 0.05
+)
+
+// pool is one queue and what it knows of its answers' pace.
+type pool struct {
+	gate *admission.Gate
+	// mu guards secondsPerToken and costPerAnswer.
+	mu              sync.Mutex
+	secondsPerToken float64
+	tokensPerAnswer float64
+}
+
+// pools holds the queues, and the endpoints by version and service.
+//
+// mu guards the maps. A queue's own lock is taken after it, never before.
+type pools struct {
+	daemon *Daemon
+
+	mu        sync.Mutex
+	revision  store.Revision
+	byID      map[poolID]*pool
+	members   map[poolID]*placement.Pool
+	byVersion map[policy.VersionID]*placement.Pool
+}
+
+func newPools(da *Daemon) *pools {
+	return &pools{daemon: da, byID: map[poolID]*pool{}}
+}
+
+func (po *pools) get(id poolID) *pool {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.getLocked(id)
+}
+
+func (po *pools) getLocked(id poolID) *pool {
+	pl, ok := po.byID[id]
+	if !ok {
+		pl = &pool{
+			gate:            admission.NewGate(int(po.daemon.set.GetServing().GetMaxQueue())),
+			secondsPerToken: firstSecondsPerToken,
+			tokensPerAnswer: 128,
+		}
+		po.byID[id] = pl
+	}
+	return pl
+}
+
+// version gives the endpoints that should serve a version.
+func (po *pools) version(id policy.VersionID) *placement.Pool {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.rebuild()
+	if pl, ok := po.byVersion[id]; ok {
+		return pl
+	}
+	return placement.NewPool(nil)
+}
+
+// service gives the endpoints of a plain service.
+func (po *pools) service(id policy.ServiceID) *placement.Pool {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.rebuild()
+	if pl, ok := po.members[servicePool(id)]; ok {
+		return pl
+	}
+	return placement.NewPool(nil)
+}
+
+// rebuild brings the endpoints up to the policy in force.
+func (po *pools) rebuild() {
+	se := po.daemon.holder.Set()
+	if se.Revision == po.revision && po.byVersion != nil {
+		return
+	}
+	versions, members := map[policy.VersionID][]policy.Endpoint{}, map[poolID][]policy.Endpoint{}
+	for _, en := range se.Endpoints.List() {
+		if en.Kind == rpc.EndpointKind_PLAIN {
+			id := servicePool(policy.ServiceID(en.Service))
+			members[id] = append(members[id], en)
+			continue
+		}
+		models := map[poolID]bool{}
+		for _, name := range en.Versions {
+			id := policy.VersionID(name)
+			versions[id] = append(versions[id], en)
+			if ve, ok := se.Versions.ByID(id); ok {
+				models[modelPool(policy.ModelID(ve.Model))] = true
+			}
+		}
+		for id := range models {
+			members[id] = append(members[id], en)
+		}
+	}
+	po.byVersion, po.members = map[policy.VersionID]*placement.Pool{}, map[poolID]*placement.Pool{}
+	for id, ens := range versions {
+		po.byVersion[id] = placement.NewPool(ens)
+	}
+	for id, ens := range members {
+		po.members[id] = placement.NewPool(ens)
+	}
+	po.revision = se.Revision
+	po.daemon.tracker.Keep(func(id policy.EndpointID) bool {
+		_, ok := se.Endpoints.ByID(id)
+		return ok
+	})
+}
+
+// refresh sets each queue's ranks, capacity and the other entries' usage.
+func (po *pools) refresh() {
+	po.mu.Lock()
+	po.rebuild()
+	members, ranks := po.members, ranksOf(po.daemon.holder.Set())
+	queues := make(map[poolID]*pool, len(members))
+	for id := range members {
+		queues[id] = po.getLocked(id)
+	}
+	maps.Copy(queues, po.byID)
+	po.mu.Unlock()
+	remote := po.remote()
+	for id, pl := range queues {
+		capacity := po.slots(members[id]) * remote.share(id, pl)
+		pl.gate.Change(func(qu *admission.Queue, now time.Time) {
+			qu.SetRanks(ranks)
+			qu.SetCapacity(now, admission.Slots(capacity))
+			qu.SetRemote(now, remote.usage)
+		})
+		pl.gate.Tick()
+	}
+}
+
+func ranksOf(se *policy.Set) []admission.Rank {
+	var out []admission.Rank
+	for _, ra := range se.Ranks.List() {
+		out = append(out, admission.Rank{ID: ra.ID, Order: ra.Order, Floor: ra.Floor, Headroom: ra.Headroom})
+	}
+	return out
+}
+
+// slots adds up what the usable endpoints of a pool serve at once.
+func (po *pools) slots(pl *placement.Pool) float64 {
+	if pl == nil {
+		return 0
+	}
+	sum := int64(0)
+	for _, en := range pl.Endpoints {
+		if po.daemon.usable(en) && po.daemon.tracker.Healthy(en.ID) {
+			sum += en.Slots
+		}
+	}
+	return float64(sum)
+}
+
+// usable tells whether an endpoint may get new work: neither an operator nor
+// the VM list says that it is leaving.
+func (da *Daemon) usable(en policy.Endpoint) bool {
+	now, ok := da.holder.Set().Endpoints.ByID(en.ID)
+	return ok && !now.Draining && !da.vms.EndpointLeaving(string(en.ID))
+}
+
+// remoteWork is what the other entries told of their work.
+type remoteWork struct {
+	entries int
+	usage   []admission.Usage
+	demand  map[poolID]float64
+}
+
+func (po *pools) remote() remoteWork {
+	re := remoteWork{entries: 1, demand: map[poolID]float64{}}
+	for _, mb := range po.daemon.peers.Entries() {
+		if !mb.Draining || mb.InFlight > 0 {
+			re.entries++
+		}
+		for _, it := range po.daemon.peers.Board().Under(usagePrefix + string(mb.VM)) {
+			re.add(it)
+		}
+	}
+	return re
+}
+
+func (re *remoteWork) add(it peer.Item) {
+	var us rpc.Usage
+	if proto.Unmarshal(it.Value, &us) != nil {
+		return
+	}
+	for _, ou := range us.GetOrganisations() {
+		re.usage = append(re.usage, admission.Usage{
+			Organisation: policy.OrganisationID(ou.GetOrganisation()), Rank: policy.RankID(ou.GetRank()), Cost: admission.Cost(ou.GetTokens()),
+		})
+	}
+	for _, pd := range us.GetPools() {
+		re.demand[poolID(pd.GetPool())] += pd.GetDemand()
+	}
+}
+
+// share is the part of a pool's slots for this entry: by its part of the
+// demand, and at least a part of an equal share.
+func (re *remoteWork) share(id poolID, pl *pool) float64 {
+	equal := 1 / float64(re.entries)
+	mine := pl.demand()
+	total := mine + re.demand[id]
+	if total <= 0 {
+		return equal
+	}
+	return leastShare*equal + (1-leastShare)*mine/total
+}
+
+func (pl *pool) demand() float64 {
+	demand := 0.0
+	pl.gate.Change(func(qu *admission.Queue, _ time.Time) {
+		running, waiting := qu.Load()
+		demand = float64(running + waiting)
+	})
+	return demand
+}
+
+// publish tells the other entries what this one served and wants.
+func (po *pools) publish() {
+	po.mu.Lock()
+	queues := maps.Clone(po.byID)
+	po.mu.Unlock()
+	us := &rpc.Usage{}
+	for id, pl := range queues {
+		us.Pools = append(us.Pools, &rpc.PoolDemand{Pool: string(id), Demand: pl.demand()})
+		pl.gate.Change(func(qu *admission.Queue, now time.Time) {
+			for _, ou := range qu.Usage(now) {
+				us.Organisations = append(us.Organisations, &rpc.OrganisationUsage{
+					Organisation: string(ou.Organisation), Rank: string(ou.Rank), Tokens: float64(ou.Cost),
+				})
+			}
+		})
+	}
+	po.daemon.peers.Publish(usagePrefix+string(po.daemon.peers.VM()), us)
+}
+
+// expect gives the tokens and the time that an answer is expected to take.
+func (pl *pool) expect(maxTokens int64) (tokens float64, lasts time.Duration) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	tokens = pl.tokensPerAnswer
+	if maxTokens > 0 {
+		tokens = min(tokens, float64(maxTokens))
+	}
+	return tokens, time.Duration(tokens * pl.secondsPerToken * float64(time.Second))
+}
+
+// observe learns from an answer that ended.
+func (pl *pool) observe(tokens int64, took time.Duration) {
+	if tokens <= 0 {
+		return
+	}
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.tokensPerAnswer += paceSmoothing * (float64(tokens) - pl.tokensPerAnswer)
+	pl.secondsPerToken += paceSmoothing * (took.Seconds()/float64(tokens) - pl.secondsPerToken)
+}
+
+// each visits every queue.
+func (po *pools) each(fn func(id poolID, pl *pool)) {
+	po.mu.Lock()
+	queues := maps.Clone(po.byID)
+	po.mu.Unlock()
+	for id, pl := range queues {
+		fn(id, pl)
+	}
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,159 @@
+// Package event holds the numbered events of the logs. docs/EVENTS.md is
+// their catalogue for operators.
+package event
+
+import (
+	"io"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"tanagerpoint.example/tanager/rpc"
+)
+
+// Number identifies an event. Numbers are never used again.
+type Number int
+
+// The events.
+const (
+	Started              Number = 100
+	Draining             Number = 101
+	Stopped              Number = 102
+	SettingsRefused      Number = 103
+	ListenerFailed       Number = 104
+	RequestPanicked      Number = 105
+	PolicyApplied        Number = 200
+	PolicyRecordUnusable Number = 201
+	PolicyFromPeer       Number = 202
+	StoreBehind          Number = 203
+	WatchEnded           Number = 204
+	StoreUnreachable     Number = 205
+	Isolated             Number = 206
+	IsolationEnded       Number = 207
+	MemberJoined         Number = 300
+	MemberFailed         Number = 301
+	PeerUnreachable      Number = 302
+	VMListUnreachable    Number = 303
+	PeerRefused          Number = 304
+	AttemptFailed        Number = 400
+	EndpointOpened       Number = 401
+	EndpointClosed       Number = 402
+	AnswerDropped        Number = 403
+	StreamResumed        Number = 404
+	VersionSuspect       Number = 405
+	RetryBudgetSpent     Number = 406
+	ClaimUnresolved      Number = 500
+	ClaimReleased        Number = 501
+	BillsSealed          Number = 502
+	BillsAdopted         Number = 503
+	BillsNotCopied       Number = 504
+	BillsUnsealed        Number = 505
+	LeaseTaken           Number = 600
+	LeaseLost            Number = 601
+	RolloutMoved         Number = 602
+	RolloutAborted       Number = 603
+	ChangeFenced         Number = 604
+	OrderSent            Number = 605
+	OrderRefused         Number = 606
+	RatingsUnreachable   Number = 607
+)
+
+// texts are the messages by number.
+var texts = map[Number]string{
+	Started:              "daemon started",
+	Draining:             "graceful shutdown began",
+	Stopped:              "daemon stopped",
+	SettingsRefused:      "settings refused",
+	ListenerFailed:       "listener failed",
+	RequestPanicked:      "request ended by a defect of the program",
+	PolicyApplied:        "policy revision in force",
+	PolicyRecordUnusable: "policy record cannot be used and counts as absent",
+	PolicyFromPeer:       "policy fetched from a peer",
+	StoreBehind:          "store gave an older policy revision than is in force; kept the newer",
+	WatchEnded:           "store watch ended and is opened anew",
+	StoreUnreachable:     "store unreachable",
+	Isolated:             "no evidence of the newest policy; new work is refused",
+	IsolationEnded:       "evidence of the newest policy is back; new work is accepted",
+	MemberJoined:         "peer joined",
+	MemberFailed:         "peer not heard of in time",
+	PeerUnreachable:      "exchange with a peer failed",
+	VMListUnreachable:    "VM list unreachable; the last one is kept",
+	PeerRefused:          "call on the peers' listener without the shared key",
+	AttemptFailed:        "attempt at an endpoint failed",
+	EndpointOpened:       "endpoint gets no work after failures",
+	EndpointClosed:       "endpoint gets work again",
+	AnswerDropped:        "answer of another request dropped",
+	StreamResumed:        "stream resumed on a new connection",
+	VersionSuspect:       "candidate version stopped on this site's own evidence",
+	RetryBudgetSpent:     "retry budget spent",
+	ClaimUnresolved:      "claim's answer was lost and is not yet resolved",
+	ClaimReleased:        "claim released: the call was not run",
+	BillsSealed:          "batch of bills sealed",
+	BillsAdopted:         "failed peer's bills sealed for it",
+	BillsNotCopied:       "bill has fewer copies than set",
+	BillsUnsealed:        "bills could not be sealed",
+	LeaseTaken:           "task's lease taken",
+	LeaseLost:            "task's lease lost",
+	RolloutMoved:         "roll-out moved to its next share",
+	RolloutAborted:       "roll-out aborted",
+	ChangeFenced:         "change refused by its fencing token",
+	OrderSent:            "order sent to an endpoint",
+	OrderRefused:         "order refused by an endpoint",
+	RatingsUnreachable:   "rating service unreachable",
+}
+
+// Numbers lists all events in order.
+func Numbers() []Number {
+	var out []Number
+	for nu := range texts {
+		out = append(out, nu)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Text gives an event's message.
+func Text(nu Number) string { return texts[nu] }
+
+// Fields are an event's details.
+type Fields = logrus.Fields
+
+// Log writes numbered events.
+type Log struct {
+	lg *logrus.Entry
+}
+
+// NewLog gives a log that writes to wr in the format and from the level set.
+func NewLog(wr io.Writer, se *rpc.LogSection, vm string) *Log {
+	lg := logrus.New()
+	lg.SetOutput(wr)
+	if se.GetFormat() == "json" {
+		lg.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		lg.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	}
+	if le, err := logrus.ParseLevel(se.GetLevel()); err == nil {
+		lg.SetLevel(le)
+	}
+	return &Log{lg: lg.WithField("vm", vm)}
+}
+
+// Discard gives a log that writes nothing.
+func Discard() *Log { return NewLog(io.Discard, nil, "") }
+
+// Info writes an event in the ordinary course of things.
+func (lo *Log) Info(nu Number, fi Fields) { lo.write(logrus.InfoLevel, nu, nil, fi) }
+
+// Warn writes an event that an operator may have to look at.
+func (lo *Log) Warn(nu Number, err error, fi Fields) { lo.write(logrus.WarnLevel, nu, err, fi) }
+
+// Debug writes an event that is too frequent for the ordinary log.
+func (lo *Log) Debug(nu Number, err error, fi Fields) { lo.write(logrus.DebugLevel, nu, err, fi) }
+
+func (lo *Log) write(le logrus.Level, nu Number, err error, fi Fields) {
+	en := lo.lg.WithField("event", int(nu)).WithFields(fi)
+	if err != nil {
+		en = en.WithError(err)
+	}
+	en.Log(le, texts[nu])
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,114 @@
+// Package metric holds the daemons' OpenTelemetry instruments and serves them
+// in the Prometheus format.
+package metric
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics are a daemon's instruments.
+type Metrics struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+	meter    metric.Meter
+
+	Requests   metric.Int64Counter
+	Attempts   metric.Int64Counter
+	Retries    metric.Int64Counter
+	Answers    metric.Int64Counter
+	CostMicro  metric.Int64Counter
+	Latency    metric.Float64Histogram
+	FirstToken metric.Float64Histogram
+	QueueWait  metric.Float64Histogram
+	Quality    metric.Float64Histogram
+	Orders     metric.Int64Counter
+}
+
+// Attributes of the instruments.
+const (
+	KeyRank         = "rank"
+	KeyOrganisation = "organisation"
+	KeyOutcome      = "outcome"
+	KeyVersion      = "version"
+	KeyCause        = "cause"
+)
+
+// New gives instruments with a registry of their own.
+func New() (*Metrics, error) {
+	re := prometheus.NewRegistry()
+	ex, err := otelprom.New(otelprom.WithRegisterer(re), otelprom.WithoutScopeInfo())
+	if err != nil {
+		return nil, eris.Wrap(err, "metric.New")
+	}
+	pr := sdk.NewMeterProvider(sdk.WithReader(ex))
+	me := &Metrics{registry: re, provider: pr, meter: pr.Meter("tanager")}
+	if err := me.fill(); err != nil {
+		return nil, eris.Wrap(err, "metric.New")
+	}
+	return me, nil
+}
+
+func (me *Metrics) fill() error {
+	var err error
+	counter := func(into *metric.Int64Counter, name, help string) {
+		if err == nil {
+			*into, err = me.meter.Int64Counter(name, metric.WithDescription(help))
+		}
+	}
+	seconds := func(into *metric.Float64Histogram, name, help string) {
+		if err == nil {
+			*into, err = me.meter.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"),
+				metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .37, .5, 1, 2, 5, 10, 30, 60))
+		}
+	}
+	counter(&me.Requests, "tanager_requests", "Requests by rank, organisation and outcome.")
+	counter(&me.Attempts, "tanager_attempts", "Attempts at endpoints by outcome.")
+	counter(&me.Retries, "tanager_retries", "Attempts after the first.")
+	counter(&me.Answers, "tanager_answers", "Answers by version: the exposure of each.")
+	counter(&me.CostMicro, "tanager_cost_micro_credits", "Cost of answers by version, in micro-credits.")
+	counter(&me.Orders, "tanager_orders", "Orders to endpoints by outcome.")
+	seconds(&me.Latency, "tanager_latency", "Time from arrival to the answer's end.")
+	seconds(&me.FirstToken, "tanager_first_token", "Time from arrival to the first token.")
+	seconds(&me.QueueWait, "tanager_queue_wait", "Time in the queue.")
+	if err == nil {
+		me.Quality, err = me.meter.Float64Histogram("tanager_quality", metric.WithDescription("Rated quality by version."),
+			metric.WithExplicitBucketBoundaries(.1, .2, .3, .4, .5, .6, .7, .8, .9, 1))
+	}
+	return err
+}
+
+// Gauge adds a value that is read when the metrics are scraped.
+func (me *Metrics) Gauge(name, help string, read func() float64) error {
+	_, err := me.meter.Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, ob metric.Float64Observer) error {
+			ob.Observe(read())
+			return nil
+		}))
+	return eris.Wrap(err, "Metrics.Gauge")
+}
+
+// Handler serves the metrics.
+func (me *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(me.registry, promhttp.HandlerOpts{})
+}
+
+// Close ends the provider.
+func (me *Metrics) Close() { _ = me.provider.Shutdown(context.Background()) }
+
+// With gives attributes for a measurement, from keys and values in turn.
+func With(pairs ...string) metric.MeasurementOption {
+	ats := make([]attribute.KeyValue, 0, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		ats = append(ats, attribute.String(pairs[i], pairs[i+1]))
+	}
+	return metric.WithAttributes(ats...)
+}
--- /dev/null
+++ b/network/network.go
@@ -0,0 +1,50 @@
+// Package network opens listeners and connections. Tests replace it with
+// connections in memory.
+package network
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// idleLimit is how long a pooled connection is trusted: something between the
+// ends may forget it after that.
+const idleLimit = 3 * time.Second
+
+// Network is how a daemon reaches others and is reached.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Real gives the machine's network over TCP.
+func Real() Network {
+	di := &net.Dialer{Timeout: time.Second, KeepAlive: time.Second}
+	return Network{
+		Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:   di.DialContext,
+	}
+}
+
+// Client gives an HTTP client that pools up to idle connections a host.
+func (ne Network) Client(idle int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         ne.Dial,
+		MaxIdleConnsPerHost: idle,
+		IdleConnTimeout:     idleLimit,
+		DisableCompression:  true,
+	}}
+}
+
+// FreshClient gives an HTTP client that opens a new connection for each
+// request. net/http then never sends a request a second time by itself, which
+// it may do on a pooled connection.
+func (ne Network) FreshClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:        ne.Dial,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}}
+}
--- /dev/null
+++ b/peer/group.go
@@ -0,0 +1,389 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+	"tanagerpoint.example/tanager/vm"
+	"tanagerpoint.example/tanager/worker"
+)
+
+// Incarnation names one run of a daemon; it is never used again.
+type Incarnation string
+
+// Roles of daemons.
+const (
+	RoleEntry   = "entry"
+	RoleSteward = "steward"
+)
+
+const memberPrefix = "member/"
+
+// Member is a daemon as the exchange knows it.
+type Member struct {
+	VM             vm.ID
+	Incarnation    Incarnation
+	Role           string
+	FailureDomain  policy.FailureDomain
+	PeerAddress    string
+	CallersAddress string
+	Draining       bool
+	InFlight       int64
+	// FailedAt is when it counts as failed, if it is not heard of again.
+	FailedAt time.Time
+}
+
+// Options say who a daemon is and whom it may meet.
+type Options struct {
+	Self        *rpc.Member
+	SharedKey   string
+	Interval    time.Duration
+	Fanout      int
+	FailedAfter time.Duration
+	Seeds       []string
+	// Listed gives the peers' addresses in the VM list.
+	Listed func() []string
+	// Describe fills in what changes about this daemon.
+	Describe func(me *rpc.Member)
+}
+
+// Group is this daemon's part in the exchange.
+//
+// mu guards progress, reached, known and sequence. It is taken before the
+// board's and the holder's locks, never after.
+type Group struct {
+	opt    Options
+	board  *Board
+	holder *configuration.Holder
+	log    *event.Log
+	client *http.Client
+	fence  int64
+
+	mu       sync.Mutex
+	sequence int64
+	progress map[string]progress
+	// reached holds when each member was last met directly.
+	reached map[Incarnation]time.Time
+	known   map[string]Member
+}
+
+// progress is what an exchange with one address has come to.
+type progress struct {
+	incarnation string
+	// seen is the peer's counter up to which this daemon has its items.
+	seen int64
+	// given is this daemon's counter up to which the peer has its items.
+	given  int64
+	failed bool
+}
+
+// NewGroup gives a group with a fresh incarnation.
+func NewGroup(opt Options, ho *configuration.Holder, ne network.Network, lo *event.Log) *Group {
+	opt.Self.Incarnation = ulid.Make().String()
+	return &Group{
+		opt: opt, board: NewBoard(), holder: ho, log: lo,
+		client:   ne.Client(2),
+		fence:    time.Now().UnixNano(),
+		progress: map[string]progress{},
+		reached:  map[Incarnation]time.Time{},
+		known:    map[string]Member{},
+	}
+}
+
+// Incarnation gives this daemon's own.
+func (gr *Group) Incarnation() Incarnation { return Incarnation(gr.opt.Self.GetIncarnation()) }
+
+// VM gives this daemon's VM.
+func (gr *Group) VM() vm.ID { return vm.ID(gr.opt.Self.GetVm()) }
+
+// Board gives the items.
+func (gr *Group) Board() *Board { return gr.board }
+
+// Close ends the pooled connections.
+func (gr *Group) Close() { gr.client.CloseIdleConnections() }
+
+// Publish writes an item of this daemon's own. Keys of several owners end in
+// the owner's name.
+func (gr *Group) Publish(key string, ms proto.Message) {
+	gr.mu.Lock()
+	gr.sequence++
+	ve := Version{Fence: gr.fence, Sequence: gr.sequence}
+	gr.mu.Unlock()
+	gr.PublishAs(key, ve, ms)
+}
+
+// PublishAs writes an item whose order among several writers the caller gives.
+func (gr *Group) PublishAs(key string, ve Version, ms proto.Message) {
+	value, err := proto.Marshal(ms)
+	if err != nil {
+		return
+	}
+	gr.board.Put(key, ve, value, time.Now())
+}
+
+// Run exchanges with peers until ctx ends: each interval, and at once when a
+// new policy set comes into force.
+func (gr *Group) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := gr.holder.Changed()
+		tm := time.NewTimer(gr.opt.Interval)
+		gr.announce()
+		gr.round(ctx)
+		gr.noteMembers()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-tm.C:
+		}
+		tm.Stop()
+	}
+}
+
+// Announce publishes this daemon's state at once and meets some peers.
+func (gr *Group) Announce(ctx context.Context) {
+	gr.announce()
+	gr.round(ctx)
+}
+
+func (gr *Group) announce() { gr.Publish(memberKey(gr.opt.Self), gr.self()) }
+
+func (gr *Group) self() *rpc.Member {
+	me := proto.Clone(gr.opt.Self).(*rpc.Member)
+	if gr.opt.Describe != nil {
+		gr.opt.Describe(me)
+	}
+	return me
+}
+
+func memberKey(me *rpc.Member) string {
+	return memberPrefix + me.GetRole() + "/" + me.GetVm()
+}
+
+// round meets the peers of one interval at the same time.
+func (gr *Group) round(ctx context.Context) {
+	wg := worker.NewGroup()
+	for _, ad := range gr.pick() {
+		wg.Go(func(context.Context) { gr.meet(ctx, ad) })
+	}
+	wg.Wait()
+}
+
+// pick chooses addresses at random, known members first; one of the others
+// always has a place, so that parts of a site find each other again.
+func (gr *Group) pick() []string {
+	me := gr.opt.Self.GetPeerAddress()
+	var live, others []string
+	for _, mb := range gr.Members() {
+		live = append(live, mb.PeerAddress)
+	}
+	candidates := slices.Clone(gr.opt.Seeds)
+	if gr.opt.Listed != nil {
+		candidates = append(candidates, gr.opt.Listed()...)
+	}
+	for _, it := range gr.board.Under(memberPrefix) {
+		candidates = append(candidates, decodeMember(it, 0).PeerAddress)
+	}
+	for _, ad := range candidates {
+		if ad != "" && ad != me && !slices.Contains(live, ad) && !slices.Contains(others, ad) {
+			others = append(others, ad)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	fromOthers := min(len(others), max(1, gr.opt.Fanout-len(live)))
+	fromLive := min(len(live), gr.opt.Fanout)
+	return append(live[:fromLive], others[:fromOthers]...)
+}
+
+func (gr *Group) exchangeTimeout() time.Duration { return gr.opt.FailedAfter / 2 }
+
+// meet exchanges with one peer, and fetches its policy when it is newer.
+func (gr *Group) meet(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, gr.exchangeTimeout())
+	defer cancel()
+	asked := time.Now()
+	gr.mu.Lock()
+	pr := gr.progress[address]
+	gr.mu.Unlock()
+	its, change := gr.board.since(pr.given, asked)
+	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
+		From: gr.self(), Items: its,
+		SeenChange: pr.seen, SeenIncarnation: pr.incarnation,
+		PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(asked),
+	})
+	if err != nil {
+		gr.failedMeeting(ctx, address, err)
+		return
+	}
+	gr.board.merge(rs.GetItems(), asked)
+	gr.mu.Lock()
+	gr.progress[address] = progress{incarnation: rs.GetFrom().GetIncarnation(), seen: rs.GetChange(), given: change}
+	if pr.incarnation != "" && pr.incarnation != rs.GetFrom().GetIncarnation() {
+		// The peer is new at this address and has none of the items given.
+		gr.progress[address] = progress{incarnation: rs.GetFrom().GetIncarnation(), seen: rs.GetChange()}
+	}
+	gr.reached[Incarnation(rs.GetFrom().GetIncarnation())] = asked
+	gr.mu.Unlock()
+	gr.learnPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+}
+
+func (gr *Group) failedMeeting(ctx context.Context, address string, err error) {
+	gr.mu.Lock()
+	pr := gr.progress[address]
+	first := !pr.failed
+	pr.failed = true
+	gr.progress[address] = pr
+	gr.mu.Unlock()
+	if first && ctx.Err() == nil {
+		gr.log.Debug(event.PeerUnreachable, err, event.Fields{"address": address})
+	}
+}
+
+// learnPolicy brings a peer's policy into force when it is newer, and takes
+// its evidence that the revision is the store's newest.
+func (gr *Group) learnPolicy(ctx context.Context, address string, revision store.Revision, evidence time.Time) {
+	mine := gr.holder.Set().Revision
+	if revision > mine {
+		rs, err := gr.Peer(address).FetchPolicy(ctx, &rpc.FetchPolicyRequest{AfterRevision: int64(mine)})
+		if err != nil {
+			return
+		}
+		var changes []policy.Stored
+		for _, en := range rs.GetEntries() {
+			changes = append(changes, policy.Stored{Key: en.GetKey(), Value: en.GetValue(), ModRevision: store.Revision(en.GetModRevision())})
+		}
+		gr.holder.Update(store.Revision(rs.GetRevision()), changes)
+		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision()})
+	}
+	gr.holder.Confirm(revision, evidence)
+}
+
+// policyAgeMS is how old the evidence for the policy in force is.
+func (gr *Group) policyAgeMS(now time.Time) int64 {
+	return now.Sub(gr.holder.Evidence()).Milliseconds()
+}
+
+// Members lists the other daemons that are heard of, of all roles.
+func (gr *Group) Members() []Member {
+	now := time.Now()
+	var out []Member
+	for _, it := range gr.board.Under(memberPrefix) {
+		mb := decodeMember(it, gr.opt.FailedAfter)
+		if mb.Incarnation != gr.Incarnation() && mb.FailedAt.After(now) {
+			out = append(out, mb)
+		}
+	}
+	return out
+}
+
+// Entries lists the other entries that are heard of.
+func (gr *Group) Entries() []Member {
+	return slices.DeleteFunc(gr.Members(), func(mb Member) bool { return mb.Role != RoleEntry })
+}
+
+// Heard gives when a run of a daemon was last heard of, over any peer.
+func (gr *Group) Heard(in Incarnation) (time.Time, bool) {
+	for _, it := range gr.board.Under(memberPrefix) {
+		if decodeMember(it, 0).Incarnation == in {
+			return it.WrittenAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// ReachesMostEntries tells whether more than half of the entry VMs, this one
+// included, were met directly of late. listed counts the entry VMs of the list.
+func (gr *Group) ReachesMostEntries(listed int) bool {
+	now := time.Now()
+	reached := 1
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	for _, it := range gr.board.Under(memberPrefix + RoleEntry + "/") {
+		at, ok := gr.reached[decodeMember(it, 0).Incarnation]
+		if ok && now.Sub(at) < gr.opt.FailedAfter {
+			reached++
+		}
+	}
+	return 2*reached > listed
+}
+
+func decodeMember(it Item, failedAfter time.Duration) Member {
+	var ms rpc.Member
+	if proto.Unmarshal(it.Value, &ms) != nil {
+		return Member{}
+	}
+	return Member{
+		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
+		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
+		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
+		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(),
+		FailedAt: it.WrittenAt.Add(failedAfter),
+	}
+}
+
+// noteMembers logs who came and who failed.
+func (gr *Group) noteMembers() {
+	now := map[string]Member{}
+	for _, mb := range gr.Members() {
+		now[mb.Role+"/"+string(mb.VM)] = mb
+	}
+	gr.mu.Lock()
+	before := gr.known
+	gr.known = now
+	gr.mu.Unlock()
+	for key := range now {
+		if _, ok := before[key]; !ok {
+			gr.log.Info(event.MemberJoined, event.Fields{"member": key})
+		}
+	}
+	for key := range before {
+		if _, ok := now[key]; !ok {
+			gr.log.Warn(event.MemberFailed, nil, event.Fields{"member": key})
+		}
+	}
+}
+
+// Peer gives the service of the daemon at an address.
+func (gr *Group) Peer(address string) rpc.PeerService {
+	return rpc.NewPeerServiceProtobufClient("http://"+address, authorised{client: gr.client, key: gr.opt.SharedKey})
+}
+
+// authorised adds the shared key to each call.
+type authorised struct {
+	client *http.Client
+	key    string
+}
+
+// Do sends a request.
+func (au authorised) Do(rq *http.Request) (*http.Response, error) {
+	rq.Header.Set("Authorization", bearer+au.key)
+	rs, err := au.client.Do(rq)
+	if err != nil {
+		return nil, eris.Wrap(err, "peer")
+	}
+	return rs, nil
+}
+
+func isBearer(header, key string) bool {
+	return equalSecret(strings.TrimPrefix(header, bearer), key) && strings.HasPrefix(header, bearer)
+}
+
+// FailureDomain gives this daemon's.
+func (gr *Group) FailureDomain() policy.FailureDomain {
+	return policy.FailureDomain(gr.opt.Self.GetFailureDomain())
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+)
+
+const (
+	bearer          = "Bearer "
+	maxPeerBodySize = 16 << 20
+)
+
+// Bills keeps copies of peers' bills.
+type Bills interface {
+	Hold(rq *rpc.HoldBillsRequest)
+}
+
+// Pins fixes the versions of sessions whose home is this daemon.
+type Pins interface {
+	Pin(ctx context.Context, rq *rpc.PinRequest) (*rpc.PinResponse, error)
+}
+
+// Server answers the other daemons. It implements rpc.PeerService.
+type Server struct {
+	group *Group
+	bills Bills
+	pins  Pins
+}
+
+// NewServer gives a server; bills and pins are nil on daemons without them.
+func NewServer(gr *Group, bi Bills, pi Pins) *Server {
+	return &Server{group: gr, bills: bi, pins: pi}
+}
+
+// Handler gives the peers' listener's handler: calls need the shared key.
+func (se *Server) Handler() http.Handler {
+	tw := rpc.NewPeerServiceServer(se)
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if !isBearer(rq.Header.Get("Authorization"), se.group.opt.SharedKey) {
+			se.group.log.Warn(event.PeerRefused, nil, event.Fields{"from": rq.RemoteAddr})
+			http.Error(wr, "shared key required", http.StatusUnauthorized)
+			return
+		}
+		rq.Body = http.MaxBytesReader(wr, rq.Body, maxPeerBodySize)
+		tw.ServeHTTP(wr, rq)
+	})
+}
+
+// Exchange implements rpc.PeerService.
+func (se *Server) Exchange(ctx context.Context, rq *rpc.ExchangeRequest) (*rpc.ExchangeResponse, error) {
+	gr := se.group
+	now := time.Now()
+	gr.board.merge(rq.GetItems(), now)
+	gr.mu.Lock()
+	gr.reached[Incarnation(rq.GetFrom().GetIncarnation())] = now
+	gr.mu.Unlock()
+	revision := store.Revision(rq.GetPolicyRevision())
+	if revision == gr.holder.Set().Revision {
+		gr.holder.Confirm(revision, now.Add(-time.Duration(rq.GetPolicyAgeMs())*time.Millisecond))
+	}
+	seen := rq.GetSeenChange()
+	if rq.GetSeenIncarnation() != string(gr.Incarnation()) {
+		seen = 0
+	}
+	its, change := gr.board.since(seen, now)
+	return &rpc.ExchangeResponse{
+		From: gr.self(), Items: its, Change: change,
+		PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(now),
+	}, nil
+}
+
+// FetchPolicy implements rpc.PeerService.
+func (se *Server) FetchPolicy(_ context.Context, rq *rpc.FetchPolicyRequest) (*rpc.FetchPolicyResponse, error) {
+	set := se.group.holder.Set()
+	rs := &rpc.FetchPolicyResponse{Revision: int64(set.Revision)}
+	for _, st := range set.After(store.Revision(rq.GetAfterRevision())) {
+		rs.Entries = append(rs.Entries, &rpc.PolicyEntry{Key: st.Key, Value: st.Value, ModRevision: int64(st.ModRevision)})
+	}
+	return rs, nil
+}
+
+// HoldBills implements rpc.PeerService.
+func (se *Server) HoldBills(_ context.Context, rq *rpc.HoldBillsRequest) (*rpc.HoldBillsResponse, error) {
+	if se.bills != nil {
+		se.bills.Hold(rq)
+	}
+	return &rpc.HoldBillsResponse{}, nil
+}
+
+// Pin implements rpc.PeerService.
+func (se *Server) Pin(ctx context.Context, rq *rpc.PinRequest) (*rpc.PinResponse, error) {
+	if se.pins == nil {
+		return &rpc.PinResponse{Version: rq.GetVersion()}, nil
+	}
+	return se.pins.Pin(ctx, rq)
+}
+
+func equalSecret(a, b string) bool {
+	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
--- /dev/null
+++ b/policy/organisation.go
@@ -0,0 +1,116 @@
+package policy
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+// anyID in a list of allowed ids allows every one.
+const anyID = "*"
+
+// Organisation is a customer whose callers use the system.
+type Organisation struct {
+	ID OrganisationID
+	*rpc.Organisation
+}
+
+// Defaults sets what the record leaves out.
+func (or Organisation) Defaults() {
+	if or.Share == 0 {
+		or.Share = 1
+	}
+	if len(or.AllowedRanks) == 0 {
+		or.AllowedRanks = []string{anyID}
+	}
+}
+
+// Validate finds mistakes; se holds the records that it may refer to.
+func (or Organisation) Validate(li *finding.List, pl finding.Place, se *Set) {
+	at := placeIn(pl)
+	validateKeyHashes(li, at("key_hashes"), or.KeyHashes)
+	for _, id := range or.AllowedModels {
+		if id != anyID && !se.isCallable(id) {
+			li.Add(at("allowed_models"), "no model, version or cascade %q", id)
+		}
+	}
+	for _, id := range or.AllowedServices {
+		if _, ok := se.Services.ByID(ServiceID(id)); id != anyID && !ok {
+			li.Add(at("allowed_services"), "no service %q", id)
+		}
+	}
+	for _, id := range or.AllowedRanks {
+		if _, ok := se.Ranks.ByID(RankID(id)); id != anyID && !ok {
+			li.Add(at("allowed_ranks"), "no rank %q", id)
+		}
+	}
+	if or.Share < 0 {
+		li.Add(at("share"), "%v is negative", or.Share)
+	}
+	if or.MaxInFlight < 0 {
+		li.Add(at("max_in_flight"), "%d is negative", or.MaxInFlight)
+	}
+}
+
+// AllowsVersion tells whether the organisation may run on a version: it, its
+// model, or every one is allowed.
+func (or Organisation) AllowsVersion(ve Version) bool {
+	return allows(or.AllowedModels, string(ve.ID)) || allows(or.AllowedModels, ve.Model)
+}
+
+// AllowsCascade tells whether the organisation may name a cascade.
+func (or Organisation) AllowsCascade(id CascadeID) bool {
+	return allows(or.AllowedModels, string(id))
+}
+
+// AllowsService tells whether the organisation may call a plain service.
+func (or Organisation) AllowsService(id ServiceID) bool {
+	return allows(or.AllowedServices, string(id))
+}
+
+// AllowsRank tells whether the organisation may ask for a rank.
+func (or Organisation) AllowsRank(id RankID) bool {
+	return allows(or.AllowedRanks, string(id))
+}
+
+func allows(ids []string, id string) bool {
+	return slices.Contains(ids, id) || slices.Contains(ids, anyID)
+}
+
+// Operator may use the admin listener.
+type Operator struct {
+	ID OperatorID
+	*rpc.Operator
+}
+
+// Defaults sets nothing: an operator without keys may do nothing.
+func (op Operator) Defaults() {}
+
+// Validate finds mistakes.
+func (op Operator) Validate(li *finding.List, pl finding.Place, _ *Set) {
+	validateKeyHashes(li, placeIn(pl)("key_hashes"), op.KeyHashes)
+}
+
+// HashKey gives the form in which a caller's or operator's key is stored.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func validateKeyHashes(li *finding.List, pl finding.Place, hashes []string) {
+	for _, ha := range hashes {
+		if raw, err := hex.DecodeString(ha); err != nil || len(raw) != sha256.Size {
+			li.Add(pl, "%q is not a SHA-256 in hex", ha)
+		}
+	}
+}
+
+func placeIn(pl finding.Place) func(key string) finding.Place {
+	return func(key string) finding.Place {
+		pl.Key = "spec." + key
+		return pl
+	}
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,91 @@
+// Package policy holds the operators' policy records: their types, their
+// rules, and the immutable Set of all records at one revision.
+//
+// A record is a JSON object with the fields of rpc.Record and a "spec" whose
+// fields are those of the message of its kind. Each record carries a schema
+// version; records of versions 1 and 2 stand side by side.
+package policy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// SchemaVersion is the newest schema version that this program knows.
+const SchemaVersion = 2
+
+// Kind names a kind of record.
+type Kind string
+
+// The kinds of records.
+const (
+	KindOrganisation Kind = "organisation"
+	KindOperator     Kind = "operator"
+	KindModel        Kind = "model"
+	KindVersion      Kind = "version"
+	KindCascade      Kind = "cascade"
+	KindRank         Kind = "rank"
+	KindEndpoint     Kind = "endpoint"
+	KindService      Kind = "service"
+	KindRollout      Kind = "rollout"
+)
+
+// Kinds lists the kinds in the order in which they refer to each other.
+func Kinds() []Kind {
+	return []Kind{
+		KindRank, KindModel, KindVersion, KindCascade, KindService,
+		KindEndpoint, KindOrganisation, KindOperator, KindRollout,
+	}
+}
+
+// Ids of records.
+type (
+	OrganisationID string
+	OperatorID     string
+	ModelID        string
+	VersionID      string
+	CascadeID      string
+	RankID         string
+	EndpointID     string
+	ServiceID      string
+	RolloutID      string
+)
+
+// FailureDomain is a part of a site that fails as one.
+type FailureDomain string
+
+// Table holds the records of one kind by id.
+type Table[K cmp.Ordered, V any] struct {
+	byID map[K]V
+	ids  []K
+}
+
+// ByID gives the record with an id.
+func (ta *Table[K, V]) ByID(id K) (V, bool) {
+	va, ok := ta.byID[id]
+	return va, ok
+}
+
+// List gives the records in the order of their ids.
+func (ta *Table[K, V]) List() []V {
+	out := make([]V, len(ta.ids))
+	for i, id := range ta.ids {
+		out[i] = ta.byID[id]
+	}
+	return out
+}
+
+// Len counts the records.
+func (ta *Table[K, V]) Len() int { return len(ta.ids) }
+
+func (ta *Table[K, V]) put(id K, va V) {
+	if ta.byID == nil {
+		ta.byID = map[K]V{}
+	}
+	ta.byID[id] = va
+}
+
+func (ta *Table[K, V]) seal() {
+	ta.ids = slices.Sorted(maps.Keys(ta.byID))
+}
--- /dev/null
+++ b/policy/rollout.go
@@ -0,0 +1,85 @@
+package policy
+
+import (
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+const (
+	defaultAnswersPerStep = 200
+	defaultQualityMargin  = 0.02
+)
+
+// Rollout moves a model's new sessions from one version to another.
+type Rollout struct {
+	ID RolloutID
+	*rpc.Rollout
+	// FencingToken of the steward's last change.
+	FencingToken int64
+}
+
+// Defaults sets what the record leaves out.
+func (ro Rollout) Defaults() {
+	if ro.State == rpc.RolloutState_ROLLOUT_STATE_UNSPECIFIED {
+		ro.State = rpc.RolloutState_RUNNING
+	}
+	if len(ro.Steps) == 0 {
+		ro.Steps = []float64{0.01, 0.05, 0.2, 0.5, 1}
+	}
+	if ro.AnswersPerStep == 0 {
+		ro.AnswersPerStep = defaultAnswersPerStep
+	}
+	if ro.QualityMargin == 0 {
+		ro.QualityMargin = defaultQualityMargin
+	}
+}
+
+// Validate finds mistakes.
+func (ro Rollout) Validate(li *finding.List, pl finding.Place, se *Set) {
+	at := placeIn(pl)
+	if _, ok := se.Models.ByID(ModelID(ro.Model)); !ok {
+		li.Add(at("model"), "no model %q", ro.Model)
+	}
+	for _, vr := range []struct{ key, id string }{{"from_version", ro.FromVersion}, {"to_version", ro.ToVersion}} {
+		ve, ok := se.Versions.ByID(VersionID(vr.id))
+		if !ok {
+			li.Add(at(vr.key), "no version %q", vr.id)
+			continue
+		}
+		if ve.Model != ro.Model {
+			li.Add(at(vr.key), "version %q is of model %q", vr.id, ve.Model)
+		}
+	}
+	if ro.FromVersion == ro.ToVersion {
+		li.Add(at("to_version"), "same as from_version")
+	}
+	if ro.Share < 0 || ro.Share > 1 {
+		li.Add(at("share"), "%v is outside 0 to 1", ro.Share)
+	}
+	previous := 0.0
+	for _, st := range ro.Steps {
+		if st <= previous || st > 1 {
+			li.Add(at("steps"), "%v does not rise within 0 to 1", ro.Steps)
+			break
+		}
+		previous = st
+	}
+	for _, other := range se.Rollouts.List() {
+		if other.ID != ro.ID && other.Model == ro.Model && ro.Active() && other.Active() {
+			li.Add(at("model"), "roll-out %q of this model is under way", other.ID)
+		}
+	}
+}
+
+// Active tells whether the roll-out is running or paused.
+func (ro Rollout) Active() bool {
+	return ro.State == rpc.RolloutState_RUNNING || ro.State == rpc.RolloutState_PAUSED
+}
+
+// CandidateShare gives the share of new sessions for to_version.
+func (ro Rollout) CandidateShare() float64 {
+	if !ro.Active() {
+		return 0
+	}
+	return ro.Share
+}
--- /dev/null
+++ b/policy/set.go
@@ -0,0 +1,238 @@
+package policy
+
+import (
+	"slices"
+	"strings"
+
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/store"
+)
+
+// Set is all policy records at one revision. It is immutable, and a function
+// of the stored records alone, so daemons at one revision agree.
+type Set struct {
+	Revision store.Revision
+	entries  map[string]entry
+
+	Organisations Table[OrganisationID, Organisation]
+	Operators     Table[OperatorID, Operator]
+	Models        Table[ModelID, Model]
+	Versions      Table[VersionID, Version]
+	Cascades      Table[CascadeID, Cascade]
+	Ranks         Table[RankID, Rank]
+	Endpoints     Table[EndpointID, Endpoint]
+	Services      Table[ServiceID, Service]
+	Rollouts      Table[RolloutID, Rollout]
+
+	// Findings are records that this program cannot use; they count as absent.
+	Findings finding.List
+
+	byCallerKey   map[string]OrganisationID
+	byOperatorKey map[string]OperatorID
+}
+
+// entry is one record as stored, with what it parsed to.
+type entry struct {
+	stored store.KeyValue
+	record Record
+	value  any
+	faults finding.List
+}
+
+// Stored is one record as it lies in the store; Key is relative to the prefix
+// of all records.
+type Stored struct {
+	Key         string
+	Value       []byte
+	ModRevision store.Revision
+}
+
+// NewSet gives an empty set.
+func NewSet() *Set { return (&Set{}).With(0, nil) }
+
+// With gives the set after changes that brought it to a revision. Changes that
+// are not newer than what the set has are passed over.
+func (se *Set) With(revision store.Revision, changes []Stored) *Set {
+	next := &Set{Revision: max(se.Revision, revision), entries: make(map[string]entry, len(se.entries)+len(changes))}
+	for key, en := range se.entries {
+		next.entries[key] = en
+	}
+	for _, st := range changes {
+		if old, ok := next.entries[st.Key]; ok && old.stored.ModRevision >= st.ModRevision {
+			continue
+		}
+		next.entries[st.Key] = parseEntry(st)
+		next.Revision = max(next.Revision, st.ModRevision)
+	}
+	next.fill()
+	return next
+}
+
+// WithRecords gives the set as it would be with records written at the next
+// revision, to be validated before they are.
+func (se *Set) WithRecords(res []Record) *Set {
+	sts := make([]Stored, len(res))
+	for i, re := range res {
+		sts[i] = Stored{Key: re.Key(), Value: re.JSON, ModRevision: se.Revision + 1}
+	}
+	return se.With(se.Revision+1, sts)
+}
+
+// After lists the records changed after a revision, oldest first.
+func (se *Set) After(revision store.Revision) []Stored {
+	var out []Stored
+	for key, en := range se.entries {
+		if en.stored.ModRevision > revision {
+			out = append(out, Stored{Key: key, Value: en.stored.Value, ModRevision: en.stored.ModRevision})
+		}
+	}
+	slices.SortFunc(out, func(a, b Stored) int {
+		if a.ModRevision != b.ModRevision {
+			return int(a.ModRevision - b.ModRevision)
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return out
+}
+
+// Record gives a record that is not deleted, with the revision of its last
+// change.
+func (se *Set) Record(ki Kind, id string) (Record, store.Revision, bool) {
+	en, ok := se.entries[string(ki)+"/"+id]
+	if !ok || en.record.Record == nil || en.record.GetDeleted() {
+		return Record{}, en.stored.ModRevision, false
+	}
+	return en.record, en.stored.ModRevision, true
+}
+
+// Records lists the records that are not deleted, by key.
+func (se *Set) Records() []Record {
+	var out []Record
+	for _, en := range se.entries {
+		if en.record.Record != nil && !en.record.GetDeleted() {
+			out = append(out, en.record)
+		}
+	}
+	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.Key(), b.Key()) })
+	return out
+}
+
+// OrganisationByKey gives the organisation of a caller's key.
+func (se *Set) OrganisationByKey(key string) (Organisation, bool) {
+	id, ok := se.byCallerKey[HashKey(key)]
+	if !ok {
+		return Organisation{}, false
+	}
+	return se.Organisations.ByID(id)
+}
+
+// OperatorByKey gives the operator of a key.
+func (se *Set) OperatorByKey(key string) (Operator, bool) {
+	id, ok := se.byOperatorKey[HashKey(key)]
+	if !ok {
+		return Operator{}, false
+	}
+	return se.Operators.ByID(id)
+}
+
+// ActiveRollout gives the roll-out under way for a model.
+func (se *Set) ActiveRollout(id ModelID) (Rollout, bool) {
+	for _, ro := range se.Rollouts.List() {
+		if ro.Model == string(id) && ro.Active() {
+			return ro, true
+		}
+	}
+	return Rollout{}, false
+}
+
+// RankOrDefault gives the named rank. Without a name it is the least urgent
+// that the organisation may use.
+func (se *Set) RankOrDefault(or Organisation, id RankID) (Rank, bool) {
+	if id != "" {
+		return se.Ranks.ByID(id)
+	}
+	var best Rank
+	for _, ra := range se.Ranks.List() {
+		if or.AllowsRank(ra.ID) && (best.Rank == nil || ra.Order > best.Order) {
+			best = ra
+		}
+	}
+	return best, best.Rank != nil
+}
+
+// Validate finds the mistakes of every record, and of references between them.
+// place gives the place of a record's key.
+func (se *Set) Validate(place func(key string) finding.Place) finding.List {
+	var li finding.List
+	for _, re := range se.Records() {
+		en := se.entries[re.Key()]
+		pl := place(re.Key())
+		for _, fi := range en.faults {
+			li.Add(finding.Place{File: pl.File, Section: pl.Section, Key: fi.Place.Key}, "%s", fi.Message)
+		}
+		if va, ok := en.value.(validator); ok {
+			va.Validate(&li, pl, se)
+		}
+	}
+	return li
+}
+
+// validator is what the types of all kinds have.
+type validator interface {
+	Defaults()
+	Validate(li *finding.List, pl finding.Place, se *Set)
+}
+
+func (se *Set) isCallable(id string) bool {
+	_, model := se.Models.ByID(ModelID(id))
+	_, version := se.Versions.ByID(VersionID(id))
+	_, cascade := se.Cascades.ByID(CascadeID(id))
+	return model || version || cascade
+}
+
+func (se *Set) fill() {
+	se.byCallerKey = map[string]OrganisationID{}
+	se.byOperatorKey = map[string]OperatorID{}
+	for _, en := range se.entries {
+		se.Findings = append(se.Findings, en.faults...)
+		se.fillOne(en.value)
+	}
+	se.Organisations.seal()
+	se.Operators.seal()
+	se.Models.seal()
+	se.Versions.seal()
+	se.Cascades.seal()
+	se.Ranks.seal()
+	se.Endpoints.seal()
+	se.Services.seal()
+	se.Rollouts.seal()
+}
+
+func (se *Set) fillOne(value any) {
+	switch va := value.(type) {
+	case Organisation:
+		se.Organisations.put(va.ID, va)
+		for _, ha := range va.KeyHashes {
+			se.byCallerKey[ha] = va.ID
+		}
+	case Operator:
+		se.Operators.put(va.ID, va)
+		for _, ha := range va.KeyHashes {
+			se.byOperatorKey[ha] = va.ID
+		}
+	case Model:
+		se.Models.put(va.ID, va)
+	case Version:
+		se.Versions.put(va.ID, va)
+	case Cascade:
+		se.Cascades.put(va.ID, va)
+	case Rank:
+		se.Ranks.put(va.ID, va)
+	case Endpoint:
+		se.Endpoints.put(va.ID, va)
+	case Service:
+		se.Services.put(va.ID, va)
+	case Rollout:
+		se.Rollouts.put(va.ID, va)
+	}
+}
--- /dev/null
+++ b/rating/rating.go
@@ -0,0 +1,94 @@
+// Package rating reaches the rating service: answers go to it, their ratings
+// come back late and not for all.
+package rating
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/network"
+)
+
+const (
+	callTimeout  = 2 * time.Second
+	maxListBytes = 8 << 20
+)
+
+// Answer is an answer to be rated.
+type Answer struct {
+	RequestID string          `json:"request_id"`
+	Cascade   string          `json:"cascade"`
+	Work      string          `json:"work"`
+	Version   string          `json:"version"`
+	Messages  json.RawMessage `json:"messages"`
+	Text      string          `json:"text"`
+}
+
+// Rating is one answer's rating. Quality is from 0 to 1.
+type Rating struct {
+	Sequence  int64   `json:"sequence"`
+	RequestID string  `json:"request_id"`
+	Cascade   string  `json:"cascade"`
+	Work      string  `json:"work"`
+	Version   string  `json:"version"`
+	Quality   float64 `json:"quality"`
+}
+
+// Service reaches the rating service.
+type Service struct {
+	url    string
+	client *http.Client
+}
+
+// NewService gives a service at a base URL.
+func NewService(url string, ne network.Network) *Service {
+	return &Service{url: url, client: ne.Client(2)}
+}
+
+// Close ends the pooled connections.
+func (se *Service) Close() { se.client.CloseIdleConnections() }
+
+// Submit hands an answer in to be rated.
+func (se *Service) Submit(ctx context.Context, an Answer) error {
+	body, err := json.Marshal(an)
+	if err != nil {
+		return eris.Wrap(err, "Service.Submit")
+	}
+	_, err = se.call(ctx, http.MethodPost, "/v1/answers", body)
+	return eris.Wrap(err, "Service.Submit")
+}
+
+// After lists the ratings after a sequence number.
+func (se *Service) After(ctx context.Context, sequence int64) ([]Rating, error) {
+	text, err := se.call(ctx, http.MethodGet, "/v1/ratings?after="+strconv.FormatInt(sequence, 10), nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "Service.After")
+	}
+	var ras []Rating
+	return ras, eris.Wrap(json.Unmarshal(text, &ras), "Service.After")
+}
+
+func (se *Service) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, method, se.url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	rs, err := se.client.Do(rq)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode >= http.StatusBadRequest {
+		return nil, eris.Errorf("%s", rs.Status)
+	}
+	return io.ReadAll(io.LimitReader(rs.Body, maxListBytes))
+}
--- /dev/null
+++ b/rollout/test.go
@@ -0,0 +1,211 @@
+// Package rollout judges a candidate version against the one in use.
+//
+// A Test is a sequential test by betting (Waudby-Smith and Ramdas, 2024): for
+// losses from 0 to 1 whose mean is at most the accepted one, its value rarely
+// grows, and exceeds 1/alpha at any time with probability alpha at most. It may
+// be looked at after every answer, and so stops a bad version early.
+package rollout
+
+import (
+	"math"
+
+	"tanagerpoint.example/tanager/policy"
+)
+
+// falseStop is the probability of stopping a good version, by one test.
+const falseStop = 0.003
+
+// bets are the shares of the stake that the test mixes over.
+var bets = [...]float64{0.05, 0.15, 0.4, 0.8}
+
+// Test accumulates evidence that a mean loss is above the accepted one.
+type Test struct {
+	// logWealth holds the logarithm of what each bet has come to.
+	logWealth [len(bets)]float64
+}
+
+// Observe adds a loss from 0 to 1; accepted is the largest mean loss of a good
+// version, between 0 and 1.
+func (te *Test) Observe(loss, accepted float64) {
+	accepted = min(0.99, max(0.001, accepted))
+	for i, be := range bets {
+		te.logWealth[i] += math.Log1p(be / accepted * (loss - accepted))
+	}
+}
+
+// Evidence is the mean of the bets' wealth, as a logarithm.
+func (te *Test) Evidence() float64 {
+	top := te.logWealth[0]
+	for _, lw := range te.logWealth {
+		top = max(top, lw)
+	}
+	sum := 0.0
+	for _, lw := range te.logWealth {
+		sum += math.Exp(lw - top)
+	}
+	return top + math.Log(sum/float64(len(bets)))
+}
+
+// Rejects tells whether the candidate is bad.
+func (te *Test) Rejects() bool { return te.Evidence() > -math.Log(falseStop) }
+
+// Baseline follows the losses of the version in use.
+type Baseline struct {
+	count float64
+	mean  float64
+}
+
+// window is how many of the last losses the baseline weighs.
+const window = 2000
+
+// Observe adds a loss.
+func (ba *Baseline) Observe(loss float64) {
+	ba.count = min(window, ba.count+1)
+	ba.mean += (loss - ba.mean) / ba.count
+}
+
+// Accepted is the largest mean loss that a good candidate may have: the
+// baseline's, what chance adds to it, and a margin. prior is the mean before
+// any loss was seen.
+func (ba *Baseline) Accepted(prior, margin float64) float64 {
+	const priorWeight = 20
+	mean := (ba.mean*ba.count + prior*priorWeight) / (ba.count + priorWeight)
+	chance := 2 * math.Sqrt(mean*(1-mean)/(ba.count+priorWeight))
+	return mean + chance + margin
+}
+
+const (
+	failurePrior  = 0.005
+	failureMargin = 0.01
+	slowPrior     = 0.05
+	slowMargin    = 0.05
+	// slowFactor times the version in use's mean first token is slow.
+	slowFactor = 3
+)
+
+// Outcome is what one answer shows at the entry.
+type Outcome struct {
+	Failed bool
+	// FirstToken is the seconds to the first token, 0 when unknown.
+	FirstToken float64
+}
+
+// Guard judges a candidate by what entries see at once: errors, silence and
+// slowness. It is not safe for concurrent use.
+type Guard struct {
+	failures     Test
+	slow         Test
+	baseFailures Baseline
+	baseSlow     Baseline
+	firstToken   float64
+	Answers      int64
+	Failures     int64
+}
+
+// Stable adds an outcome of the version in use.
+func (gu *Guard) Stable(ou Outcome) {
+	gu.baseFailures.Observe(loss(ou.Failed))
+	if ou.FirstToken <= 0 {
+		return
+	}
+	gu.baseSlow.Observe(loss(gu.isSlow(ou)))
+	const smoothing = 0.02
+	if gu.firstToken == 0 {
+		gu.firstToken = ou.FirstToken
+	}
+	gu.firstToken += smoothing * (ou.FirstToken - gu.firstToken)
+}
+
+// Candidate adds an outcome of the candidate.
+func (gu *Guard) Candidate(ou Outcome) {
+	gu.Answers++
+	if ou.Failed {
+		gu.Failures++
+	}
+	gu.failures.Observe(loss(ou.Failed), gu.baseFailures.Accepted(failurePrior, failureMargin))
+	if ou.FirstToken > 0 && gu.firstToken > 0 {
+		gu.slow.Observe(loss(gu.isSlow(ou)), gu.baseSlow.Accepted(slowPrior, slowMargin))
+	}
+}
+
+func (gu *Guard) isSlow(ou Outcome) bool {
+	return gu.firstToken > 0 && ou.FirstToken > slowFactor*gu.firstToken
+}
+
+// Verdict gives why the candidate is bad, "" while it is not.
+func (gu *Guard) Verdict() string {
+	switch {
+	case gu.failures.Rejects():
+		return "errors or silence"
+	case gu.slow.Rejects():
+		return "slow first token"
+	}
+	return ""
+}
+
+func loss(bad bool) float64 {
+	if bad {
+		return 1
+	}
+	return 0
+}
+
+// Quality judges a candidate by ratings. It is not safe for concurrent use.
+type Quality struct {
+	test     Test
+	base     QualityBaseline
+	Answers  int64
+	margin   float64
+	expected float64
+}
+
+// QualityBaseline follows the ratings of the version in use.
+type QualityBaseline struct {
+	count, mean, squares float64
+}
+
+// NewQuality gives a judge; expected is the quality that the record states for
+// the version in use, margin the loss of quality that is accepted.
+func NewQuality(expected, margin float64) *Quality {
+	return &Quality{expected: expected, margin: margin}
+}
+
+// Stable adds a rating of the version in use.
+func (qu *Quality) Stable(quality float64) {
+	ba := &qu.base
+	ba.count++
+	delta := quality - ba.mean
+	ba.mean += delta / ba.count
+	ba.squares += delta * (quality - ba.mean)
+}
+
+// Candidate adds a rating of the candidate.
+func (qu *Quality) Candidate(quality float64) {
+	qu.Answers++
+	qu.test.Observe(1-quality, 1-qu.accepted())
+}
+
+// accepted is the least mean quality of a good candidate.
+func (qu *Quality) accepted() float64 {
+	const priorWeight = 5
+	mean := (qu.base.mean*qu.base.count + qu.expected*priorWeight) / (qu.base.count + priorWeight)
+	spread := 0.1
+	if qu.base.count > 1 {
+		spread = math.Sqrt(qu.base.squares / (qu.base.count - 1))
+	}
+	return mean - qu.margin - 2*spread/math.Sqrt(qu.base.count+priorWeight)
+}
+
+// Rejects tells whether the candidate is worse than accepted.
+func (qu *Quality) Rejects() bool { return qu.test.Rejects() }
+
+// NextShare gives the share after the one a roll-out is at; false when it is
+// at its last.
+func NextShare(ro policy.Rollout) (float64, bool) {
+	for _, st := range ro.Steps {
+		if st > ro.Share {
+			return st, true
+		}
+	}
+	return ro.Share, false
+}
--- /dev/null
+++ b/session/pin.go
@@ -0,0 +1,265 @@
+package session
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerpoint.example/tanager/peer"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/vm"
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	// pinLifetime is how long a pin stays after its last use.
+	pinLifetime = 30 * time.Minute
+	// homes is how many entries hold a pin.
+	homes = 2
+	// maxPins bounds the pins held by one entry.
+	maxPins = 200_000
+	// pinTimeout bounds a call to a home.
+	pinTimeout = 300 * time.Millisecond
+	// renewAfter is how old a cached pin gets before its homes hear of it.
+	renewAfter = pinLifetime / 4
+)
+
+// Key is a session within the site.
+type Key string
+
+// NewKey gives the key of an organisation's session on a model.
+func NewKey(or policy.OrganisationID, mo policy.ModelID, id ID) Key {
+	return Key(string(or) + "\x00" + string(mo) + "\x00" + string(id))
+}
+
+type pin struct {
+	version   policy.VersionID
+	expiresAt time.Time
+	renewAt   time.Time
+}
+
+// Pins holds sessions' versions. It answers for the sessions whose home is
+// this entry, and asks the homes of others.
+//
+// mu guards the pins; no call is made while it is held.
+type Pins struct {
+	group *peer.Group
+	mu    sync.Mutex
+	pins  map[Key]pin
+	seen  []peer.Incarnation
+}
+
+// NewPins gives an empty table.
+func NewPins(gr *peer.Group) *Pins {
+	return &Pins{group: gr, pins: map[Key]pin{}}
+}
+
+// Len counts the pins held.
+func (pi *Pins) Len() int {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	return len(pi.pins)
+}
+
+// home is an entry that may hold a pin; address is empty for this one.
+type home struct {
+	vm      vm.ID
+	address string
+}
+
+// homesOf gives a session's homes among the live entries, by highest random
+// weight (Thaler and Ravishankar, 1998).
+func (pi *Pins) homesOf(key Key) []home {
+	all := []home{{vm: pi.group.VM()}}
+	for _, mb := range pi.group.Entries() {
+		all = append(all, home{vm: mb.VM, address: mb.PeerAddress})
+	}
+	slices.SortFunc(all, func(a, b home) int {
+		return cmp.Compare(weight(b.vm, key), weight(a.vm, key))
+	})
+	return all[:min(homes, len(all))]
+}
+
+func weight(id vm.ID, key Key) uint64 {
+	return xxhash.Sum64String(string(id) + "\x00" + string(key))
+}
+
+// Version gives the version of a session, pinning the proposed one when it has
+// none. The first pin wins at whatever entry it is asked for. A pin to the
+// version replaced gives way to the proposed one.
+func (pi *Pins) Version(ctx context.Context, key Key, proposed, replaced policy.VersionID) policy.VersionID {
+	now := time.Now()
+	if pn, ok := pi.get(key, now); ok && pn.version != replaced && now.Before(pn.renewAt) {
+		return pn.version
+	}
+	rq := &rpc.PinRequest{
+		Session: string(key), Version: string(proposed), Replaces: string(replaced),
+		ExpiresAtMs: now.Add(pinLifetime).UnixMilli(),
+	}
+	for _, ho := range pi.homesOf(key) {
+		rs, err := pi.ask(ctx, ho, rq)
+		if err == nil {
+			version := policy.VersionID(rs.GetVersion())
+			pi.put(key, version, now)
+			return version
+		}
+	}
+	return pi.putFirst(key, proposed, replaced, now)
+}
+
+func (pi *Pins) ask(ctx context.Context, ho home, rq *rpc.PinRequest) (*rpc.PinResponse, error) {
+	if ho.address == "" {
+		return pi.Pin(ctx, rq)
+	}
+	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
+	defer cancel()
+	return pi.group.Peer(ho.address).Pin(ctx, rq)
+}
+
+// Pin implements peer.Pins for sessions whose home is this entry. A home that
+// does not know a session asks the other one before it takes the proposal,
+// since it may be new.
+func (pi *Pins) Pin(ctx context.Context, rq *rpc.PinRequest) (*rpc.PinResponse, error) {
+	key, now := Key(rq.GetSession()), time.Now()
+	proposed, replaced := policy.VersionID(rq.GetVersion()), policy.VersionID(rq.GetReplaces())
+	if rq.GetCopy() {
+		return pi.takeCopy(key, proposed, replaced, now), nil
+	}
+	_, known := pi.get(key, now)
+	if !known {
+		if version := pi.copyOf(ctx, key, rq); version != "" && version != replaced {
+			pi.putFirst(key, version, replaced, now)
+		}
+	}
+	version := pi.putFirst(key, proposed, replaced, now)
+	pi.giveCopies(ctx, key, version, replaced, rq.GetExpiresAtMs())
+	return &rpc.PinResponse{Version: string(version)}, nil
+}
+
+// takeCopy stores another home's pin. Without a version it only answers what
+// this home has.
+func (pi *Pins) takeCopy(key Key, version, replaced policy.VersionID, now time.Time) *rpc.PinResponse {
+	pn, known := pi.get(key, now)
+	if version == "" {
+		return &rpc.PinResponse{Version: string(pn.version)}
+	}
+	if !known || pn.version == replaced {
+		pi.put(key, version, now)
+		return &rpc.PinResponse{Version: string(version)}
+	}
+	return &rpc.PinResponse{Version: string(pn.version)}
+}
+
+// copyOf asks the other homes what they have for a session.
+func (pi *Pins) copyOf(ctx context.Context, key Key, rq *rpc.PinRequest) policy.VersionID {
+	for _, ho := range pi.homesOf(key) {
+		if ho.address == "" {
+			continue
+		}
+		rs, err := pi.ask(ctx, ho, &rpc.PinRequest{Session: rq.GetSession(), Copy: true})
+		if err == nil && rs.GetVersion() != "" {
+			return policy.VersionID(rs.GetVersion())
+		}
+	}
+	return ""
+}
+
+func (pi *Pins) giveCopies(ctx context.Context, key Key, version, replaced policy.VersionID, expiresAtMS int64) {
+	for _, ho := range pi.homesOf(key) {
+		if ho.address == "" {
+			continue
+		}
+		_, _ = pi.ask(ctx, ho, &rpc.PinRequest{
+			Session: string(key), Version: string(version), Copy: true,
+			Replaces: string(replaced), ExpiresAtMs: expiresAtMS,
+		})
+	}
+}
+
+func (pi *Pins) get(key Key, now time.Time) (pin, bool) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	pn, ok := pi.pins[key]
+	return pn, ok && now.Before(pn.expiresAt)
+}
+
+func (pi *Pins) put(key Key, version policy.VersionID, now time.Time) {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	pi.putLocked(key, version, now)
+}
+
+// putFirst pins a version unless the session has one, and gives the one it has.
+func (pi *Pins) putFirst(key Key, version, replaced policy.VersionID, now time.Time) policy.VersionID {
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	if pn, ok := pi.pins[key]; ok && now.Before(pn.expiresAt) && pn.version != replaced {
+		version = pn.version
+	}
+	pi.putLocked(key, version, now)
+	return version
+}
+
+func (pi *Pins) putLocked(key Key, version policy.VersionID, now time.Time) {
+	if _, ok := pi.pins[key]; !ok && len(pi.pins) >= maxPins {
+		pi.makeRoom(now)
+	}
+	pi.pins[key] = pin{version: version, expiresAt: now.Add(pinLifetime), renewAt: now.Add(renewAfter)}
+}
+
+// makeRoom forgets the lapsed pins, or any when none has lapsed.
+func (pi *Pins) makeRoom(now time.Time) {
+	for key, pn := range pi.pins {
+		if now.After(pn.expiresAt) {
+			delete(pi.pins, key)
+		}
+	}
+	for key := range pi.pins {
+		if len(pi.pins) < maxPins {
+			return
+		}
+		delete(pi.pins, key)
+	}
+}
+
+// Run hands pins to their new homes whenever the entries change.
+func (pi *Pins) Run(ctx context.Context, interval time.Duration) {
+	for worker.Sleep(ctx, interval) {
+		if pi.entriesChanged() {
+			pi.spread(ctx)
+		}
+	}
+}
+
+func (pi *Pins) entriesChanged() bool {
+	var now []peer.Incarnation
+	for _, mb := range pi.group.Entries() {
+		now = append(now, mb.Incarnation)
+	}
+	slices.Sort(now)
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	changed := !slices.Equal(pi.seen, now)
+	pi.seen = now
+	return changed
+}
+
+func (pi *Pins) spread(ctx context.Context) {
+	pi.mu.Lock()
+	held := make(map[Key]pin, len(pi.pins))
+	for key, pn := range pi.pins {
+		held[key] = pn
+	}
+	pi.mu.Unlock()
+	for key, pn := range held {
+		if ctx.Err() != nil {
+			return
+		}
+		pi.giveCopies(ctx, key, pn.version, "", pn.expiresAt.UnixMilli())
+	}
+}
--- /dev/null
+++ b/setting/setting.go
@@ -0,0 +1,235 @@
+// Package setting reads the daemons' INI files into the messages of
+// schema/settings.proto. Sections, keys, defaults and bounds come from there.
+package setting
+
+import (
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gopkg.in/ini.v1"
+
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+// minSharedKeyLength is in characters.
+const minSharedKeyLength = 16
+
+// Load reads a file into ms, a pointer to EntrySettings or StewardSettings.
+// The error is a finding.List with every mistake in the file.
+func Load(file string, ms proto.Message) error {
+	var li finding.List
+	fl, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true}, file)
+	if err != nil {
+		li.Add(finding.Place{File: file}, "cannot read: %v", err)
+		return li
+	}
+	rd := reader{file: file, ini: fl, list: &li}
+	rd.unknownSections(ms.ProtoReflect().Descriptor())
+	fds := ms.ProtoReflect().Descriptor().Fields()
+	for i := range fds.Len() {
+		rd.section(ms.ProtoReflect(), fds.Get(i))
+	}
+	if len(li) == 0 {
+		rd.clashes(ms)
+	}
+	return li.Err()
+}
+
+type reader struct {
+	file string
+	ini  *ini.File
+	list *finding.List
+}
+
+func (rd reader) unknownSections(md protoreflect.MessageDescriptor) {
+	for _, se := range rd.ini.Sections() {
+		if se.Name() == ini.DefaultSection {
+			for _, ke := range se.Keys() {
+				rd.list.Add(finding.Place{File: rd.file, Key: ke.Name()}, "key stands before any section")
+			}
+			continue
+		}
+		if md.Fields().ByName(protoreflect.Name(se.Name())) == nil {
+			rd.list.Add(finding.Place{File: rd.file, Section: se.Name()}, "unknown section")
+		}
+	}
+}
+
+func (rd reader) section(ms protoreflect.Message, fd protoreflect.FieldDescriptor) {
+	name := string(fd.Name())
+	sub := ms.Mutable(fd).Message()
+	se, _ := rd.ini.GetSection(name)
+	if se != nil {
+		for _, ke := range se.Keys() {
+			if fd.Message().Fields().ByName(protoreflect.Name(ke.Name())) == nil {
+				rd.list.Add(finding.Place{File: rd.file, Section: name, Key: ke.Name()}, "unknown key")
+			}
+		}
+	}
+	fds := fd.Message().Fields()
+	for i := range fds.Len() {
+		rd.key(sub, se, name, fds.Get(i))
+	}
+}
+
+func (rd reader) key(ms protoreflect.Message, se *ini.Section, section string, fd protoreflect.FieldDescriptor) {
+	pl := finding.Place{File: rd.file, Section: section, Key: string(fd.Name())}
+	ru := ruleOf(fd)
+	text := ru.GetDefault()
+	if se != nil && se.HasKey(pl.Key) {
+		ke := se.Key(pl.Key)
+		if len(ke.ValueWithShadows()) > 1 {
+			rd.list.Add(pl, "written more than once")
+			return
+		}
+		text = strings.TrimSpace(ke.String())
+	}
+	if text == "" {
+		if ru.GetRequired() {
+			rd.list.Add(pl, "missing: %s", ru.GetHelp())
+		}
+		return
+	}
+	va, num, problem := parse(fd, text)
+	if problem != "" {
+		rd.list.Add(pl, "%s", problem)
+		return
+	}
+	if ru.Min != nil && num < ru.GetMin() || ru.Max != nil && num > ru.GetMax() {
+		rd.list.Add(pl, "%s is outside %v to %v", text, ru.GetMin(), ru.GetMax())
+		return
+	}
+	if fd.IsList() {
+		ls := ms.Mutable(fd).List()
+		for part := range strings.SplitSeq(text, ",") {
+			if part = strings.TrimSpace(part); part != "" {
+				ls.Append(protoreflect.ValueOfString(part))
+			}
+		}
+		return
+	}
+	ms.Set(fd, va)
+}
+
+// parse gives the value and, for numbers and durations, the number that the
+// rule's bounds apply to.
+func parse(fd protoreflect.FieldDescriptor, text string) (protoreflect.Value, float64, string) {
+	switch fd.Kind() {
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString(text), 0, ""
+	case protoreflect.Int64Kind:
+		num, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return protoreflect.Value{}, 0, strconv.Quote(text) + " is not a whole number"
+		}
+		return protoreflect.ValueOfInt64(num), float64(num), ""
+	case protoreflect.DoubleKind:
+		num, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return protoreflect.Value{}, 0, strconv.Quote(text) + " is not a number"
+		}
+		return protoreflect.ValueOfFloat64(num), num, ""
+	case protoreflect.MessageKind:
+		du, err := time.ParseDuration(text)
+		if err != nil {
+			return protoreflect.Value{}, 0, strconv.Quote(text) + " is not a duration such as 500ms or 2s"
+		}
+		return protoreflect.ValueOfMessage(durationpb.New(du).ProtoReflect()), du.Seconds(), ""
+	default:
+		return protoreflect.Value{}, 0, "a key of this kind is not supported"
+	}
+}
+
+func ruleOf(fd protoreflect.FieldDescriptor) *rpc.Rule {
+	ru, ok := proto.GetExtension(fd.Options(), rpc.E_Rule).(*rpc.Rule)
+	if !ok {
+		return &rpc.Rule{}
+	}
+	return ru
+}
+
+// common is what both daemons' settings have.
+type common interface {
+	GetVm() *rpc.VMSection
+	GetListen() *rpc.ListenSection
+	GetStore() *rpc.StoreSection
+	GetPlatform() *rpc.PlatformSection
+	GetPeers() *rpc.PeersSection
+	GetLog() *rpc.LogSection
+}
+
+// clashes finds values that are well formed but cannot stand together.
+func (rd reader) clashes(ms proto.Message) {
+	co, ok := ms.(common)
+	if !ok {
+		return
+	}
+	rd.listeners(co.GetListen())
+	rd.urls(co)
+	if len(co.GetPeers().GetSharedKey()) < minSharedKeyLength {
+		rd.add("peers", "shared_key", "shorter than %d characters", minSharedKeyLength)
+	}
+	if fo := co.GetLog().GetFormat(); fo != "text" && fo != "json" {
+		rd.add("log", "format", "%q is neither text nor json", fo)
+	}
+	switch co.GetLog().GetLevel() {
+	case "debug", "info", "warning", "error":
+	default:
+		rd.add("log", "level", "%q is none of debug, info, warning, error", co.GetLog().GetLevel())
+	}
+	if co.GetPeers().GetFailedAfter().AsDuration() < 2*co.GetPeers().GetInterval().AsDuration() {
+		rd.add("peers", "failed_after", "shorter than two exchange intervals")
+	}
+	es, ok := ms.(*rpc.EntrySettings)
+	if ok && es.GetServing().GetIsolatedAfter().AsDuration() <= es.GetPeers().GetFailedAfter().AsDuration() {
+		rd.add("serving", "isolated_after", "not longer than peers failed_after")
+	}
+}
+
+func (rd reader) listeners(ls *rpc.ListenSection) {
+	seen := map[string]string{}
+	for _, ad := range [...]struct{ key, text string }{
+		{"callers", ls.GetCallers()}, {"admin", ls.GetAdmin()}, {"peers", ls.GetPeers()},
+	} {
+		host, _, err := net.SplitHostPort(ad.text)
+		if err != nil || net.ParseIP(host) == nil {
+			rd.add("listen", ad.key, "%q is not IP:port", ad.text)
+		}
+		if other, ok := seen[ad.text]; ok {
+			rd.add("listen", ad.key, "same address as %s", other)
+		}
+		seen[ad.text] = ad.key
+	}
+}
+
+func (rd reader) urls(co common) {
+	for _, ur := range co.GetStore().GetUrls() {
+		rd.url("store", "urls", ur)
+	}
+	pl := co.GetPlatform()
+	for _, ur := range [...]struct{ key, text string }{
+		{"vm_list_url", pl.GetVmListUrl()}, {"rating_url", pl.GetRatingUrl()}, {"weights_url", pl.GetWeightsUrl()},
+	} {
+		if ur.text != "" {
+			rd.url("platform", ur.key, ur.text)
+		}
+	}
+}
+
+func (rd reader) url(section, key, text string) {
+	ur, err := url.Parse(text)
+	if err != nil || ur.Scheme != "http" && ur.Scheme != "https" || ur.Host == "" {
+		rd.add(section, key, "%q is not an http or https URL", text)
+	}
+}
+
+func (rd reader) add(section, key, format string, args ...any) {
+	rd.list.Add(finding.Place{File: rd.file, Section: section, Key: key}, format, args...)
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"tanagerpoint.example/tanager/endpoint"
+)
+
+// Plain stands in for a plain service whose calls may not be repeated. It
+// counts what it ran by the call's Idempotency-Key.
+type Plain struct {
+	Switch
+
+	delay time.Duration
+	mu    sync.Mutex
+	ran   map[string]int
+}
+
+// NewPlain gives a service that takes a while for each call.
+func NewPlain(delay time.Duration) *Plain {
+	return &Plain{delay: delay, ran: map[string]int{}}
+}
+
+// Ran counts how often each key was run.
+func (pl *Plain) Ran() map[string]int {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	out := make(map[string]int, len(pl.ran))
+	for key, n := range pl.ran {
+		out[key] = n
+	}
+	return out
+}
+
+// Handler serves any path.
+func (pl *Plain) Handler() http.Handler {
+	return pl.Wrap(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		body, err := io.ReadAll(rq.Body)
+		if err != nil {
+			return
+		}
+		key := rq.Header.Get("Idempotency-Key")
+		pl.mu.Lock()
+		pl.ran[key]++
+		n := pl.ran[key]
+		pl.mu.Unlock()
+		time.Sleep(pl.delay)
+		wr.Header().Set(endpoint.HeaderAttempt, rq.Header.Get(endpoint.HeaderAttempt))
+		writeJSON(wr, plainAnswer{Path: rq.URL.Path, Key: key, Run: n, Receipt: fmt.Sprintf("receipt-%s-%d", key, n), Bytes: len(body)})
+	}))
+}
+
+type plainAnswer struct {
+	Path    string `json:"path"`
+	Key     string `json:"key"`
+	Run     int    `json:"run"`
+	Receipt string `json:"receipt"`
+	Bytes   int    `json:"bytes"`
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,272 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxAnswerBytes bounds what one read may bring.
+const maxAnswerBytes = 64 << 20
+
+// idleConnectionLimit is how long a pooled connection is trusted.
+const idleConnectionLimit = 3 * time.Second
+
+// Options say how a Client reaches the store.
+type Options struct {
+	URLs          []string
+	Timeout       time.Duration
+	WatchProgress time.Duration
+	// Dial replaces the network in tests.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Client is a Store over HTTP. It is safe for concurrent use.
+type Client struct {
+	opt   Options
+	http  *http.Client
+	next  atomic.Uint64
+	calls atomic.Int64
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient gives a client. It connects when it is first used.
+func NewClient(opt Options) *Client {
+	tr := &http.Transport{
+		DialContext:         opt.Dial,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     idleConnectionLimit,
+	}
+	return &Client{opt: opt, http: &http.Client{Transport: tr}}
+}
+
+// Close ends the pooled connections.
+func (cl *Client) Close() { cl.http.CloseIdleConnections() }
+
+// Calls counts the calls made so far.
+func (cl *Client) Calls() int64 { return cl.calls.Load() }
+
+func (cl *Client) url(path string) string {
+	return cl.opt.URLs[cl.next.Load()%uint64(len(cl.opt.URLs))] + path
+}
+
+// send posts a message. The boolean tells whether the store may have seen it.
+func (cl *Client) send(ctx context.Context, path string, ms any) (*http.Response, bool, error) {
+	bd, err := json.Marshal(ms)
+	if err != nil {
+		return nil, false, eris.Wrap(err, "Client.send")
+	}
+	cl.calls.Add(1)
+	var sent atomic.Bool
+	tc := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	rq, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, tc), http.MethodPost, cl.url(path), bytes.NewReader(bd))
+	if err != nil {
+		return nil, false, eris.Wrap(err, "Client.send")
+	}
+	rq.GetBody = nil
+	rs, err := cl.http.Do(rq)
+	if err != nil {
+		cl.next.Add(1)
+		return nil, sent.Load(), err
+	}
+	if rs.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(rs.Body, 512))
+		_ = rs.Body.Close()
+		cl.next.Add(1)
+		return nil, sent.Load(), eris.Errorf("%s answered %s: %s", path, rs.Status, text)
+	}
+	return rs, true, nil
+}
+
+// call posts a message and decodes the answer within the client's timeout.
+func (cl *Client) call(ctx context.Context, path string, ms, answer any) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, cl.opt.Timeout)
+	defer cancel()
+	rs, sent, err := cl.send(ctx, path, ms)
+	if err != nil {
+		return sent, err
+	}
+	defer func() { _ = rs.Body.Close() }()
+	return true, json.NewDecoder(io.LimitReader(rs.Body, maxAnswerBytes)).Decode(answer)
+}
+
+func (cl *Client) read(ctx context.Context, op string, rg WireRange) (Page, error) {
+	var rs WireRangeResponse
+	if _, err := cl.call(ctx, "/v3/kv/range", rg, &rs); err != nil {
+		return Page{}, eris.Wrapf(errors.Join(ErrUnavailable, err), "Client.%s", op)
+	}
+	return Page{Revision: Revision(rs.Header.Revision), KeyValues: fromWire(rs.Kvs)}, nil
+}
+
+// Range implements Store.
+func (cl *Client) Range(ctx context.Context, prefix Key) (Page, error) {
+	return cl.read(ctx, "Range", WireRange{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)})
+}
+
+// Get implements Store.
+func (cl *Client) Get(ctx context.Context, key Key) (Page, error) {
+	return cl.read(ctx, "Get", WireRange{Key: []byte(key)})
+}
+
+// Apply implements Store.
+func (cl *Client) Apply(ctx context.Context, co Commit) (Outcome, error) {
+	var rs WireTxnResponse
+	if err := cl.commit(ctx, "Apply", toTxn(co), &rs); err != nil {
+		return Outcome{}, err
+	}
+	return outcomeOf(rs, rs.Header.Revision), nil
+}
+
+// ApplyEach implements Store.
+func (cl *Client) ApplyEach(ctx context.Context, cos []Commit) ([]Outcome, error) {
+	var tx WireTxn
+	for _, co := range cos {
+		sub := toTxn(co)
+		tx.Success = append(tx.Success, WireOp{Txn: &sub})
+	}
+	var rs WireTxnResponse
+	if err := cl.commit(ctx, "ApplyEach", tx, &rs); err != nil {
+		return nil, err
+	}
+	if len(rs.Responses) != len(cos) {
+		return nil, eris.Wrapf(ErrUnknown, "Client.ApplyEach: %d answers to %d commits", len(rs.Responses), len(cos))
+	}
+	ous := make([]Outcome, len(cos))
+	for i, re := range rs.Responses {
+		if re.Txn == nil {
+			return nil, eris.Wrap(ErrUnknown, "Client.ApplyEach: answer without txn")
+		}
+		ous[i] = outcomeOf(*re.Txn, rs.Header.Revision)
+	}
+	return ous, nil
+}
+
+func (cl *Client) commit(ctx context.Context, op string, tx WireTxn, rs *WireTxnResponse) error {
+	sent, err := cl.call(ctx, "/v3/kv/txn", tx, rs)
+	if err == nil {
+		return nil
+	}
+	kind := ErrUnavailable
+	if sent {
+		kind = ErrUnknown
+	}
+	return eris.Wrapf(errors.Join(kind, err), "Client.%s", op)
+}
+
+// Watch implements Store.
+func (cl *Client) Watch(ctx context.Context, prefix Key, from Revision, report func(Notice)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	tm := time.AfterFunc(cl.opt.WatchProgress, cancel)
+	defer tm.Stop()
+	wa := WireWatch{Create: WireWatchCreate{
+		Key: []byte(prefix), RangeEnd: PrefixEnd(prefix),
+		StartRevision: int64(from), ProgressNotify: true,
+	}}
+	rs, _, err := cl.send(ctx, "/v3/watch", wa)
+	if err != nil {
+		return eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Watch")
+	}
+	defer func() { _ = rs.Body.Close() }()
+	de := json.NewDecoder(rs.Body)
+	for {
+		var li WireWatchLine
+		if err := de.Decode(&li); err != nil {
+			return eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Watch")
+		}
+		tm.Reset(cl.opt.WatchProgress)
+		if li.Result.CompactRevision > 0 {
+			return eris.Wrap(ErrCompacted, "Client.Watch")
+		}
+		if li.Result.Canceled {
+			return eris.Wrap(ErrUnavailable, "Client.Watch: cancelled by the store")
+		}
+		report(noticeOf(li.Result))
+	}
+}
+
+func noticeOf(re WireWatchResult) Notice {
+	no := Notice{Revision: Revision(re.Header.Revision)}
+	for _, ev := range re.Events {
+		no.Changes = append(no.Changes, Change{KeyValue: fromWire([]WireKeyValue{ev.Kv})[0], Deleted: ev.Type == "DELETE"})
+	}
+	return no
+}
+
+// Grant implements Store.
+func (cl *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	var le WireLease
+	rq := WireLeaseGrant{TTL: int64(math.Ceil(ttl.Seconds()))}
+	if _, err := cl.call(ctx, "/v3/lease/grant", rq, &le); err != nil {
+		return 0, eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Grant")
+	}
+	return LeaseID(le.ID), nil
+}
+
+// KeepAlive implements Store.
+func (cl *Client) KeepAlive(ctx context.Context, id LeaseID) (bool, error) {
+	var ka WireKeepAlive
+	if _, err := cl.call(ctx, "/v3/lease/keepalive", WireLease{ID: int64(id)}, &ka); err != nil {
+		return false, eris.Wrap(errors.Join(ErrUnavailable, err), "Client.KeepAlive")
+	}
+	return ka.Result.TTL > 0, nil
+}
+
+// Revoke implements Store.
+func (cl *Client) Revoke(ctx context.Context, id LeaseID) error {
+	var none WireHeader
+	if _, err := cl.call(ctx, "/v3/lease/revoke", WireLease{ID: int64(id)}, &none); err != nil {
+		return eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Revoke")
+	}
+	return nil
+}
+
+func toTxn(co Commit) WireTxn {
+	var tx WireTxn
+	for _, cm := range co.Compares {
+		tx.Compare = append(tx.Compare, WireCompare{Key: []byte(cm.Key), Target: "MOD", Result: "EQUAL", ModRevision: int64(cm.ModRevision)})
+		tx.Failure = append(tx.Failure, WireOp{Range: &WireRange{Key: []byte(cm.Key)}})
+	}
+	for _, pu := range co.Puts {
+		tx.Success = append(tx.Success, WireOp{Put: &WirePut{Key: []byte(pu.Key), Value: pu.Value, Lease: int64(pu.Lease)}})
+	}
+	for _, ke := range co.Deletes {
+		tx.Success = append(tx.Success, WireOp{Delete: &WireRange{Key: []byte(ke)}})
+	}
+	return tx
+}
+
+func outcomeOf(rs WireTxnResponse, revision int64) Outcome {
+	ou := Outcome{Applied: rs.Succeeded, Revision: Revision(revision)}
+	if rs.Succeeded {
+		return ou
+	}
+	for _, re := range rs.Responses {
+		if re.Range != nil {
+			ou.Found = append(ou.Found, fromWire(re.Range.Kvs)...)
+		}
+	}
+	return ou
+}
+
+func fromWire(kvs []WireKeyValue) []KeyValue {
+	out := make([]KeyValue, len(kvs))
+	for i, kv := range kvs {
+		out[i] = KeyValue{
+			Key: Key(kv.Key), Value: kv.Value,
+			CreateRevision: Revision(kv.CreateRevision), ModRevision: Revision(kv.ModRevision),
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/store/resolve.go
@@ -0,0 +1,46 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	firstResolveWait = 20 * time.Millisecond
+	lastResolveWait  = 500 * time.Millisecond
+)
+
+// ApplyResolved makes a commit and, when its answer is lost, makes the same
+// commit again until an answer comes or ctx ends. The commit must compare a
+// key that it writes, so that only one of the tries can take effect; own tells
+// whether the pairs found by a refused try show that an earlier one did.
+//
+// The error is ErrUnavailable when no try can have taken effect, ErrUnknown
+// when one may have.
+func ApplyResolved(ctx context.Context, st Store, co Commit, own func(found []KeyValue) bool) (Outcome, error) {
+	bo := backoff.NewExponentialBackOff()
+	bo.InitialInterval, bo.MaxInterval = firstResolveWait, lastResolveWait
+	unknown := false
+	for {
+		ou, err := st.Apply(ctx, co)
+		if err == nil {
+			if !ou.Applied && unknown && own(ou.Found) {
+				ou.Applied = true
+			}
+			return ou, nil
+		}
+		if !errors.Is(err, ErrUnknown) && !unknown {
+			return Outcome{}, err
+		}
+		unknown = true
+		if !worker.Sleep(ctx, bo.NextBackOff()) {
+			return Outcome{}, eris.Wrap(errors.Join(ErrUnknown, err), "ApplyResolved")
+		}
+	}
+}
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Generates rpc/ from schema/. Needs protoc; builds the pinned plugins.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin="$PWD/.tools"
+out="${1:-.}"
+mkdir -p "$bin"
+(cd tools && GOFLAGS=-mod=mod go build -o "$bin/" google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp)
+PATH="$bin:$PATH" protoc -I schema \
+  --go_out="$out" --go_opt=module=tanagerpoint.example/tanager \
+  --twirp_out="$out" --twirp_opt=module=tanagerpoint.example/tanager \
+  settings.proto policy.proto peer.proto
--- /dev/null
+++ b/vm/vm.go
@@ -0,0 +1,161 @@
+// Package vm follows the platform's VM list, which is in the format of
+// Prometheus HTTP service discovery. The list lags behind the VMs.
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/worker"
+)
+
+// ID names a VM.
+type ID string
+
+// State is what the list says of a VM.
+type State string
+
+// The states.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Role is what a VM is for.
+type Role string
+
+// The roles.
+const (
+	RoleEntry    Role = "entry"
+	RoleEndpoint Role = "endpoint"
+)
+
+const (
+	pollInterval = 500 * time.Millisecond
+	pollTimeout  = time.Second
+	maxListBytes = 16 << 20
+)
+
+// VM is one line of the list. Address is where its peers' listener, or its
+// endpoint, is reached.
+type VM struct {
+	ID      ID
+	Role    Role
+	State   State
+	Address string
+	// Endpoint is the id of the endpoint that runs on it, if any.
+	Endpoint string
+}
+
+// Group is one element of the list's wire format.
+type Group struct {
+	Targets []string `json:"targets"`
+	Labels  Labels   `json:"labels"`
+}
+
+// Labels are the labels that the system reads.
+type Labels struct {
+	VM       string `json:"vm"`
+	Role     string `json:"role"`
+	State    string `json:"state"`
+	Endpoint string `json:"endpoint,omitempty"`
+}
+
+// List is the newest state of the VM list.
+type List struct {
+	url    string
+	client *http.Client
+	log    *event.Log
+	state  atomic.Pointer[listState]
+}
+
+// listState is one answer of the platform.
+type listState struct {
+	vms []VM
+	// leaving holds the endpoints whose VMs are leaving.
+	leaving map[string]bool
+}
+
+// NewList gives an empty list; Run follows the platform's.
+func NewList(url string, ne network.Network, lo *event.Log) *List {
+	li := &List{url: url, client: ne.Client(1), log: lo}
+	li.state.Store(&listState{})
+	return li
+}
+
+// Close ends the pooled connections.
+func (li *List) Close() { li.client.CloseIdleConnections() }
+
+// Entries lists the entry VMs.
+func (li *List) Entries() []VM {
+	var out []VM
+	for _, vm := range li.state.Load().vms {
+		if vm.Role == RoleEntry {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// EndpointLeaving tells whether the VM of an endpoint is leaving.
+func (li *List) EndpointLeaving(endpoint string) bool {
+	return li.state.Load().leaving[endpoint]
+}
+
+// Run polls the platform until ctx ends.
+func (li *List) Run(ctx context.Context) {
+	failed := false
+	for ctx.Err() == nil {
+		err := li.poll(ctx)
+		if err != nil && !failed && ctx.Err() == nil {
+			li.log.Warn(event.VMListUnreachable, err, nil)
+		}
+		failed = err != nil
+		worker.Sleep(ctx, pollInterval)
+	}
+}
+
+func (li *List) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, li.url, nil)
+	if err != nil {
+		return eris.Wrap(err, "List.poll")
+	}
+	rs, err := li.client.Do(rq)
+	if err != nil {
+		return eris.Wrap(err, "List.poll")
+	}
+	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return eris.Errorf("List.poll: %s", rs.Status)
+	}
+	var grs []Group
+	if err := json.NewDecoder(io.LimitReader(rs.Body, maxListBytes)).Decode(&grs); err != nil {
+		return eris.Wrap(err, "List.poll")
+	}
+	li.state.Store(newListState(grs))
+	return nil
+}
+
+func newListState(grs []Group) *listState {
+	ls := &listState{leaving: map[string]bool{}}
+	for _, gr := range grs {
+		for _, ta := range gr.Targets {
+			la := gr.Labels
+			ls.vms = append(ls.vms, VM{ID: ID(la.VM), Role: Role(la.Role), State: State(la.State), Address: ta, Endpoint: la.Endpoint})
+			if la.Endpoint != "" && State(la.State) == Leaving {
+				ls.leaving[la.Endpoint] = true
+			}
+		}
+	}
+	return ls
+}
