Prove claims, bills, configuration, sessions, withdrawal and streams under failure

Cause: nothing showed that what must always hold does hold under kills, cuts, silent connections, store outages and lost answers.

Found by the tests and mended: - a stream whose every chunk belonged to another request ended as a whole, empty answer: a crossed chunk now fails the connection, which is resumed or retried (TestCrossedAnswersAreDropped); - a request whose version was withdrawn between two attempts was answered "endpoint_failed": it is now given its new version, and a refusal after an attempt says "unknown" (TestWithdrawnVersionGetsNoRetries). Ruled out as faults of the product: a stand-in that lost the answers of reads, and a check that took the start of work in an engine's own queue for its receipt.

--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/rotisserie/eris"
+	"github.com/tidwall/gjson"
 )
 
 // HeaderFencingToken carries an order's fencing token.
@@ -62,3 +64,31 @@
 	co.close()
 	return nil
 }
+
+// maxModelsBytes bounds an engine's list of models.
+const maxModelsBytes = 1 << 20
+
+// Loaded lists the models that an engine has, by the OpenAI API's model list.
+func (cl *Client) Loaded(ctx context.Context, url string) ([]string, error) {
+	rq, err := http.NewRequest(http.MethodGet, url+"/v1/models", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "Client.Loaded")
+	}
+	co, fa := cl.open(ctx, cl.fresh, rq, cl.progress)
+	if fa != nil {
+		return nil, eris.Wrap(fa, "Client.Loaded")
+	}
+	if co.response.StatusCode != http.StatusOK {
+		return nil, eris.Wrap(co.refused(), "Client.Loaded")
+	}
+	defer co.close()
+	text, err := io.ReadAll(io.LimitReader(co, maxModelsBytes))
+	if err != nil {
+		return nil, eris.Wrap(co.failed(err), "Client.Loaded")
+	}
+	var out []string
+	for _, id := range gjson.GetBytes(text, "data.#.id").Array() {
+		out = append(out, id.Str)
+	}
+	return out, nil
+}
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -28,6 +28,9 @@
 // errIncomplete marks a stream that ended without its last event.
 var errIncomplete = eris.New("stream ended before its last event")
 
+// errMismatched marks a chunk that carries another request's id.
+var errMismatched = eris.New("chunk belongs to another request")
+
 var doneEvent = []byte("[DONE]")
 
 // EngineCall is one attempt at an engine.
@@ -114,19 +117,15 @@
 		if err == nil && ev.ID >= 0 && ev.ID <= st.last {
 			continue
 		}
-		if err == nil {
+		if err == nil && bytes.Equal(ev.Data, doneEvent) {
+			st.ended = true
+			return Event{}, io.EOF
+		}
+		if err == nil && st.mine(ev.Data) {
 			st.last = max(st.last, ev.ID)
-			if bytes.Equal(ev.Data, doneEvent) {
-				st.ended = true
-				return Event{}, io.EOF
-			}
-			if !st.mine(ev.Data) {
-				st.client.dropped.Add(1)
-				continue
-			}
 			return ev, nil
 		}
-		fa := st.conn.failed(err)
+		fa := st.failed(err)
 		if st.ctx.Err() != nil || st.last < 0 {
 			return Event{}, fa
 		}
@@ -136,6 +135,16 @@
 	}
 }
 
+// failed gives the failure for an error while reading, or for a chunk of
+// another request, which is dropped.
+func (st *Stream) failed(err error) *Failure {
+	if err != nil {
+		return st.conn.failed(err)
+	}
+	st.client.dropped.Add(1)
+	return &Failure{Cause: CauseMismatched, Sent: true, Problem: errMismatched}
+}
+
 // mine tells whether a chunk belongs to this attempt.
 func (st *Stream) mine(data []byte) bool {
 	if !st.call.EchoesID {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,7 +37,6 @@
 	chat   *chat
 	target target
 	tried  []policy.EndpointID
-	sent   bool
 	last   *endpoint.Failure
 	log    *explain
 }
@@ -101,7 +100,7 @@
 		st.Close()
 		return nil, at.failed(ctx, en, sentAt, err)
 	}
-	at.sent = true
+	at.chat.sent = true
 	at.succeeded(ctx, en, st, sentAt)
 	return &opened{stream: st, first: first, endpoint: en, attempt: attempt, ended: err != nil}, nil
 }
@@ -136,7 +135,7 @@
 	if !errors.As(err, &fa) {
 		fa = &endpoint.Failure{Cause: endpoint.CauseBroken, Sent: true, Problem: err}
 	}
-	at.sent = at.sent || fa.Sent
+	at.chat.sent = at.chat.sent || fa.Sent
 	at.last = fa
 	result := placement.Failed
 	if fa.CallerMistake() || ctx.Err() != nil {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -28,6 +28,8 @@
 	sessionToken string
 	sessionID    session.ID
 	strict       bool
+	// sent tells that a byte of the request may have reached an endpoint.
+	sent bool
 }
 
 // handleChat serves POST /v1/chat/completions.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -54,6 +54,9 @@
 }
 
 func (da *Daemon) refuseChat(co *gin.Context, ch *chat, ex *explain, pr problem) {
+	if ch.sent {
+		pr.ran = RanUnknown
+	}
 	ex.add("refused: %s: %s", pr.code, pr.message)
 	da.count(co, ch.request, "refused")
 	refuse(co, pr)
@@ -113,20 +116,11 @@
 
 // outcome gives the caller's error for attempts that all failed.
 func (at *attempts) outcome(ctx context.Context, err error) error {
-	if errors.Is(err, errWithdrawn) && !at.sent {
-		return err
-	}
 	var pr *problem
-	if errors.As(err, &pr) {
-		if at.sent {
-			pr.ran = RanUnknown
-		}
-		return pr
-	}
-	out := &problem{status: http.StatusBadGateway, code: "endpoint_failed", message: err.Error(), ran: NotRun, retryAt: time.Now().Add(overloadedRetry)}
-	if at.sent {
-		out.ran = RanUnknown
+	if errors.Is(err, errWithdrawn) || errors.As(err, &pr) {
+		return err
 	}
+	out := &problem{status: http.StatusBadGateway, code: "endpoint_failed", message: err.Error(), retryAt: time.Now().Add(overloadedRetry)}
 	var fa *endpoint.Failure
 	switch {
 	case errors.As(err, &fa) && fa.CallerMistake():
--- /dev/null
+++ b/proof/proof_test.go
@@ -0,0 +1,19 @@
+// Package proof_test proves, under failure, each point of what must always
+// hold. docs/PROOFS.md has a row for each test.
+package proof_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"tanagerpoint.example/tanager/testsite"
+)
+
+// withSite runs fn on a site in virtual time.
+func withSite(t *testing.T, opt testsite.Options, fn func(t *testing.T, si *testsite.Site)) {
+	synctest.Test(t, func(t *testing.T) {
+		si := testsite.New(t, opt)
+		defer si.Close()
+		fn(t, si)
+	})
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -44,7 +44,9 @@
 type Ran struct {
 	Attempt string
 	Model   string
-	At      time.Time
+	// ReceivedAt is when the request came, At when it was started.
+	ReceivedAt time.Time
+	At         time.Time
 }
 
 // Engine stands in for a model engine.
@@ -87,6 +89,7 @@
 	priority int64
 	order    int
 	tokens   int
+	received time.Time
 	started  chan struct{}
 	startAt  time.Time
 	first    time.Duration
@@ -128,6 +131,7 @@
 	mu.HandleFunc("POST /v1/chat/completions", en.handleChat)
 	mu.HandleFunc("GET /v1/chat/completions/{id}", en.handleResume)
 	mu.HandleFunc("DELETE /v1/chat/completions/{id}", en.handleCancel)
+	mu.HandleFunc("GET /v1/models", en.handleModels)
 	mu.HandleFunc("POST /v1/load_lora_adapter", en.handleOrder(true))
 	mu.HandleFunc("POST /v1/unload_lora_adapter", en.handleOrder(false))
 	return en.Wrap(mu)
@@ -144,6 +148,7 @@
 		prompt:   gjson.GetBytes(body, "messages").Raw,
 		priority: gjson.GetBytes(body, "priority").Int(),
 		tokens:   defaultAnswerTokens,
+		received: time.Now(),
 		started:  make(chan struct{}), cancel: make(chan struct{}),
 	}
 	if n := gjson.GetBytes(body, "max_tokens").Int(); n > 0 {
@@ -212,7 +217,7 @@
 	en.running++
 	now := time.Now()
 	en.report(now)
-	en.ran = append(en.ran, Ran{Attempt: an.id, Model: an.model, At: now})
+	en.ran = append(en.ran, Ran{Attempt: an.id, Model: an.model, ReceivedAt: an.received, At: now})
 	fullness := float64(en.running) / float64(en.opt.Slots)
 	an.startAt = now
 	an.first = en.opt.Prefill
@@ -334,6 +339,23 @@
 	}
 }
 
+func (en *Engine) handleModels(wr http.ResponseWriter, _ *http.Request) {
+	type item struct {
+		ID string `json:"id"`
+	}
+	list := struct {
+		Data []item `json:"data"`
+	}{Data: []item{}}
+	en.mu.Lock()
+	for id, loaded := range en.loaded {
+		if loaded {
+			list.Data = append(list.Data, item{ID: id})
+		}
+	}
+	en.mu.Unlock()
+	writeJSON(wr, list)
+}
+
 func (en *Engine) handleOrder(load bool) http.HandlerFunc {
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		var or struct {
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -22,7 +23,7 @@
 	Freeze bool `json:"freeze"`
 	// DelayMS is added before each answer.
 	DelayMS int64 `json:"delay_ms"`
-	// LoseAnswers is how many next requests are carried out without an answer.
+	// LoseAnswers is how many next writes are carried out without an answer.
 	LoseAnswers int `json:"lose_answers"`
 	// FailModel is an engine's model whose requests fail.
 	FailModel string `json:"fail_model"`
@@ -42,6 +43,8 @@
 type Switch struct {
 	mu     sync.Mutex
 	faults Faults
+	// losable tells which requests LoseAnswers is for; nil: every POST.
+	losable func(rq *http.Request) bool
 }
 
 // Set replaces the faults.
@@ -82,13 +85,15 @@
 			panic(http.ErrAbortHandler)
 		}
 		if fa.Freeze {
+			// The server sees the other end leave only once the body is read.
+			_, _ = io.Copy(io.Discard, rq.Body)
 			<-rq.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
 		if fa.DelayMS > 0 {
 			time.Sleep(time.Duration(fa.DelayMS) * time.Millisecond)
 		}
-		if rq.Method == http.MethodPost && sw.take(func(fa *Faults) *int { return &fa.LoseAnswers }) {
+		if sw.isWrite(rq) && sw.take(func(fa *Faults) *int { return &fa.LoseAnswers }) {
 			ha.ServeHTTP(httptest.NewRecorder(), rq)
 			panic(http.ErrAbortHandler)
 		}
@@ -96,6 +101,13 @@
 	})
 }
 
+func (sw *Switch) isWrite(rq *http.Request) bool {
+	if sw.losable != nil {
+		return sw.losable(rq)
+	}
+	return rq.Method == http.MethodPost
+}
+
 func (sw *Switch) order(wr http.ResponseWriter, rq *http.Request) {
 	var fa Faults
 	if err := json.NewDecoder(rq.Body).Decode(&fa); err != nil {
--- a/standin/store.go
+++ b/standin/store.go
@@ -44,7 +44,9 @@
 
 // NewStore gives an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, pairs: map[string]storedPair{}, leases: map[int64]storedLease{}, changed: make(chan struct{})}
+	st := &Store{revision: 1, pairs: map[string]storedPair{}, leases: map[int64]storedLease{}, changed: make(chan struct{})}
+	st.losable = func(rq *http.Request) bool { return rq.URL.Path == "/v3/kv/txn" }
+	return st
 }
 
 // Calls counts the reads and writes so far; a waiting watch is a read.
--- /dev/null
+++ b/testsite/site.go
@@ -0,0 +1,383 @@
+package testsite
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/entry"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/setting"
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/steward"
+	"tanagerpoint.example/tanager/store"
+	"tanagerpoint.example/tanager/vm"
+	"tanagerpoint.example/tanager/worker"
+)
+
+// Addresses of the platform's stand-ins.
+const (
+	StoreAddress   = "10.0.0.1:80"
+	VMsAddress     = "10.0.0.2:80"
+	RatingAddress  = "10.0.0.3:80"
+	WeightsAddress = "10.0.0.4:80"
+)
+
+// CallerKey is the key of organisation "chest", which may use everything.
+const CallerKey = "chest-key"
+
+// OtherKey is the key of organisation "verse", which may use model "m" only.
+const OtherKey = "verse-key"
+
+// OperatorKey is the key of operator "ops".
+const OperatorKey = "ops-key"
+
+// Host names.
+const (
+	Operator Host = "operator"
+	Caller   Host = "caller"
+)
+
+// Options set a site.
+type Options struct {
+	Entries  int
+	Stewards int
+	Engines  int
+	Plains   int
+	// Engine is every engine's speed. The zero value is a fast one.
+	Engine standin.EngineOptions
+	// Records are added to the policy, and replace its records.
+	Records []string
+	// EntrySettings are lines added to the entries' settings, by section.
+	EntrySettings map[string]string
+	VMLag         time.Duration
+	// Log shows the daemons' logs.
+	Log bool
+}
+
+// Site is a site in one process.
+type Site struct {
+	tb       testing.TB
+	opt      Options
+	Net      *Network
+	Store    *standin.Store
+	VMs      *standin.VMList
+	Rating   *standin.Rating
+	Weights  *standin.Weights
+	Engines  map[string]*standin.Engine
+	Plains   map[string]*standin.Plain
+	Entries  map[string]*entry.Daemon
+	Stewards map[string]*steward.Daemon
+	servers  map[Host]*http.Server
+	group    *worker.Group
+	dir      string
+}
+
+// New brings up a site and waits until every entry has the policy. Close ends
+// it.
+func New(tb testing.TB, opt Options) *Site {
+	gin.SetMode(gin.ReleaseMode)
+	if opt.Engine.Slots == 0 {
+		opt.Engine = standin.EngineOptions{Slots: 8, Prefill: 20 * time.Millisecond, Token: 5 * time.Millisecond, LoadLag: time.Second, CachedPrefixes: 16}
+	}
+	si := &Site{
+		tb: tb, opt: opt, Net: NewNetwork(), Store: standin.NewStore(), VMs: standin.NewVMList(opt.VMLag),
+		Rating:  standin.NewRating(time.Second, map[string]float64{"m-1": 0.8, "m-2": 0.8, "large-1": 0.95}),
+		Weights: standin.NewWeights(time.Second), Engines: map[string]*standin.Engine{}, Plains: map[string]*standin.Plain{},
+		Entries: map[string]*entry.Daemon{}, Stewards: map[string]*steward.Daemon{},
+		servers: map[Host]*http.Server{}, group: worker.NewGroup(), dir: tb.TempDir(),
+	}
+	si.Serve("store", StoreAddress, si.Store.Handler())
+	si.Serve("vms", VMsAddress, si.VMs.Handler())
+	si.Serve("rating", RatingAddress, si.Rating.Handler())
+	si.Serve("weights", WeightsAddress, si.Weights.Handler())
+	si.group.Every(100*time.Millisecond, func(context.Context) { si.Store.ExpireLeases() })
+	si.startEndpoints()
+	si.Apply(append(basePolicy(opt), opt.Records...)...)
+	for n := 1; n <= opt.Entries; n++ {
+		si.StartEntry(n)
+	}
+	for n := 1; n <= opt.Stewards; n++ {
+		si.StartSteward(n)
+	}
+	si.WaitReady()
+	return si
+}
+
+// Serve serves a stand-in on a host of its own.
+func (si *Site) Serve(ho Host, address string, ha http.Handler) {
+	li, err := si.Net.Of(ho).Listen(address)
+	if err != nil {
+		si.tb.Fatal(err)
+	}
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
+	si.servers[ho] = sv
+	si.group.Go(func(context.Context) { _ = sv.Serve(li) })
+}
+
+func (si *Site) startEndpoints() {
+	for n := 1; n <= si.opt.Engines; n++ {
+		id := fmt.Sprintf("engine-%d", n)
+		si.Engines[id] = standin.NewEngine(si.opt.Engine)
+		si.Serve(Host(id), EngineAddress(n), si.Engines[id].Handler())
+		si.VMs.Put(vm.VM{ID: vm.ID(id), Role: vm.RoleEndpoint, State: vm.Live, Address: EngineAddress(n), Endpoint: id})
+	}
+	for n := 1; n <= si.opt.Plains; n++ {
+		id := fmt.Sprintf("desk-%d", n)
+		si.Plains[id] = standin.NewPlain(5 * time.Millisecond)
+		si.Serve(Host(id), PlainAddress(n), si.Plains[id].Handler())
+	}
+}
+
+// EngineAddress gives the address of engine-N.
+func EngineAddress(n int) string { return fmt.Sprintf("10.1.0.%d:80", n) }
+
+// PlainAddress gives the address of desk-N.
+func PlainAddress(n int) string { return fmt.Sprintf("10.2.0.%d:80", n) }
+
+// EntryAddress gives the callers' address of entry-N.
+func EntryAddress(n int) string { return fmt.Sprintf("10.3.0.%d:80", n) }
+
+// PeerAddress gives the peers' address of entry-N.
+func PeerAddress(n int) string { return fmt.Sprintf("10.3.0.%d:81", n) }
+
+// AdminAddress gives the admin address of entry-N.
+func AdminAddress(n int) string { return fmt.Sprintf("10.3.0.%d:82", n) }
+
+// EntryName gives the name and host of entry-N.
+func EntryName(n int) string { return fmt.Sprintf("entry-%d", n) }
+
+// StewardName gives the name and host of steward-N.
+func StewardName(n int) string { return fmt.Sprintf("steward-%d", n) }
+
+func (si *Site) log(name string) *event.Log {
+	if !si.opt.Log {
+		return event.Discard()
+	}
+	return event.NewLog(os.Stderr, &rpc.LogSection{Format: "text", Level: "debug"}, name)
+}
+
+// StartEntry starts entry-N, or starts it again after KillEntry.
+func (si *Site) StartEntry(n int) {
+	name := EntryName(n)
+	si.Net.Revive(Host(name))
+	text := fmt.Sprintf(`[vm]
+id = %s
+site = test
+failure_domain = %s
+[listen]
+callers = %s
+admin = %s
+peers = %s
+[store]
+urls = http://%s
+[platform]
+vm_list_url = http://%s/vms
+rating_url = http://%s
+[peers]
+shared_key = a-shared-key-for-tests
+`, name, FailureDomain(n), EntryAddress(n), AdminAddress(n), PeerAddress(n), StoreAddress, VMsAddress, RatingAddress)
+	for section, lines := range si.opt.EntrySettings {
+		text += "[" + section + "]\n" + lines + "\n"
+	}
+	var es rpc.EntrySettings
+	si.load(name, text, &es)
+	da, err := entry.New(&es, si.Net.Of(Host(name)), si.log(name))
+	if err != nil {
+		si.tb.Fatal(err)
+	}
+	if err := da.Start(); err != nil {
+		si.tb.Fatal(err)
+	}
+	si.Entries[name] = da
+	si.VMs.Put(vm.VM{ID: vm.ID(name), Role: vm.RoleEntry, State: vm.Live, Address: PeerAddress(n)})
+}
+
+// FailureDomain gives the failure domain of VM N: there are three.
+func FailureDomain(n int) policy.FailureDomain {
+	return policy.FailureDomain(fmt.Sprintf("fd-%d", n%3))
+}
+
+// StartSteward starts steward-N.
+func (si *Site) StartSteward(n int) {
+	name := StewardName(n)
+	si.Net.Revive(Host(name))
+	text := fmt.Sprintf(`[vm]
+id = %s
+site = test
+failure_domain = %s
+[listen]
+callers = 10.4.0.%d:80
+admin = 10.4.0.%d:82
+peers = 10.4.0.%d:81
+[store]
+urls = http://%s
+[platform]
+vm_list_url = http://%s/vms
+rating_url = http://%s
+weights_url = http://%s
+[peers]
+shared_key = a-shared-key-for-tests
+[steward]
+loads_per_minute = 600
+`, name, FailureDomain(n), n, n, n, StoreAddress, VMsAddress, RatingAddress, WeightsAddress)
+	var ss rpc.StewardSettings
+	si.load(name, text, &ss)
+	da, err := steward.New(&ss, si.Net.Of(Host(name)), si.log(name))
+	if err != nil {
+		si.tb.Fatal(err)
+	}
+	if err := da.Start(); err != nil {
+		si.tb.Fatal(err)
+	}
+	si.Stewards[name] = da
+}
+
+func (si *Site) load(name, text string, into proto.Message) {
+	file := filepath.Join(si.dir, name+".ini")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		si.tb.Fatal(err)
+	}
+	if err := setting.Load(file, into); err != nil {
+		si.tb.Fatal(err)
+	}
+}
+
+// KillEntry ends entry-N at once, with whatever it had in memory.
+func (si *Site) KillEntry(n int) {
+	name := EntryName(n)
+	si.Net.Kill(Host(name))
+	da := si.Entries[name]
+	delete(si.Entries, name)
+	si.end(da)
+}
+
+// KillSteward ends steward-N at once.
+func (si *Site) KillSteward(n int) {
+	name := StewardName(n)
+	si.Net.Kill(Host(name))
+	da := si.Stewards[name]
+	delete(si.Stewards, name)
+	si.end(da)
+}
+
+// end closes a daemon that reaches nobody.
+func (si *Site) end(da interface{ Close(ctx context.Context) }) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	si.group.Go(func(context.Context) { da.Close(ctx) })
+}
+
+// WaitReady waits until every entry has the policy and hears of the others.
+func (si *Site) WaitReady() {
+	si.Eventually(20*time.Second, "entries ready", func() bool {
+		for _, da := range si.Entries {
+			st := da.Dump().(entry.State)
+			if st.PolicyRevision == 0 || len(st.Members) < len(si.Entries)+len(si.Stewards)-1 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(500 * time.Millisecond)
+}
+
+// Eventually waits until a condition holds, and fails the test when it does
+// not within a limit. It gives the time that passed.
+func (si *Site) Eventually(limit time.Duration, what string, holds func() bool) time.Duration {
+	si.tb.Helper()
+	started := time.Now()
+	for !holds() {
+		if time.Since(started) > limit {
+			si.tb.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+// Client gives a store client on a host.
+func (si *Site) Client(ho Host) *store.Client {
+	return store.NewClient(store.Options{
+		URLs: []string{"http://" + StoreAddress}, Timeout: time.Second, WatchProgress: 2 * time.Second, Dial: si.Net.Of(ho).Dial,
+	})
+}
+
+// Writer gives an operator's writer of records, and its store client.
+func (si *Site) Writer(ho Host) (*configuration.Writer, *store.Client) {
+	cl := si.Client(ho)
+	return configuration.NewWriter(configuration.Keys{Prefix: "tanager/"}, cl), cl
+}
+
+// Apply writes records as an operator, and gives the revision.
+func (si *Site) Apply(texts ...string) store.Revision {
+	si.tb.Helper()
+	rs, err := si.TryApply(Operator, texts...)
+	if err != nil {
+		si.tb.Fatal(err)
+	}
+	return rs.Revision
+}
+
+// TryApply writes records as an operator on a host.
+func (si *Site) TryApply(ho Host, texts ...string) (configuration.Result, error) {
+	wr, cl := si.Writer(ho)
+	defer cl.Close()
+	rq := configuration.Request{ChangedBy: string(ho), Place: func(key string) finding.Place { return finding.Place{Section: key} }}
+	last := map[string]int{}
+	for _, text := range texts {
+		re, err := policy.ParseRecord([]byte(text))
+		if err != nil {
+			return configuration.Result{}, err
+		}
+		if i, ok := last[re.Key()]; ok {
+			rq.Changes[i].Record = re
+			continue
+		}
+		last[re.Key()] = len(rq.Changes)
+		rq.Changes = append(rq.Changes, configuration.Change{Record: re})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	return wr.Apply(ctx, rq)
+}
+
+// Close ends the site.
+func (si *Site) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, da := range si.Stewards {
+		da.Close(ctx)
+	}
+	for _, da := range si.Entries {
+		da.Close(ctx)
+	}
+	for _, sv := range si.servers {
+		_ = sv.Close()
+	}
+	si.group.Close()
+	si.Net.closeAll()
+}
+
+func (nw *Network) closeAll() {
+	nw.mu.Lock()
+	var all []*conn
+	for co := range nw.conns {
+		all = append(all, co)
+	}
+	nw.mu.Unlock()
+	for _, co := range all {
+		_ = co.Close()
+	}
+}
