--- a/configuration/writer.go
+++ b/configuration/writer.go
@@ -252,7 +252,7 @@
 		return eris.Wrap(err, "Writer.Trim")
 	}
 	var co store.Commit
-	for i := 0; i < len(pa.KeyValues)-maxHistory; i++ {
+	for i := range max(0, len(pa.KeyValues)-maxHistory) {
 		co.Deletes = append(co.Deletes, pa.KeyValues[i].Key)
 	}
 	if len(co.Deletes) == 0 {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -87,22 +87,30 @@
 	Known       bool
 }
 
+// loadKey is the standard's name of a utilisation.
+const loadKey = "application_utilization" //nolint:misspell // as in the standard
+
 // parseLoad reads the header; its text form is "TEXT key=value, key=value",
 // its JSON form "JSON {...}".
 func parseLoad(header string) Load {
 	if text, ok := strings.CutPrefix(header, "JSON "); ok {
-		va := gjson.Get(text, "application_utilization")
+		va := gjson.Get(text, loadKey)
 		return Load{Utilisation: va.Float(), Known: va.Exists()}
 	}
 	for part := range strings.SplitSeq(strings.TrimPrefix(header, "TEXT "), ",") {
 		key, text, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if va, err := strconv.ParseFloat(text, 64); err == nil && key == "application_utilization" {
+		if va, err := strconv.ParseFloat(text, 64); err == nil && key == loadKey {
 			return Load{Utilisation: va, Known: true}
 		}
 	}
 	return Load{}
 }
 
+// FormatLoad gives the header's value for a utilisation.
+func FormatLoad(utilisation float64) string {
+	return fmt.Sprintf("TEXT %s=%.3f", loadKey, utilisation)
+}
+
 // Client sends requests. Its pooled connections are used for first attempts;
 // everything else goes on a new connection.
 type Client struct {
@@ -147,6 +155,7 @@
 	})
 	var sent atomic.Bool
 	tc := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	//nolint:bodyclose // connection.close closes it
 	rs, err := hc.Do(rq.WithContext(httptrace.WithClientTrace(ctx, tc)))
 	if err != nil {
 		co.close()
--- a/entry/entries.go
+++ b/entry/entries.go
@@ -32,8 +32,8 @@
 	Weight        float64              `json:"weight"`
 }
 
-// EntryState is what the answer needs to know of an entry.
-type EntryState struct {
+// Candidate is an entry that callers may be told to use.
+type Candidate struct {
 	VM            vm.ID
 	Address       string
 	FailureDomain policy.FailureDomain
@@ -44,7 +44,7 @@
 // Answer decides the addresses for a caller in a failure domain, "" when
 // unknown. Entries that drain, or whose VM is leaving, are left out. The order
 // is random by weight, so that callers that take the first are spread too.
-func Answer(sts []EntryState, leaving func(vm.ID) bool, domain policy.FailureDomain, rng *rand.Rand) []Address {
+func Answer(sts []Candidate, leaving func(vm.ID) bool, domain policy.FailureDomain, rng *rand.Rand) []Address {
 	total := int64(0)
 	for _, st := range sts {
 		total += st.InFlight
@@ -82,16 +82,16 @@
 
 // handleEntries serves GET /v1/entries.
 func (da *Daemon) handleEntries(co *gin.Context) {
-	sts := []EntryState{}
+	sts := []Candidate{}
 	if !da.isolated.Load() {
 		self := da.peerOptions().Self
-		sts = append(sts, EntryState{
+		sts = append(sts, Candidate{
 			VM: da.peers.VM(), Address: self.GetCallersAddress(), FailureDomain: da.peers.FailureDomain(),
 			Draining: da.draining.Load(), InFlight: da.inFlight.Load(),
 		})
 	}
 	for _, mb := range da.peers.Entries() {
-		sts = append(sts, EntryState{VM: mb.VM, Address: mb.CallersAddress, FailureDomain: mb.FailureDomain, Draining: mb.Draining, InFlight: mb.InFlight})
+		sts = append(sts, Candidate{VM: mb.VM, Address: mb.CallersAddress, FailureDomain: mb.FailureDomain, Draining: mb.Draining, InFlight: mb.InFlight})
 	}
 	leaving := map[vm.ID]bool{}
 	for _, v := range da.vms.Entries() {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -65,7 +65,7 @@
 // runChat takes a request through the queue and an endpoint to its caller.
 func (da *Daemon) runChat(ctx context.Context, co *gin.Context, ch *chat, tg target, ex *explain) error {
 	pl := da.pools.get(modelPool(tg.model))
-	ti, pr := da.ticket(ch, tg, pl)
+	ti, pr := da.ticket(ch, pl)
 	if pr != nil {
 		return pr
 	}
@@ -101,7 +101,7 @@
 }
 
 // ticket gives the request's ticket for a queue.
-func (da *Daemon) ticket(ch *chat, tg target, pl *pool) (*admission.Ticket, *problem) {
+func (da *Daemon) ticket(ch *chat, pl *pool) (*admission.Ticket, *problem) {
 	or, ok := da.holder.Set().Organisations.ByID(ch.organisation)
 	if !ok {
 		return nil, unknownModel(ch.name)
@@ -170,7 +170,7 @@
 	if an.chat.stream {
 		ca = newStreamCaller(co, an.chat.includeUsage)
 	}
-	an.relay(ctx, co, ca)
+	an.relay(ca)
 	an.finish(ctx, co, ca)
 }
 
@@ -192,7 +192,7 @@
 }
 
 // relay reads the answer to its end and passes it on.
-func (an *answering) relay(ctx context.Context, co *gin.Context, ca caller) {
+func (an *answering) relay(ca caller) {
 	ev, ended := an.opened.first, an.opened.ended
 	for !ended {
 		an.answer.add(ev.Data, !an.chat.stream || an.rated())
--- a/peer/group.go
+++ b/peer/group.go
@@ -372,7 +372,7 @@
 // Do sends a request.
 func (au authorised) Do(rq *http.Request) (*http.Response, error) {
 	rq.Header.Set("Authorization", bearer+au.key)
-	rs, err := au.client.Do(rq)
+	rs, err := au.client.Do(rq) //nolint:gosec // peers' addresses come from the settings, the VM list and peers
 	if err != nil {
 		return nil, eris.Wrap(err, "peer")
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,17 +39,26 @@
 	}
 }
 
-// Ids of records.
+// The ids of records, each unique within its kind.
 type (
+	// OrganisationID names an organisation.
 	OrganisationID string
-	OperatorID     string
-	ModelID        string
-	VersionID      string
-	CascadeID      string
-	RankID         string
-	EndpointID     string
-	ServiceID      string
-	RolloutID      string
+	// OperatorID names an operator.
+	OperatorID string
+	// ModelID names a model.
+	ModelID string
+	// VersionID names a version of a model.
+	VersionID string
+	// CascadeID names a cascade.
+	CascadeID string
+	// RankID names a rank.
+	RankID string
+	// EndpointID names an endpoint.
+	EndpointID string
+	// ServiceID names a plain service.
+	ServiceID string
+	// RolloutID names a roll-out.
+	RolloutID string
 )
 
 // FailureDomain is a part of a site that fails as one.
--- a/proof/claim_test.go
+++ b/proof/claim_test.go
@@ -22,12 +22,12 @@
 	return n
 }
 
-// settle repeats a call at entry n until it is neither under way nor refused
+// settle repeats a call at entry 2 until it is neither under way nor refused
 // for now, and gives the last answer.
-func settle(si *testsite.Site, n int, key string) testsite.Answer {
+func settle(si *testsite.Site, key string) testsite.Answer {
 	var an testsite.Answer
 	for range 40 {
-		an = si.Desk(testsite.Call{Entry: n}, "POST", key, "{}")
+		an = si.Desk(testsite.Call{Entry: 2}, "POST", key, "{}")
 		if an.Err == nil && an.Ran() == entry.HasRun {
 			return an
 		}
@@ -63,7 +63,7 @@
 			}
 			wg.Wait()
 			qt.Assert(t, timesRun(si, key), qt.Equals, 1)
-			qt.Assert(t, settle(si, 2, key).Status, qt.Equals, 200)
+			qt.Assert(t, settle(si, key).Status, qt.Equals, 200)
 			qt.Assert(t, timesRun(si, key), qt.Equals, 1)
 		}
 	})
@@ -79,7 +79,7 @@
 			if an.Ran() == entry.NotRun {
 				qt.Assert(t, timesRun(si, key), qt.Equals, 0)
 			}
-			qt.Assert(t, settle(si, 2, key).Status, qt.Equals, 200)
+			qt.Assert(t, settle(si, key).Status, qt.Equals, 200)
 			qt.Assert(t, timesRun(si, key), qt.Equals, 1)
 		}
 	})
@@ -99,7 +99,7 @@
 			// What may be repeated is served all the same.
 			qt.Assert(t, si.Chat(testsite.Call{Entry: 2}).Status, qt.Equals, 200)
 			si.Store.Set(standin.Faults{})
-			qt.Assert(t, settle(si, 2, "order-1").Status, qt.Equals, 200)
+			qt.Assert(t, settle(si, "order-1").Status, qt.Equals, 200)
 			qt.Assert(t, timesRun(si, "order-1"), qt.Equals, 1)
 		})
 	}
@@ -179,7 +179,7 @@
 						pl.Set(standin.Faults{})
 					}
 					if key != "" {
-						settle(si, 2, key)
+						settle(si, key)
 					}
 					qt.Assert(t, timesRun(si, key) <= 1, qt.IsTrue, qt.Commentf("%q ran %d times", key, timesRun(si, key)))
 					fault(si)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -288,13 +288,13 @@
 	fa := en.Faults()
 	wr.Header().Set("Content-Type", "text/event-stream")
 	wr.Header().Set(endpoint.HeaderAttempt, an.id)
-	wr.Header().Set(endpoint.HeaderLoad, fmt.Sprintf("TEXT application_utilization=%.3f", en.laggingLoad()))
+	wr.Header().Set(endpoint.HeaderLoad, endpoint.FormatLoad(en.laggingLoad()))
 	sent := 0
 	for ev := last + 1; ev <= an.tokens+2; ev++ {
 		if !an.waitFor(rq, min(ev, an.tokens)) {
 			return
 		}
-		fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", ev, an.event(ev, id))
+		_, _ = fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", ev, an.event(ev, id))
 		wr.(http.Flusher).Flush()
 		sent++
 		if cut && sent >= fa.CutAfter {
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Formatter and linter, at a pinned version. Installs the linter when missing.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+version=v2.15.0
+bin="$PWD/.tools/golangci-lint"
+if [ ! -x "$bin" ] || ! "$bin" version 2>/dev/null | grep -q "${version#v}"; then
+  GOBIN="$PWD/.tools" go install "github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$version"
+fi
+unformatted="$(git ls-files -co --exclude-standard '*.go' | xargs gofmt -l)"
+[ -z "$unformatted" ] || { echo "not formatted: $unformatted"; exit 1; }
+"$bin" run ./...
