--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test measure soak lint generate modelcheck bench fuzz
+.PHONY: build demo test lint generate modelcheck measure soak bench fuzz seefail
 
 build:
 	go build -o bin/ ./cmd/...
@@ -7,7 +7,7 @@
 	./examples/demo/demo.sh
 
 test:
-	go test -race ./...
+	./tools/test.sh
 
 lint:
 	./tools/lint.sh
@@ -17,3 +17,7 @@
 
 modelcheck:
 	./spec/check.sh
+
+measure:
+	go run ./measure/cmd -write docs/MEASURES.md
+
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -46,8 +46,11 @@
 type pools struct {
 	daemon *Daemon
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// revision is the policy that the endpoints are of, refreshed the one that
+	// the queues are of.
 	revision  store.Revision
+	refreshed store.Revision
 	byID      map[poolID]*pool
 	members   map[poolID]*placement.Pool
 	byVersion map[policy.VersionID]*placement.Pool
@@ -57,10 +60,17 @@
 	return &pools{daemon: da, byID: map[poolID]*pool{}}
 }
 
+// get gives a queue, brought up to the policy in force.
 func (po *pools) get(id poolID) *pool {
 	po.mu.Lock()
-	defer po.mu.Unlock()
-	return po.getLocked(id)
+	_, known := po.byID[id]
+	pl := po.getLocked(id)
+	current := po.refreshed == po.daemon.holder.Set().Revision
+	po.mu.Unlock()
+	if !known || !current {
+		po.refresh()
+	}
+	return pl
 }
 
 func (po *pools) getLocked(id poolID) *pool {
@@ -141,6 +151,7 @@
 func (po *pools) refresh() {
 	po.mu.Lock()
 	po.rebuild()
+	revision := po.revision
 	members, ranks := po.members, ranksOf(po.daemon.holder.Set())
 	queues := make(map[poolID]*pool, len(members))
 	for id := range members {
@@ -158,6 +169,9 @@
 		})
 		pl.gate.Tick()
 	}
+	po.mu.Lock()
+	po.refreshed = max(po.refreshed, revision)
+	po.mu.Unlock()
 }
 
 func ranksOf(se *policy.Set) []admission.Rank {
--- /dev/null
+++ b/golden/golden_test.go
@@ -0,0 +1,174 @@
+// Package golden_test replays whole sessions of operators and callers against
+// the programs, and compares what they print with golden files.
+package golden_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// bin holds the programs, built once.
+var bin string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "tanager-golden")
+	if err != nil {
+		panic(err)
+	}
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../cmd/...").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	bin = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		UpdateScripts:       os.Getenv("UPDATE_GOLDEN") != "",
+		Setup:               setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"call":        call,
+			"await":       await,
+			"await-store": awaitStore,
+		},
+	})
+}
+
+// setup gives each script the programs and ports of its own.
+func setup(en *testscript.Env) error {
+	en.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH"))
+	en.Setenv("USER", "asha")
+	for _, name := range []string{"STORE", "VMS", "ENGINE", "DESK", "CALLERS1", "ADMIN1", "PEERS1", "CALLERS2", "ADMIN2", "PEERS2"} {
+		li, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		en.Setenv(name, li.Addr().String())
+		if err := li.Close(); err != nil {
+			return err
+		}
+	}
+	en.Setenv("TANAGER_STORE", "http://"+en.Getenv("STORE"))
+	en.Setenv("TANAGER_ADMIN", en.Getenv("ADMIN1"))
+	return expandFiles(en)
+}
+
+// expandFiles replaces ${NAME} in the script's .ini and .json files.
+func expandFiles(en *testscript.Env) error {
+	for _, pattern := range []string{"*.ini", "*.json"} {
+		files, err := filepath.Glob(filepath.Join(en.WorkDir, pattern))
+		if err != nil {
+			return err
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(file, []byte(os.Expand(string(text), en.Getenv)), 0o600); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// await URL [header...] waits until a GET answers 200.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	for range 200 {
+		rq, err := http.NewRequest(http.MethodGet, args[0], nil)
+		ts.Check(err)
+		addHeaders(rq, args[1:])
+		rs, err := http.DefaultClient.Do(rq)
+		if err == nil {
+			_ = rs.Body.Close()
+			if rs.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s did not come up", args[0])
+}
+
+// awaitStore waits until the store answers.
+func awaitStore(ts *testscript.TestScript, _ bool, _ []string) {
+	for range 200 {
+		rs, err := http.Post("http://"+ts.Getenv("STORE")+"/v3/kv/range", "application/json", strings.NewReader(`{"key":"eA=="}`))
+		if err == nil {
+			_ = rs.Body.Close()
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("the store did not come up")
+}
+
+// shown are the headers that call prints.
+var shown = []string{
+	"X-Tanager-Ran", "X-Tanager-Version", "X-Tanager-Endpoint", "X-Tanager-Session-Moved", "Idempotent-Replayed", "Retry-After",
+}
+
+// call METHOD URL BODY [header...] prints the answer, with what differs from
+// run to run replaced.
+func call(ts *testscript.TestScript, _ bool, args []string) {
+	rq, err := http.NewRequest(args[0], args[1], strings.NewReader(args[2]))
+	ts.Check(err)
+	addHeaders(rq, args[3:])
+	rs, err := http.DefaultClient.Do(rq)
+	ts.Check(err)
+	body, err := io.ReadAll(rs.Body)
+	ts.Check(err)
+	ts.Check(rs.Body.Close())
+	var out bytes.Buffer
+	fmt.Fprintln(&out, rs.StatusCode)
+	for _, name := range shown {
+		if va := rs.Header.Get(name); va != "" {
+			fmt.Fprintf(&out, "%s: %s\n", name, va)
+		}
+	}
+	fmt.Fprintln(&out, strings.TrimSpace(string(body)))
+	_, err = ts.Stdout().Write([]byte(normalise(out.String())))
+	ts.Check(err)
+}
+
+func addHeaders(rq *http.Request, headers []string) {
+	for _, he := range headers {
+		name, va, _ := strings.Cut(he, ": ")
+		rq.Header.Set(name, va)
+	}
+}
+
+var volatile = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`\b[0-9A-HJKMNP-TV-Z]{26}\b`), "ULID"},
+	{regexp.MustCompile(`"created":\d+`), `"created":0`},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+}
+
+func normalise(text string) string {
+	for _, vo := range volatile {
+		text = vo.pattern.ReplaceAllString(text, vo.with)
+	}
+	return text
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -36,9 +36,7 @@
 	for i := range fds.Len() {
 		rd.section(ms.ProtoReflect(), fds.Get(i))
 	}
-	if len(li) == 0 {
-		rd.clashes(ms)
-	}
+	rd.clashes(ms)
 	return li.Err()
 }
 
@@ -165,7 +163,8 @@
 	GetLog() *rpc.LogSection
 }
 
-// clashes finds values that are well formed but cannot stand together.
+// clashes finds values that are well formed but cannot stand, by themselves or
+// together. What is missing, or not well formed, has its finding already.
 func (rd reader) clashes(ms proto.Message) {
 	co, ok := ms.(common)
 	if !ok {
@@ -173,22 +172,22 @@
 	}
 	rd.listeners(co.GetListen())
 	rd.urls(co)
-	if len(co.GetPeers().GetSharedKey()) < minSharedKeyLength {
+	if ke := co.GetPeers().GetSharedKey(); ke != "" && len(ke) < minSharedKeyLength {
 		rd.add("peers", "shared_key", "shorter than %d characters", minSharedKeyLength)
 	}
-	if fo := co.GetLog().GetFormat(); fo != "text" && fo != "json" {
+	if fo := co.GetLog().GetFormat(); fo != "" && fo != "text" && fo != "json" {
 		rd.add("log", "format", "%q is neither text nor json", fo)
 	}
 	switch co.GetLog().GetLevel() {
-	case "debug", "info", "warning", "error":
+	case "", "debug", "info", "warning", "error":
 	default:
 		rd.add("log", "level", "%q is none of debug, info, warning, error", co.GetLog().GetLevel())
 	}
-	if co.GetPeers().GetFailedAfter().AsDuration() < 2*co.GetPeers().GetInterval().AsDuration() {
+	if co.GetPeers().GetFailedAfter() != nil && co.GetPeers().GetFailedAfter().AsDuration() < 2*co.GetPeers().GetInterval().AsDuration() {
 		rd.add("peers", "failed_after", "shorter than two exchange intervals")
 	}
 	es, ok := ms.(*rpc.EntrySettings)
-	if ok && es.GetServing().GetIsolatedAfter().AsDuration() <= es.GetPeers().GetFailedAfter().AsDuration() {
+	if ok && es.GetServing().GetIsolatedAfter() != nil && es.GetServing().GetIsolatedAfter().AsDuration() <= es.GetPeers().GetFailedAfter().AsDuration() {
 		rd.add("serving", "isolated_after", "not longer than peers failed_after")
 	}
 }
@@ -198,6 +197,9 @@
 	for _, ad := range [...]struct{ key, text string }{
 		{"callers", ls.GetCallers()}, {"admin", ls.GetAdmin()}, {"peers", ls.GetPeers()},
 	} {
+		if ad.text == "" {
+			continue
+		}
 		host, _, err := net.SplitHostPort(ad.text)
 		if err != nil || net.ParseIP(host) == nil {
 			rd.add("listen", ad.key, "%q is not IP:port", ad.text)
