Measure the decisions under load, and change those that fell short

Found: (1) a fixed headroom of 20% is no more than the urgent work's own mean use; (2) each entry's limit of 10 slots was a wall, though the fleet had slots free; (3) limits that are not whole numbers were rounded up at every entry, 8 slots of 80 in all; (4) work that could not end in time was started; (5) a floor credit clipped at one second of a one-slot floor forgot what was overdrawn.

Change: levels (rank, within or over its share) each leave free what the more protected ones use plus three standard deviations, over the fleet's exchanged use; an entry may use half of the fleet's free slots beyond its own; limits are rounded up and down in turn; a request must start 3.5 expected services before its deadline. Placement compares three endpoints along the ring by what all entries have in flight. Expected length is learned by rank.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,9 @@
 measure:
 	go run ./measure/cmd -write docs/MEASURES.md
 
+SEED ?= 1
+LENGTH ?= 3m
+
+soak:
+	go test -tags soak -count=1 -timeout 30m ./soak/ -args -seed $(SEED) -length $(LENGTH)
+
--- a/admission/admission.go
+++ b/admission/admission.go
@@ -30,6 +30,41 @@
 	Headroom float64
 }
 
+// leastShare is the least part of an equal share of a pool that an entry
+// without demand keeps, so that its first requests need not wait.
+const leastShare = 0.5
+
+// ShareOf gives the part of a pool's slots for one of several entries: by its
+// part of the demand, and at least a part of an equal share.
+func ShareOf(entries int, mine, others float64) float64 {
+	equal := 1 / float64(entries)
+	if mine+others <= 0 {
+		return equal
+	}
+	return leastShare*equal + (1-leastShare)*mine/(mine+others)
+}
+
+const (
+	// longAnswer times the expected service is what a request is kept time
+	// for: 97 of 100 answers of exponential length are shorter.
+	longAnswer = 3.5
+	// promptly is within what a request that has no such time must start.
+	promptly = 250 * time.Millisecond
+)
+
+// LatestStart gives when a request must start to be answered in time.
+func LatestStart(arrived, deadline time.Time, expected time.Duration) time.Time {
+	safe := deadline.Add(-time.Duration(longAnswer * float64(expected)))
+	likely := deadline.Add(-expected)
+	if prompt := arrived.Add(promptly); prompt.Before(likely) {
+		likely = prompt
+	}
+	if safe.After(likely) {
+		return safe
+	}
+	return likely
+}
+
 // Ticket is one request before the queue.
 type Ticket struct {
 	Organisation policy.OrganisationID
@@ -42,6 +77,7 @@
 	LatestStart time.Time
 
 	state     state
+	tier      int
 	startedAt time.Time
 	rank      *rankQueue
 	org       *orgQueue
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -16,7 +17,7 @@
 
 // NewGate gives a gate before an empty queue.
 func NewGate(maxWaiting int) *Gate {
-	return &Gate{queue: NewQueue(time.Now(), maxWaiting)}
+	return &Gate{queue: NewQueue(time.Now(), maxWaiting, rand.Float64())}
 }
 
 // Enter waits until a request may run. The error is a *Refusal, or ctx's when
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -12,8 +12,13 @@
 const (
 	// usageHalfLife is the time in which served work loses half its weight.
 	usageHalfLife = 10 * time.Second
-	// creditLimit bounds a rank's floor credit, in seconds of its floor.
-	creditLimit = 1.0
+	// creditLimit bounds a rank's floor credit, in seconds of its floor, and
+	// creditBase in slot-seconds on top.
+	creditLimit = 10.0
+	creditBase  = 10.0
+	// idleCredit bounds the credit of a rank without waiting work, in
+	// slot-seconds.
+	idleCredit = 0.5
 	// smoothing weighs a new measurement against the mean so far.
 	smoothing = 0.05
 	// shareSmoothing is the time constant of the ranks' measured shares.
@@ -22,7 +27,9 @@
 	maxRetryWait   = 30 * time.Second
 	noCapacityWait = 2 * time.Second
 	// renormaliseAt bounds the inflated usage before it is scaled down.
-	renormaliseAt = 1 << 40
+	renormaliseAt = 64
+	// forgetBelow is the usage at which an organisation is no longer active.
+	forgetBelow = 0.5
 	// firstSecondsPerCost is assumed until requests have ended.
 	firstSecondsPerCost = 0.02
 )
@@ -38,6 +45,12 @@
 	epoch    time.Time
 	// secondsPerCost is the measured time that a unit of cost holds a slot.
 	secondsPerCost float64
+	// fleetCapacity is the pool's slots for all entries, until fleetUntil.
+	fleetCapacity Slots
+	fleetUntil    time.Time
+	// dither is added to limits before they are rounded down, until ditherUntil.
+	dither      float64
+	ditherUntil time.Time
 }
 
 // rankQueue is the state of one rank.
@@ -48,12 +61,15 @@
 	queued  Cost
 	// credit is the slot-seconds that the rank may still claim of its floor.
 	credit float64
-	// used is the smoothed share of the capacity that runs this rank.
-	used  float64
-	orgs  map[policy.OrganisationID]*orgQueue
-	ready orgHeap
-	// shares adds up the weights of the organisations that wait.
-	shares float64
+	levels [levelsPerRank]level
+	orgs   map[policy.OrganisationID]*orgQueue
+	ready  orgHeap
+	// shares adds up the weights of the organisations that wait, activeShares
+	// of all that are known.
+	shares       float64
+	activeShares float64
+	// usage adds up the organisations' usage.
+	usage float64
 }
 
 // orgQueue is one organisation's state within a rank. Usage is inflated by
@@ -73,8 +89,15 @@
 
 // NewQueue gives an empty queue without capacity. maxWaiting bounds the
 // requests that wait.
-func NewQueue(now time.Time, maxWaiting int) *Queue {
-	return &Queue{at: now, epoch: now, maxWait: maxWaiting, secondsPerCost: firstSecondsPerCost}
+//
+// A limit that is not a whole number is rounded up and down in turn, so that
+// it holds on average; dither, from 0 to 1, sets the queues of several entries
+// apart in that.
+func NewQueue(now time.Time, maxWaiting int, dither float64) *Queue {
+	return &Queue{
+		at: now, epoch: now, maxWait: maxWaiting, secondsPerCost: firstSecondsPerCost,
+		dither: dither, ditherUntil: now.Add(ditherInterval),
+	}
 }
 
 // SetRanks sets the ranks. Those that stay keep their state.
@@ -176,7 +199,7 @@
 	for _, other := range qu.ranks {
 		switch {
 		case other.Order < rq.Order:
-			left -= other.used
+			left -= (other.levels[withinShare].used + other.levels[overShare].used) / float64(qu.capacity)
 		case other.Order > rq.Order && other.waiting > 0:
 			left -= other.Floor
 		}
@@ -215,7 +238,7 @@
 // answered in time and are refused.
 func (qu *Queue) Next(now time.Time) (started []*Ticket, refused []*Refusal) {
 	qu.advance(now)
-	for qu.waiting > 0 && float64(qu.running) < float64(qu.capacity) {
+	for qu.waiting > 0 && qu.capacity > 0 {
 		rq := qu.nextRank()
 		if rq == nil {
 			return started, refused
@@ -254,33 +277,36 @@
 }
 
 // nextRank chooses the rank that gets a free slot: first one that is below
-// its floor, then the most urgent that leaves the headroom free.
+// its floor, then the most urgent that may have another slot.
 func (qu *Queue) nextRank() *rankQueue {
-	for _, rq := range qu.ranks {
-		if rq.waiting > 0 && rq.Floor > 0 && rq.credit > 0 {
-			return rq
+	if float64(qu.running+1) <= math.Floor(float64(qu.capacity)+qu.dither) {
+		for _, rq := range qu.ranks {
+			if rq.waiting > 0 && rq.Floor > 0 && rq.credit > 0 {
+				return rq
+			}
 		}
 	}
-	lower := qu.running
-	for _, rq := range qu.ranks {
-		if rq.waiting > 0 && float64(lower) < float64(qu.capacity)*(1-rq.Headroom) {
+	for i, rq := range qu.ranks {
+		if rq.waiting > 0 && qu.mayStart(i, rq.tier(rq.ready[0])) {
 			return rq
 		}
-		lower -= rq.running
 	}
 	return nil
 }
 
 func (qu *Queue) start(now time.Time, ti *Ticket) {
-	ti.state, ti.startedAt = stateRunning, now
+	ti.state, ti.startedAt, ti.tier = stateRunning, now, ti.rank.tier(ti.org)
 	ti.rank.running++
+	ti.rank.levels[ti.tier].running++
 	qu.running++
 	qu.charge(now, ti, ti.Cost)
 }
 
 // charge adds served cost to an organisation's usage.
 func (qu *Queue) charge(now time.Time, ti *Ticket, co Cost) {
-	ti.org.used += float64(co) * qu.inflation(now)
+	inflated := float64(co) * qu.inflation(now)
+	ti.org.used += inflated
+	ti.rank.usage += inflated
 	if ti.org.index >= 0 {
 		heap.Fix(&ti.rank.ready, ti.org.index)
 	}
@@ -299,6 +325,7 @@
 	qu.advance(now)
 	ti.state = stateEnded
 	ti.rank.running--
+	ti.rank.levels[ti.tier].running--
 	qu.running--
 	qu.charge(now, ti, actual-ti.Cost)
 	if actual > 0 {
@@ -351,8 +378,10 @@
 	if !ok {
 		or = &orgQueue{id: id, share: share, index: -1}
 		rq.orgs[id] = or
+		rq.activeShares += share
 	}
 	if len(or.wait) == 0 {
+		rq.activeShares += share - or.share
 		or.share = share
 	}
 	return or
@@ -367,74 +396,50 @@
 	qu.at = now
 	weight := 1 - math.Exp(-dt/shareSmoothing.Seconds())
 	for _, rq := range qu.ranks {
-		floor := rq.Floor * float64(qu.capacity)
-		limit := max(1, floor*creditLimit)
-		rq.credit = min(limit, max(-limit, rq.credit+(floor-float64(rq.running))*dt))
-		if qu.capacity > 0 {
-			rq.used += weight * (float64(rq.running)/float64(qu.capacity) - rq.used)
+		qu.addCredit(rq, dt)
+		for i := range rq.levels {
+			le := &rq.levels[i]
+			le.used += weight * (float64(le.running) - le.used)
 		}
 	}
+	if now.After(qu.ditherUntil) {
+		_, qu.dither = math.Modf(qu.dither + goldenRatio)
+		qu.ditherUntil = now.Add(ditherInterval)
+	}
 	if qu.inflation(now) > renormaliseAt {
 		qu.renormalise(now)
 	}
 }
 
+// addCredit gives a rank its floor for a time, less what it used.
+func (qu *Queue) addCredit(rq *rankQueue, dt float64) {
+	floor := rq.Floor * float64(qu.capacity)
+	limit := floor*creditLimit + creditBase
+	rq.credit = min(limit, max(-limit, rq.credit+(floor-float64(rq.running))*dt))
+	if rq.waiting == 0 {
+		rq.credit = min(idleCredit, rq.credit)
+	}
+}
+
 // renormalise moves the epoch, and forgets organisations without usage.
 func (qu *Queue) renormalise(now time.Time) {
 	scale := 1 / qu.inflation(now)
 	for _, rq := range qu.ranks {
+		rq.usage = 0
 		for id, or := range rq.orgs {
 			or.used *= scale
 			or.remote *= scale
-			if or.score() < 1e-6 && len(or.wait) == 0 {
+			if or.score() < forgetBelow && len(or.wait) == 0 {
+				rq.activeShares -= or.share
 				delete(rq.orgs, id)
+				continue
 			}
+			rq.usage += or.used + or.remote
 		}
 	}
 	qu.epoch = now
 }
 
-// Usage is one organisation's decayed served cost within a rank.
-type Usage struct {
-	Organisation policy.OrganisationID
-	Rank         policy.RankID
-	Cost         Cost
-}
-
-// Usage lists what this queue served of late, with decay.
-func (qu *Queue) Usage(now time.Time) []Usage {
-	scale := 1 / qu.inflation(now)
-	var out []Usage
-	for _, rq := range qu.ranks {
-		for id, or := range rq.orgs {
-			if co := or.used * scale; co >= 1 {
-				out = append(out, Usage{Organisation: id, Rank: rq.ID, Cost: Cost(co)})
-			}
-		}
-	}
-	return out
-}
-
-// SetRemote sets what the other entries served of late.
-func (qu *Queue) SetRemote(now time.Time, uss []Usage) {
-	scale := qu.inflation(now)
-	for _, rq := range qu.ranks {
-		for _, or := range rq.orgs {
-			or.remote = 0
-		}
-	}
-	for _, us := range uss {
-		if rq := qu.rank(us.Rank); rq != nil {
-			if or, ok := rq.orgs[us.Organisation]; ok {
-				or.remote += float64(us.Cost) * scale
-			}
-		}
-	}
-	for _, rq := range qu.ranks {
-		heap.Init(&rq.ready)
-	}
-}
-
 // orgHeap orders the organisations that wait by their usage.
 type orgHeap []*orgQueue
 
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -23,19 +23,25 @@
 
 const (
 	usagePrefix = "usage/"
-	// leastShare is the least part of an equal share of a pool that an entry
-	// without demand keeps, so that its first requests need not wait.
-	leastShare = 0.5
-	// firstSecondsPerToken is assumed until answers have ended.
+	// firstSecondsPerToken and firstTokensPerAnswer are assumed until answers
+	// have ended.
 	firstSecondsPerToken = 0.01
+	firstTokensPerAnswer = 128
 	paceSmoothing        = 0.05
+	// leastUsed is the smoothed use, in slots, that is worth telling.
+	leastUsed = 0.01
 )
 
 // pool is one queue and what it knows of its answers' pace.
 type pool struct {
 	gate *admission.Gate
-	// mu guards secondsPerToken and costPerAnswer.
-	mu              sync.Mutex
+	// mu guards paces.
+	mu    sync.Mutex
+	paces map[policy.RankID]pace
+}
+
+// pace is what a rank's answers took.
+type pace struct {
 	secondsPerToken float64
 	tokensPerAnswer float64
 }
@@ -51,6 +57,8 @@
 	// the queues are of.
 	revision  store.Revision
 	refreshed store.Revision
+	// heard are the others' items as last taken in.
+	heard     map[string]peer.Version
 	byID      map[poolID]*pool
 	members   map[poolID]*placement.Pool
 	byVersion map[policy.VersionID]*placement.Pool
@@ -77,9 +85,8 @@
 	pl, ok := po.byID[id]
 	if !ok {
 		pl = &pool{
-			gate:            admission.NewGate(int(po.daemon.set.GetServing().GetMaxQueue())),
-			secondsPerToken: firstSecondsPerToken,
-			tokensPerAnswer: 128,
+			gate:  admission.NewGate(int(po.daemon.set.GetServing().GetMaxQueue())),
+			paces: map[policy.RankID]pace{},
 		}
 		po.byID[id] = pl
 	}
@@ -159,13 +166,19 @@
 	}
 	maps.Copy(queues, po.byID)
 	po.mu.Unlock()
-	remote := po.remote()
+	re := po.remote()
+	if re.changed {
+		po.daemon.tracker.SetOthers(time.Now(), re.inFlight)
+	}
 	for id, pl := range queues {
-		capacity := po.slots(members[id]) * remote.share(id, pl)
+		slots := po.slots(members[id])
+		capacity := slots * admission.ShareOf(re.entries, pl.demand(), re.demand[id])
 		pl.gate.Change(func(qu *admission.Queue, now time.Time) {
 			qu.SetRanks(ranks)
 			qu.SetCapacity(now, admission.Slots(capacity))
-			qu.SetRemote(now, remote.usage)
+			if re.changed {
+				qu.SetFleet(now, admission.Fleet{Capacity: admission.Slots(slots), Report: re.reports[id]})
+			}
 		})
 		pl.gate.Tick()
 	}
@@ -206,20 +219,30 @@
 // remoteWork is what the other entries told of their work.
 type remoteWork struct {
 	entries int
-	usage   []admission.Usage
 	demand  map[poolID]float64
+	reports map[poolID]admission.Report
+	// inFlight is what the others have in flight at each endpoint.
+	inFlight map[policy.EndpointID]int
+	// changed tells that something was told since the last time.
+	changed bool
 }
 
 func (po *pools) remote() remoteWork {
-	re := remoteWork{entries: 1, demand: map[poolID]float64{}}
+	re := remoteWork{entries: 1, demand: map[poolID]float64{}, reports: map[poolID]admission.Report{}, inFlight: map[policy.EndpointID]int{}}
+	seen := map[string]peer.Version{}
 	for _, mb := range po.daemon.peers.Entries() {
 		if !mb.Draining || mb.InFlight > 0 {
 			re.entries++
 		}
 		for _, it := range po.daemon.peers.Board().Under(usagePrefix + string(mb.VM)) {
+			seen[it.Key] = it.Version
 			re.add(it)
 		}
 	}
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	re.changed = !maps.Equal(seen, po.heard)
+	po.heard = seen
 	return re
 }
 
@@ -228,26 +251,26 @@
 	if proto.Unmarshal(it.Value, &us) != nil {
 		return
 	}
-	for _, ou := range us.GetOrganisations() {
-		re.usage = append(re.usage, admission.Usage{
-			Organisation: policy.OrganisationID(ou.GetOrganisation()), Rank: policy.RankID(ou.GetRank()), Cost: admission.Cost(ou.GetTokens()),
-		})
+	for _, eu := range us.GetEndpoints() {
+		re.inFlight[policy.EndpointID(eu.GetEndpoint())] += int(eu.GetInFlight())
 	}
-	for _, pd := range us.GetPools() {
-		re.demand[poolID(pd.GetPool())] += pd.GetDemand()
-	}
-}
-
-// share is the part of a pool's slots for this entry: by its part of the
-// demand, and at least a part of an equal share.
-func (re *remoteWork) share(id poolID, pl *pool) float64 {
-	equal := 1 / float64(re.entries)
-	mine := pl.demand()
-	total := mine + re.demand[id]
-	if total <= 0 {
-		return equal
+	for _, pu := range us.GetPools() {
+		id := poolID(pu.GetPool())
+		re.demand[id] += pu.GetDemand()
+		rp := re.reports[id]
+		for _, ou := range pu.GetOrganisations() {
+			rp.Organisations = append(rp.Organisations, admission.Usage{
+				Organisation: policy.OrganisationID(ou.GetOrganisation()), Rank: policy.RankID(ou.GetRank()), Cost: admission.Cost(ou.GetTokens()),
+			})
+		}
+		for _, lu := range pu.GetLevels() {
+			rp.Levels = append(rp.Levels, admission.LevelUsage{
+				Rank: policy.RankID(lu.GetRank()), OverShare: lu.GetOverShare(),
+				Running: admission.Slots(lu.GetRunning()), Used: admission.Slots(lu.GetUsed()),
+			})
+		}
+		re.reports[id] = rp
 	}
-	return leastShare*equal + (1-leastShare)*mine/total
 }
 
 func (pl *pool) demand() float64 {
@@ -266,38 +289,66 @@
 	po.mu.Unlock()
 	us := &rpc.Usage{}
 	for id, pl := range queues {
-		us.Pools = append(us.Pools, &rpc.PoolDemand{Pool: string(id), Demand: pl.demand()})
-		pl.gate.Change(func(qu *admission.Queue, now time.Time) {
-			for _, ou := range qu.Usage(now) {
-				us.Organisations = append(us.Organisations, &rpc.OrganisationUsage{
-					Organisation: string(ou.Organisation), Rank: string(ou.Rank), Tokens: float64(ou.Cost),
-				})
-			}
-		})
+		us.Pools = append(us.Pools, pl.usage(id))
+	}
+	for id, n := range po.daemon.tracker.InFlight() {
+		us.Endpoints = append(us.Endpoints, &rpc.EndpointUsage{Endpoint: string(id), InFlight: int64(n)})
 	}
 	po.daemon.peers.Publish(usagePrefix+string(po.daemon.peers.VM()), us)
 }
 
-// expect gives the tokens and the time that an answer is expected to take.
-func (pl *pool) expect(maxTokens int64) (tokens float64, lasts time.Duration) {
+// usage gives what the other entries are told of a queue.
+func (pl *pool) usage(id poolID) *rpc.PoolUsage {
+	pu := &rpc.PoolUsage{Pool: string(id), Demand: pl.demand()}
+	pl.gate.Change(func(qu *admission.Queue, now time.Time) {
+		re := qu.Report(now)
+		for _, ou := range re.Organisations {
+			pu.Organisations = append(pu.Organisations, &rpc.OrganisationUsage{
+				Organisation: string(ou.Organisation), Rank: string(ou.Rank), Tokens: float64(ou.Cost),
+			})
+		}
+		for _, lu := range re.Levels {
+			if lu.Running == 0 && lu.Used < leastUsed {
+				continue
+			}
+			pu.Levels = append(pu.Levels, &rpc.LevelUsage{
+				Rank: string(lu.Rank), OverShare: lu.OverShare, Running: float64(lu.Running), Used: float64(lu.Used),
+			})
+		}
+	})
+	return pu
+}
+
+// expect gives the tokens and the time that a rank's answer is expected to take.
+func (pl *pool) expect(id policy.RankID, maxTokens int64) (tokens float64, lasts time.Duration) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	tokens = pl.tokensPerAnswer
+	pa := pl.pace(id)
+	tokens = pa.tokensPerAnswer
 	if maxTokens > 0 {
 		tokens = min(tokens, float64(maxTokens))
 	}
-	return tokens, time.Duration(tokens * pl.secondsPerToken * float64(time.Second))
+	return tokens, time.Duration(tokens * pa.secondsPerToken * float64(time.Second))
+}
+
+func (pl *pool) pace(id policy.RankID) pace {
+	if pa, ok := pl.paces[id]; ok {
+		return pa
+	}
+	return pace{secondsPerToken: firstSecondsPerToken, tokensPerAnswer: firstTokensPerAnswer}
 }
 
 // observe learns from an answer that ended.
-func (pl *pool) observe(tokens int64, took time.Duration) {
+func (pl *pool) observe(id policy.RankID, tokens int64, took time.Duration) {
 	if tokens <= 0 {
 		return
 	}
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
-	pl.tokensPerAnswer += paceSmoothing * (float64(tokens) - pl.tokensPerAnswer)
-	pl.secondsPerToken += paceSmoothing * (took.Seconds()/float64(tokens) - pl.secondsPerToken)
+	pa := pl.pace(id)
+	pa.tokensPerAnswer += paceSmoothing * (float64(tokens) - pa.tokensPerAnswer)
+	pa.secondsPerToken += paceSmoothing * (took.Seconds()/float64(tokens) - pa.secondsPerToken)
+	pl.paces[id] = pa
 }
 
 // each visits every queue.
--- a/entry/resolve.go
+++ b/entry/resolve.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		ve, _ := se.Versions.ByID(id)
-		tokens, _ := da.pools.get(modelPool(mo.ID)).expect(ch.maxTokens)
+		tokens, _ := da.pools.get(modelPool(mo.ID)).expect(ch.rank.ID, ch.maxTokens)
 		arms = append(arms, cascade.Arm{
 			Model: mo.ID, Version: id, Quality: ve.Quality,
 			Cost: ve.Cost(ch.promptTokens(), policy.Tokens(tokens)),
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -88,7 +88,7 @@
 	result := placement.Succeeded
 	switch {
 	case an.failure == nil:
-		pl.observe(int64(an.outputTokens()), time.Since(startedAt))
+		pl.observe(ch.rank.ID, int64(an.outputTokens()), time.Since(startedAt))
 	case ctx.Err() != nil:
 		result = placement.Neutral
 	default:
@@ -106,11 +106,11 @@
 	if !ok {
 		return nil, unknownModel(ch.name)
 	}
-	tokens, lasts := pl.expect(ch.maxTokens)
+	tokens, lasts := pl.expect(ch.rank.ID, ch.maxTokens)
 	reading := time.Duration(float64(ch.promptTokens()) / 1000 * secondsPerPromptKiloToken * float64(time.Second))
 	return &admission.Ticket{
 		Organisation: ch.organisation, Share: or.Share, Rank: ch.rank.ID,
-		Cost: admission.Cost(tokens), LatestStart: ch.deadline.Add(-lasts - reading),
+		Cost: admission.Cost(tokens), LatestStart: admission.LatestStart(ch.arrived, ch.deadline.Add(-reading), lasts),
 	}, nil
 }
 
--- /dev/null
+++ b/measure/cmd/main.go
@@ -0,0 +1,26 @@
+// Command cmd runs the measures and writes their table.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"tanagerpoint.example/tanager/measure"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of all chances")
+	file := flag.String("write", "", "file to write the table to")
+	flag.Parse()
+	table := measure.Table(measure.All(*seed))
+	fmt.Print(table)
+	if *file == "" {
+		return
+	}
+	text := fmt.Sprintf("# Measures\n\n`make measure` wrote this page, with seed %d. docs/DESIGN.md says what each\nmeasure drives and what its fakes leave out.\n\n%s", *seed, table)
+	if err := os.WriteFile(*file, []byte(text), 0o600); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/measure/placement.go
@@ -0,0 +1,382 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tanagerpoint.example/tanager/entry"
+	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/retry"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/vm"
+)
+
+const (
+	reportLag = 2 * time.Second
+	// prefixes are the different prompts, cachedPrefixes those that a replica
+	// keeps.
+	prefixes       = 60
+	cachedPrefixes = 16
+	// placementLoad is the part of the capacity that is asked for.
+	placementLoad   = 0.7
+	placementLength = 120 * time.Second
+	placementTokens = 100
+)
+
+// engineFake is a replica with slots, a prefix cache and a lagging report.
+type engineFake struct {
+	running int
+	waiting []func()
+	cache   []int
+	history []utilisation
+}
+
+type utilisation struct {
+	at      time.Time
+	running int
+}
+
+func (en *engineFake) note(now time.Time) {
+	en.history = append(en.history, utilisation{now, en.running + len(en.waiting)})
+	for len(en.history) > 1 && now.Sub(en.history[1].at) > reportLag {
+		en.history = en.history[1:]
+	}
+}
+
+func (en *engineFake) hit(prefix int) bool {
+	i := slices.Index(en.cache, prefix)
+	if i >= 0 {
+		en.cache = append(slices.Delete(en.cache, i, i+1), prefix)
+		return true
+	}
+	en.cache = append(en.cache, prefix)
+	if len(en.cache) > cachedPrefixes {
+		en.cache = en.cache[1:]
+	}
+	return false
+}
+
+// placing is one run of a way of choosing replicas.
+type placing struct {
+	*loop
+	rng     *rand.Rand
+	engines []*engineFake
+	slots   int
+	first   []float64
+	hits    int
+	asked   int
+}
+
+// chooseReplica picks a replica for an entry's request with a prefix; ended is
+// called when it is answered.
+type chooseReplica func(n, prefix int) (replica int, ended func())
+
+func runPlacing(seed uint64, make func(pl *placing) chooseReplica) *placing {
+	pl := &placing{loop: newLoop(), rng: rand.New(rand.NewPCG(seed, 4)), slots: 8}
+	for range 10 {
+		pl.engines = append(pl.engines, &engineFake{})
+	}
+	choose := make(pl)
+	rate := placementLoad * float64(len(pl.engines)*pl.slots) / service(placementTokens).Seconds()
+	var arrive func()
+	arrive = func() {
+		pl.after(time.Duration(pl.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+			// A few prefixes are asked for more often than the rest.
+			prefix := int(float64(prefixes) * math.Pow(pl.rng.Float64(), 2))
+			replica, ended := choose(pl.rng.IntN(8), prefix)
+			pl.place(replica, prefix, ended)
+			arrive()
+		})
+	}
+	arrive()
+	pl.run(placementLength)
+	return pl
+}
+
+func (pl *placing) place(replica, prefix int, ended func()) {
+	en, arrived := pl.engines[replica], pl.now
+	tokens := math.Min(4*placementTokens, pl.rng.ExpFloat64()*placementTokens)
+	start := func() {
+		first := prefill
+		pl.asked++
+		if en.hit(prefix) {
+			pl.hits++
+			first /= 2
+		}
+		pl.first = append(pl.first, pl.now.Sub(arrived).Seconds()+first.Seconds())
+		en.running++
+		en.note(pl.now)
+		pl.after(first+time.Duration(tokens*float64(perToken)), func() {
+			en.running--
+			if len(en.waiting) > 0 {
+				next := en.waiting[0]
+				en.waiting = en.waiting[1:]
+				next()
+			}
+			en.note(pl.now)
+			ended()
+		})
+	}
+	if en.running < pl.slots {
+		start()
+		return
+	}
+	en.waiting = append(en.waiting, start)
+	en.note(pl.now)
+}
+
+func nothing() {}
+
+func roundRobin(pl *placing) chooseReplica {
+	next := 0
+	return func(int, int) (int, func()) {
+		next++
+		return next % len(pl.engines), nothing
+	}
+}
+
+func leastLoadedFresh(pl *placing) chooseReplica {
+	return func(int, int) (int, func()) {
+		best := 0
+		for i, en := range pl.engines {
+			if en.running+len(en.waiting) < pl.engines[best].running+len(pl.engines[best].waiting) {
+				best = i
+			}
+		}
+		return best, nothing
+	}
+}
+
+func twoChoicesStale(pl *placing) chooseReplica {
+	return func(int, int) (int, func()) {
+		a, b := pl.rng.IntN(len(pl.engines)), pl.rng.IntN(len(pl.engines))
+		if pl.engines[b].stale() < pl.engines[a].stale() {
+			a = b
+		}
+		return a, nothing
+	}
+}
+
+func (en *engineFake) stale() int {
+	if len(en.history) == 0 {
+		return 0
+	}
+	return en.history[0].running
+}
+
+func perfectAffinity(pl *placing) chooseReplica {
+	return func(_, prefix int) (int, func()) { return prefix % len(pl.engines), nothing }
+}
+
+// ourPlacement is the tracker that serves, one for each entry.
+func ourPlacement(pl *placing) chooseReplica {
+	var ens []policy.Endpoint
+	for i := range pl.engines {
+		en := &rpc.Endpoint{Slots: int64(pl.slots)}
+		ens = append(ens, policy.Endpoint{ID: policy.EndpointID(fmt.Sprint("replica-", i)), Endpoint: en})
+	}
+	pool := placement.NewPool(ens)
+	var trackers []*placement.Tracker
+	for n := range 8 {
+		trackers = append(trackers, placement.NewTracker(uint64(n+1)))
+	}
+	usable := func(policy.Endpoint) bool { return true }
+	pl.every(exchangeInterval, func() { exchangeInFlight(pl.now, trackers) })
+	return func(n, prefix int) (int, func()) {
+		hash := placement.HashPrefix("o", "v", fmt.Append(nil, prefix))
+		en, _ := trackers[n].Choose(pl.now, pool, hash, nil, usable)
+		i := slices.IndexFunc(ens, func(other policy.Endpoint) bool { return other.ID == en.ID })
+		trackers[n].Report(pl.now, en, float64(pl.engines[i].stale())/float64(pl.slots))
+		return i, func() { trackers[n].Done(pl.now, en.ID, placement.Succeeded) }
+	}
+}
+
+// exchangeInFlight tells each entry what the others have in flight.
+func exchangeInFlight(now time.Time, trs []*placement.Tracker) {
+	all := make([]map[policy.EndpointID]int, len(trs))
+	for n, tr := range trs {
+		all[n] = tr.InFlight()
+	}
+	for n, tr := range trs {
+		others := map[policy.EndpointID]int{}
+		for m, inFlight := range all {
+			if m == n {
+				continue
+			}
+			for id, count := range inFlight {
+				others[id] += count
+			}
+		}
+		tr.SetOthers(now, others)
+	}
+}
+
+// measurePlacement measures latency with stale reports, and cache hits.
+func measurePlacement(seed uint64) Row {
+	figure := func(make func(pl *placing) chooseReplica) (p95, hits float64) {
+		pl := runPlacing(seed, make)
+		return quantile(pl.first, 0.95), float64(pl.hits) / float64(pl.asked)
+	}
+	rr, rrHits := figure(roundRobin)
+	ll, llHits := figure(leastLoadedFresh)
+	tc, tcHits := figure(twoChoicesStale)
+	pa, paHits := figure(perfectAffinity)
+	mine, hits := figure(ourPlacement)
+	return Row{
+		Measure: "placement with reports 2 s stale: p95 first token, cache hits",
+		Baselines: fmt.Sprintf("round robin %.0f ms, %.2f; least loaded, fresh %.0f ms, %.2f; two choices, stale %.0f ms, %.2f; perfect affinity %.0f ms, %.2f",
+			1000*rr, rrHits, 1000*ll, llHits, 1000*tc, tcHits, 1000*pa, paHits),
+		Figure: fmt.Sprintf("%.0f ms, %.2f", 1000*mine, hits),
+		Target: "p95 no worse than least loaded with fresh reports; hits >= 0.9 of perfect affinity",
+		Met:    mine <= ll && hits >= 0.9*paHits,
+	}
+}
+
+// measureRetries measures the requests sent while a failure domain is lost.
+func measureRetries(seed uint64) Row {
+	const rate, lost, length = 50.0, 20 * time.Second, 60 * time.Second
+	type tally struct {
+		received, sent int
+		normalAfter    time.Duration
+	}
+	run := func(ours bool) tally {
+		lo, rng := newLoop(), rand.New(rand.NewPCG(seed, 5))
+		var ens []policy.Endpoint
+		for i := range 10 {
+			ens = append(ens, policy.Endpoint{ID: policy.EndpointID(fmt.Sprint("replica-", i)), Endpoint: &rpc.Endpoint{Slots: 8}})
+		}
+		pool, usable := placement.NewPool(ens), func(policy.Endpoint) bool { return true }
+		tr, bu := placement.NewTracker(seed), retry.NewBudget(0.1)
+		var ta tally
+		down := func(i int) bool {
+			since := lo.now.Sub(newLoop().now)
+			return i%3 == 0 && since > lost && since < 2*lost
+		}
+		for at := time.Duration(0); at < length; at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second)) {
+			lo.run(at - lo.now.Sub(newLoop().now))
+			ta.received++
+			bu.Received()
+			var tried []policy.EndpointID
+			failed := true
+			for try := 0; try < 3 && failed; try++ {
+				if try > 0 && ours && !bu.Take() {
+					break
+				}
+				ta.sent++
+				i := rng.IntN(len(ens))
+				if ours {
+					en, ok := tr.Choose(lo.now, pool, 0, tried, usable)
+					if !ok {
+						ta.sent--
+						break
+					}
+					i = slices.IndexFunc(ens, func(other policy.Endpoint) bool { return other.ID == en.ID })
+					tried = append(tried, en.ID)
+				}
+				failed = down(i)
+				if ours {
+					result := placement.Succeeded
+					if failed {
+						result = placement.Failed
+					}
+					tr.Done(lo.now, ens[i].ID, result)
+				}
+			}
+			if since := lo.now.Sub(newLoop().now); failed && since < 2*lost {
+				ta.normalAfter = since - lost
+			}
+		}
+		return ta
+	}
+	mine, base := run(true), run(false)
+	ratio := float64(mine.sent) / float64(mine.received)
+	return Row{
+		Measure:   "requests sent for each received while a failure domain is lost; time until none fails",
+		Baselines: fmt.Sprintf("plain retries, three tries: %.2f, %.1f s", float64(base.sent)/float64(base.received), base.normalAfter.Seconds()),
+		Figure:    fmt.Sprintf("%.3f, %.1f s", ratio, mine.normalAfter.Seconds()),
+		Target:    "<= 1.1; within 5 s", Met: ratio <= 1.1 && mine.normalAfter <= 5*time.Second,
+	}
+}
+
+// measureAddresses measures the spread of callers while half of the entries
+// are replaced.
+func measureAddresses(seed uint64) Row {
+	const callers, keep, failedAfter = 400, 2 * time.Second, 2 * time.Second
+	type tally struct {
+		spread float64
+		late   int
+	}
+	run := func(ours bool) tally {
+		lo, rng := newLoop(), rand.New(rand.NewPCG(seed, 6))
+		start := lo.now
+		const n = 8
+		died := start.Add(30 * time.Second)
+		back := died.Add(20 * time.Second)
+		var counts [n]int
+		var ta tally
+		answer := func() []int {
+			var cas []entry.Candidate
+			for i := range n {
+				gone := i%2 == 0 && lo.now.After(died) && lo.now.Before(back)
+				unheard := ours && gone && lo.now.Sub(died) > failedAfter
+				if unheard || ours && i%2 == 0 && lo.now.After(back) && lo.now.Sub(back) < time.Second {
+					continue
+				}
+				cas = append(cas, entry.Candidate{VM: vm.ID(fmt.Sprint(i)), Address: fmt.Sprint(i), FailureDomain: policy.FailureDomain(fmt.Sprint(i % 3))})
+			}
+			var out []int
+			domain := policy.FailureDomain(fmt.Sprint(rng.IntN(3)))
+			for _, ad := range entry.Answer(cas, func(vm.ID) bool { return false }, domain, rng) {
+				var i int
+				_, _ = fmt.Sscan(ad.Address, &i)
+				out = append(out, i)
+			}
+			return out
+		}
+		for range callers {
+			var list []int
+			var until time.Time
+			lo.every(100*time.Millisecond+time.Duration(rng.IntN(50))*time.Millisecond, func() {
+				if lo.now.After(until) {
+					list, until = answer(), lo.now.Add(keep)
+				}
+				i := list[0]
+				dead := i%2 == 0 && lo.now.After(died) && lo.now.Before(back)
+				switch {
+				case dead && lo.now.Sub(died) > failedAfter+keep:
+					ta.late++
+				case !dead:
+					counts[i]++
+				}
+				if dead {
+					// The caller cannot connect, and asks again.
+					until = time.Time{}
+				}
+			})
+		}
+		lo.run(30 * time.Second)
+		counts = [n]int{}
+		lo.run(60 * time.Second)
+		most, sum := 0, 0
+		for i, co := range counts {
+			// Compare entries that lived for the same time.
+			if i%2 == 1 {
+				most = max(most, co)
+				sum += co
+			}
+		}
+		ta.spread = float64(most) / (float64(sum) / (n / 2))
+		return ta
+	}
+	mine, base := run(true), run(false)
+	return Row{
+		Measure:   "address answers while half of the entries are replaced: max/mean of those that stay; requests to dead VMs after 2 s and the answer's keep",
+		Baselines: fmt.Sprintf("plain random over the VM list: %.2f, %d", base.spread, base.late),
+		Figure:    fmt.Sprintf("%.2f, %d", mine.spread, mine.late),
+		Target:    "<= 1.2; none", Met: mine.spread <= 1.2 && mine.late == 0,
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,12 +3,13 @@
 // A request goes where its prompt's prefix is likely to be cached: prefixes
 // are spread over the endpoints by consistent hashing with bounded loads
 // (Mirrokni, Thorup and Zadimoghaddam, 2016). When the endpoints that the
-// prefix leads to are loaded, the less loaded of two chosen at random gets it
-// (Mitzenmacher, 2001), so that daemons with the same old reports do not all
-// choose alike.
+// prefix leads to are loaded, the least loaded of a few chosen at random gets
+// it (Mitzenmacher, 2001). Load is what the entries have in flight: daemons that
+// go by the same old reports would all choose alike.
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -25,16 +26,23 @@
 	pointsPerEndpoint = 32
 	// maxRingSteps is how many endpoints a prefix is tried on.
 	maxRingSteps = 3
+	// stepPenalty is the load that makes up for one step along the ring.
+	stepPenalty = 0.2
 	// maxAffinityLoad is the load, in slots, up to which a prefix decides.
-	maxAffinityLoad = 0.85
+	maxAffinityLoad = 0.9
+	// randomChoices is how many endpoints are compared by load.
+	randomChoices = 8
+	// reportWeight is what a full endpoint's report counts for, in requests of
+	// this entry's own.
+	reportWeight = 2
+	// othersLifetime is how long the other entries' word counts.
+	othersLifetime = 4 * time.Second
 	// reportLifetime is how long a report of load counts.
 	reportLifetime = 5 * time.Second
 	// failuresToSuspend in a row suspend an endpoint.
 	failuresToSuspend = 2
 	firstSuspension   = 500 * time.Millisecond
 	maxSuspension     = 8 * time.Second
-	// maxRandomTries bounds the search for endpoints that may be used.
-	maxRandomTries = 16
 )
 
 // Prefix is the hash of the start of a prompt.
@@ -89,16 +97,20 @@
 
 // Tracker keeps what this entry knows of each endpoint.
 //
-// mu guards the endpoints' states. No other lock is taken while it is held.
+// mu guards the fields below it. No other lock is taken while it is held.
 type Tracker struct {
 	mu     sync.Mutex
 	rng    *rand.Rand
 	states map[policy.EndpointID]*State
+	// othersUntil is until when the other entries' word counts.
+	othersUntil time.Time
 }
 
 // State is what is known of one endpoint.
 type State struct {
 	InFlight int
+	// Others is the other entries' requests in flight.
+	Others int
 	// Reported is the requests in service that the endpoint told of.
 	Reported float64
 	// ReportedInFlight is this entry's part of them.
@@ -141,71 +153,103 @@
 	return en, true
 }
 
-// byPrefix walks the ring from a prefix to an endpoint that is not loaded.
+// byPrefix walks the ring from a prefix to the least loaded of the first few
+// endpoints, of which the earlier ones are preferred; -1 when all are loaded.
 func (tr *Tracker) byPrefix(now time.Time, po *Pool, pr Prefix, may Usable) int {
 	if pr == 0 || len(po.points) == 0 {
 		return -1
 	}
 	first := sort.Search(len(po.points), func(i int) bool { return po.points[i].hash >= uint64(pr) })
 	seen := make([]int, 0, maxRingSteps)
+	best, bestScore := -1, math.Inf(1)
 	for step := 0; step < len(po.points) && len(seen) < maxRingSteps; step++ {
 		i := po.points[(first+step)%len(po.points)].index
 		if slices.Contains(seen, i) {
 			continue
 		}
+		score := float64(len(seen)) * stepPenalty
 		seen = append(seen, i)
-		if may(po.Endpoints[i]) && tr.load(now, po.Endpoints[i]) < maxAffinityLoad {
-			return i
+		if !may(po.Endpoints[i]) {
+			continue
+		}
+		lo := tr.load(now, po.Endpoints[i])
+		if lo < maxAffinityLoad && lo+score < bestScore {
+			best, bestScore = i, lo+score
 		}
 	}
-	return -1
+	return best
 }
 
-// byLoad picks the less loaded of two endpoints chosen at random. A small or
-// mostly unusable pool is searched in order when chance finds none.
+// byLoad picks the least loaded of some endpoints chosen at random. A mostly
+// unusable pool is searched in order when chance finds none.
 func (tr *Tracker) byLoad(now time.Time, po *Pool, may Usable) int {
-	best, found := -1, 0
-	consider := func(i int) {
-		if !may(po.Endpoints[i]) {
-			return
-		}
-		found++
-		if best < 0 || tr.load(now, po.Endpoints[i]) < tr.load(now, po.Endpoints[best]) {
-			best = i
-		}
-	}
-	if len(po.Endpoints) == 0 {
+	n := len(po.Endpoints)
+	if n == 0 {
 		return -1
 	}
-	for try := 0; try < maxRandomTries && found < 2; try++ {
-		consider(tr.rng.IntN(len(po.Endpoints)))
-	}
-	if best >= 0 {
-		return best
-	}
-	start := tr.rng.IntN(len(po.Endpoints))
-	for i := range po.Endpoints {
-		if consider((start + i) % len(po.Endpoints)); best >= 0 {
-			return best
+	best, bestLoad := -1, 0.0
+	start := tr.rng.IntN(n)
+	for try := 0; try < n && (try < randomChoices || best < 0); try++ {
+		i := (start + try) % n
+		if n > randomChoices && try < randomChoices {
+			i = tr.rng.IntN(n)
+		}
+		en := po.Endpoints[i]
+		if !may(en) {
+			continue
+		}
+		if lo := tr.load(now, en); best < 0 || lo < bestLoad {
+			best, bestLoad = i, lo
 		}
 	}
-	return -1
+	return best
 }
 
-// load estimates an endpoint's requests in service for each slot: what it
-// reported, and what this entry has sent since.
+// load estimates an endpoint's requests in service for each slot. Best known
+// is what the entries have in flight there; without their word it is what the
+// endpoint reported, and what this entry has sent since.
 func (tr *Tracker) load(now time.Time, en policy.Endpoint) float64 {
 	st, ok := tr.states[en.ID]
 	if !ok {
 		return 0
 	}
 	inService := float64(st.InFlight)
-	if now.Before(st.ReportExpiresAt) {
+	switch {
+	case now.Before(tr.othersUntil):
+		inService += float64(st.Others)
+	case now.Before(st.ReportExpiresAt):
 		inService = max(inService, st.Reported+float64(st.InFlight-st.ReportedInFlight))
 	}
 	return inService / float64(en.Slots)
 }
 
+// InFlight gives what this entry has in flight at each endpoint.
+func (tr *Tracker) InFlight() map[policy.EndpointID]int {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	out := map[policy.EndpointID]int{}
+	for id, st := range tr.states {
+		if st.InFlight > 0 {
+			out[id] = st.InFlight
+		}
+	}
+	return out
+}
+
+// SetOthers takes in what the other entries have in flight at each endpoint.
+// It counts for a few seconds.
+func (tr *Tracker) SetOthers(now time.Time, others map[policy.EndpointID]int) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.othersUntil = now.Add(othersLifetime)
+	for _, st := range tr.states {
+		st.Others = 0
+	}
+	for id, n := range others {
+		tr.state(id).Others = n
+	}
+}
+
 // open tells whether an endpoint is not suspended, or may be probed.
 func (tr *Tracker) open(now time.Time, id policy.EndpointID) bool {
 	st, ok := tr.states[id]
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -36,9 +36,16 @@
 	return out
 }
 
+// RanPath is where the counts of what ran are read.
+const RanPath = "/standin/ran"
+
 // Handler serves any path.
 func (pl *Plain) Handler() http.Handler {
 	return pl.Wrap(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == RanPath {
+			writeJSON(wr, pl.Ran())
+			return
+		}
 		body, err := io.ReadAll(rq.Body)
 		if err != nil {
 			return
