Bound the queue's total at every level, and test the decisions

Cause: a property test (TestQueueKeepsItsCounts) started five requests with three slots. A less protected level was held to its own limit only, so its requests did not count against the more protected levels' limit.

Change: a start must have room at its level and at every more protected one.

Ruled out: the rounding of limits (5 of 3 with every dither).

--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -156,28 +156,45 @@
 	return withinShare
 }
 
-// mayStart tells whether a level may have another slot: this level and those
-// less protected leave free what the more protected ones are expected to need.
+// mayStart tells whether a level may have another slot. It counts against the
+// limits of that level and of all more protected ones: each limits what it and
+// the less protected ones use together, so that what the more protected are
+// expected to need stays free.
 func (qu *Queue) mayStart(rank, tier int) bool {
 	known := qu.at.Before(qu.fleetUntil)
-	ranksAbove, within, below, belowThen, othersBelow := 0.0, 0.0, 0, 0, 0.0
-	for i, rq := range qu.ranks {
+	ranksAbove := 0.0
+	for i := 0; i <= rank; i++ {
+		within := 0.0
+		for j := range levelsPerRank {
+			if i == rank && j > tier {
+				break
+			}
+			reserve := max(expectedNeed(ranksAbove), qu.ranks[i].Headroom*qu.whole(known)) + expectedNeed(within)
+			if !qu.hasRoom(i, j, reserve, known) {
+				return false
+			}
+			within += qu.ranks[i].levels[j].fleetUsed(known)
+		}
+		ranksAbove += within
+	}
+	return true
+}
+
+// hasRoom tells whether a level and those less protected may use another slot,
+// of all but a reserve: of this entry's own, or of those free in the fleet.
+func (qu *Queue) hasRoom(rank, tier int, reserve float64, known bool) bool {
+	below, belowThen, othersBelow := 0, 0, 0.0
+	for i, rq := range qu.ranks[rank:] {
 		for j := range rq.levels {
-			le := &rq.levels[j]
-			switch {
-			case i < rank:
-				ranksAbove += le.fleetUsed(known)
-			case i == rank && j < tier:
-				within += le.fleetUsed(known)
-			default:
-				below += le.running
-				belowThen += le.runningThen
-				othersBelow += le.othersRunning
+			if i == 0 && j < tier {
+				continue
 			}
+			below += rq.levels[j].running
+			belowThen += rq.levels[j].runningThen
+			othersBelow += rq.levels[j].othersRunning
 		}
 	}
 	whole := qu.whole(known)
-	reserve := max(expectedNeed(ranksAbove), qu.ranks[rank].Headroom*whole) + expectedNeed(within)
 	left := max(0, whole-reserve)
 	if float64(below+1) <= math.Floor(float64(qu.capacity)*left/whole+qu.dither) {
 		return true
--- a/measure/cmd/main.go
+++ b/measure/cmd/main.go
@@ -13,7 +13,7 @@
 	seed := flag.Uint64("seed", 1, "seed of all chances")
 	file := flag.String("write", "", "file to write the table to")
 	flag.Parse()
-	table := measure.Table(measure.All(*seed))
+	table := measure.Table(append(measure.All(*seed), measure.Placement(*seed)))
 	fmt.Print(table)
 	if *file == "" {
 		return
--- /dev/null
+++ b/measure/measure_test.go
@@ -0,0 +1,22 @@
+package measure_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/measure"
+)
+
+// TestMeasuresMeetTheirTargets holds the decisions to the stated targets. It
+// runs in virtual time, and comes to the same figures every time.
+func TestMeasuresMeetTheirTargets(t *testing.T) {
+	for _, ro := range measure.All(1) {
+		qt.Check(t, ro.Met, qt.IsTrue, qt.Commentf("%s: %s, target %s", ro.Measure, ro.Figure, ro.Target))
+	}
+}
+
+func TestPlacementMeetsItsTarget(t *testing.T) {
+	ro := measure.Placement(1)
+	qt.Check(t, ro.Met, qt.IsTrue, qt.Commentf("%s: %s, target %s", ro.Measure, ro.Figure, ro.Target))
+}
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// measurePlacement measures latency with stale reports, and cache hits.
-func measurePlacement(seed uint64) Row {
+// Placement measures latency with stale reports, and cache hits.
+func Placement(seed uint64) Row {
 	figure := func(make func(pl *placing) chooseReplica) (p95, hits float64) {
 		pl := runPlacing(seed, make)
 		return quantile(pl.first, 0.95), float64(pl.hits) / float64(pl.asked)
--- a/measure/report.go
+++ b/measure/report.go
@@ -14,7 +14,7 @@
 	Met       bool
 }
 
-// All runs every measure from a seed.
+// All runs every measure but Placement from a seed.
 func All(seed uint64) []Row {
 	var out []Row
 	for _, st := range []site{bagmati, savannah} {
@@ -22,7 +22,7 @@
 	}
 	out = append(out, measureCascade(seed), measureDrift(seed), measureDisappearance(seed), measureSilence(seed))
 	out = append(out, measureExposure(seed)...)
-	return append(out, measurePlacement(seed), measureRetries(seed), measureAddresses(seed))
+	return append(out, measureRetries(seed), measureAddresses(seed))
 }
 
 // Table gives the rows as a markdown table.
--- /dev/null
+++ b/setting/setting_test.go
@@ -0,0 +1,92 @@
+package setting_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/setting"
+)
+
+func TestExamplesHaveNoFindings(t *testing.T) {
+	for pattern, ms := range map[string]proto.Message{
+		"../examples/*/entry-*.ini":   &rpc.EntrySettings{},
+		"../examples/*/steward-*.ini": &rpc.StewardSettings{},
+	} {
+		files, err := filepath.Glob(pattern)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(files) > 10, qt.IsTrue)
+		for _, file := range files {
+			qt.Assert(t, setting.Load(file, proto.Clone(ms)), qt.IsNil, qt.Commentf("%s", file))
+		}
+	}
+}
+
+func TestDocumentIsInStep(t *testing.T) {
+	text, err := os.ReadFile("../docs/SETTINGS.md")
+	qt.Assert(t, err, qt.IsNil)
+	for _, ms := range []proto.Message{&rpc.EntrySettings{}, &rpc.StewardSettings{}} {
+		qt.Assert(t, string(text), qt.Contains, strings.TrimRight(setting.Describe(ms), "\n"))
+	}
+}
+
+const good = `[vm]
+id = a
+site = s
+failure_domain = f
+[store]
+urls = http://127.0.0.1:1
+[platform]
+vm_list_url = http://127.0.0.1:2
+[peers]
+shared_key = 0123456789abcdef
+`
+
+func load(t testing.TB, text string, ms proto.Message) error {
+	file := filepath.Join(t.TempDir(), "x.ini")
+	qt.Assert(t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	return setting.Load(file, ms)
+}
+
+func TestDefaultsRun(t *testing.T) {
+	var es rpc.EntrySettings
+	qt.Assert(t, load(t, good, &es), qt.IsNil)
+	qt.Assert(t, es.GetServing().GetProgress().AsDuration(), qt.Equals, 2*time.Second)
+	qt.Assert(t, es.GetStore().GetUrls(), qt.DeepEquals, []string{"http://127.0.0.1:1"})
+}
+
+func TestMistakesHaveTheirPlaces(t *testing.T) {
+	for _, ca := range []struct{ more, section, key, message string }{
+		{"[vm]\nid = b\n", "vm", "id", "written more than once"},
+		{"[billing]\ncopies = many\n", "billing", "copies", `"many" is not a whole number`},
+		{"[serving]\nretry_budget = 2\n", "serving", "retry_budget", "2 is outside 0 to 1"},
+		{"[listen]\nadmin = 127.0.0.1:7801\n", "listen", "admin", "same address as callers"},
+		{"[log]\nlevel = loud\n", "log", "level", `"loud" is none of debug, info, warning, error`},
+		{"[peers]\nfailed_after = 500ms\n", "peers", "failed_after", "shorter than two exchange intervals"},
+		{"[servin]\n", "servin", "", "unknown section"},
+	} {
+		var li finding.List
+		err := load(t, good+ca.more, &rpc.EntrySettings{})
+		qt.Assert(t, errors.As(err, &li), qt.IsTrue, qt.Commentf("%q", ca.more))
+		qt.Assert(t, li, qt.HasLen, 1, qt.Commentf("%v", li))
+		qt.Assert(t, li[0].Place.Section, qt.Equals, ca.section)
+		qt.Assert(t, li[0].Place.Key, qt.Equals, ca.key)
+		qt.Assert(t, li[0].Message, qt.Equals, ca.message)
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(good)
+	f.Add("[vm\n=\n[[x]]\nkey")
+	f.Fuzz(func(t *testing.T, text string) {
+		_ = load(t, text, &rpc.EntrySettings{})
+	})
+}
