Show that each proof fails without its mechanism

Cause: a proof that cannot fail proves nothing.

Three were not noticed at first: - "entries do not judge": the test passed because all engines were suspended for the bad version's errors, and nothing was served at all. Found beside it: a full table of pins was searched whole for every new pin; it now makes room for a sixteenth at once (the benchmark did not end in 100 s).

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,18 @@
 LENGTH ?= 3m
 
 soak:
-	go test -tags soak -count=1 -timeout 30m ./soak/ -args -seed $(SEED) -length $(LENGTH)
+	go test -v -tags soak -count=1 -timeout 30m ./soak/ -args -seed $(SEED) -length $(LENGTH)
 
+
+seefail:
+	./proof/seefail.sh
+
+bench:
+	go test -run XXX -bench . -benchtime 2s ./capacity/ ./admission/ ./placement/
+
+fuzz:
+	go test -run XXX -fuzz FuzzLoad -fuzztime 20s ./setting/
+	go test -run XXX -fuzz FuzzRecord -fuzztime 20s ./policy/
+	go test -run XXX -fuzz FuzzStream -fuzztime 20s ./endpoint/
+	go test -run XXX -fuzz FuzzToken -fuzztime 20s ./session/
+	go test -run XXX -fuzz FuzzChat -fuzztime 20s ./entry/
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -47,6 +47,7 @@
 	Isolated       bool                                  `json:"isolated"`
 	InFlight       int64                                 `json:"in_flight"`
 	PolicyRevision store.Revision                        `json:"policy_revision"`
+	PolicyRecords  int                                   `json:"policy_records"`
 	PolicyEvidence time.Time                             `json:"policy_evidence"`
 	PolicyFindings []string                              `json:"policy_findings"`
 	WatchesOpened  int64                                 `json:"watches_opened"`
@@ -75,7 +76,7 @@
 	st := State{
 		VM: da.peers.VM(), Incarnation: da.peers.Incarnation(), Started: da.started,
 		Draining: da.draining.Load(), Isolated: da.isolated.Load(), InFlight: da.inFlight.Load(),
-		PolicyRevision: se.Revision, PolicyEvidence: da.holder.Evidence(),
+		PolicyRevision: se.Revision, PolicyRecords: se.Len(), PolicyEvidence: da.holder.Evidence(),
 		WatchesOpened: da.watcher.Opened(), StoreCalls: da.store.Calls(),
 		Members: da.peers.Members(), Pools: map[string]PoolState{}, Endpoints: da.tracker.States(),
 		Pins: da.pins.Len(), BillsUnsealed: da.book.Unsealed(), BillsHeld: da.book.Held(),
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -64,6 +64,12 @@
 	return ro.suspects[id]
 }
 
+// candidate tells whether a target's version is on trial.
+func (ro *rollouts) candidate(tg target) bool {
+	rec, ok := ro.holder.Set().ActiveRollout(tg.model)
+	return ok && policy.VersionID(rec.ToVersion) == tg.version.ID
+}
+
 // observe adds an attempt's outcome.
 func (ro *rollouts) observe(tg target, ou rollout.Outcome) {
 	rec, ok := ro.holder.Set().ActiveRollout(tg.model)
--- a/policy/set.go
+++ b/policy/set.go
@@ -117,6 +117,9 @@
 	return out
 }
 
+// Len counts the records, deleted ones included.
+func (se *Set) Len() int { return len(se.entries) }
+
 // OrganisationByKey gives the organisation of a caller's key.
 func (se *Set) OrganisationByKey(key string) (Organisation, bool) {
 	id, ok := se.byCallerKey[HashKey(key)]
--- a/proof/configuration_test.go
+++ b/proof/configuration_test.go
@@ -102,8 +102,25 @@
 func TestRevisionNeverFalls(t *testing.T) {
 	withSite(t, testsite.Options{Entries: 4, Engines: 1}, func(t *testing.T, si *testsite.Site) {
 		var mu sync.Mutex
-		highest := map[int]store.Revision{}
+		highest, most := map[int]store.Revision{}, map[int]int{}
 		stop := make(chan struct{})
+		sample := func() {
+			mu.Lock()
+			defer mu.Unlock()
+			for n := 1; n <= 3; n++ {
+				now := si.State(n).PolicyRevision
+				if now < highest[n] {
+					t.Errorf("entry-%d fell from revision %d to %d", n, highest[n], now)
+				}
+				highest[n] = now
+				records := si.State(n).PolicyRecords
+				if records < most[n] {
+					t.Errorf("entry-%d lost records: %d, had %d", n, records, most[n])
+				}
+				most[n] = records
+			}
+		}
+		sample()
 		var wg sync.WaitGroup
 		wg.Go(func() {
 			for {
@@ -111,16 +128,8 @@
 				case <-stop:
 					return
 				case <-time.After(5 * time.Millisecond):
+					sample()
 				}
-				mu.Lock()
-				for n := 1; n <= 3; n++ {
-					now := si.State(n).PolicyRevision
-					if now < highest[n] {
-						t.Errorf("entry-%d fell from revision %d to %d", n, highest[n], now)
-					}
-					highest[n] = now
-				}
-				mu.Unlock()
 			}
 		})
 		// Entry 4 is held back at an old state, and then meets the others again.
--- /dev/null
+++ b/proof/seefail.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Puts each seeded fault of faults.txt to a copy of the tree and checks that
+# its test fails there. An argument limits it to faults whose names match.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy="$(mktemp -d)"
+trap 'rm -rf "$copy"' EXIT
+git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$copy"
+failed=0
+while IFS='|' read -r name test file change; do
+  name="$(sed 's/ *$//' <<<"$name")"
+  test="$(tr -d ' ' <<<"$test")"
+  file="$(tr -d ' ' <<<"$file")"
+  case "$name" in ''|'#'*) continue ;; esac
+  [[ "$name" =~ ${1:-.} ]] || continue
+  cp "$copy/$file" "$copy/$file.whole"
+  perl -0pi -e "${change# }" "$copy/$file"
+  if cmp -s "$copy/$file" "$copy/$file.whole"; then
+    echo "FAIL  $name: the fault does not apply to $file"; failed=1
+  elif (cd "$copy" && go vet "./$(dirname "$file")" >"$copy/vet.log" 2>&1 || true; cd "$copy" && go build ./... >"$copy/build.log" 2>&1); then
+    if (cd "$copy" && timeout 300 go test -count=1 -run "^$test\$" ./proof/ >"$copy/test.log" 2>&1); then
+      echo "FAIL  $name: $test passes without the mechanism"; failed=1
+    else
+      echo "ok    $name: $test fails"
+    fi
+  else
+    echo "FAIL  $name: does not build"; cat "$copy/build.log"; failed=1
+  fi
+  mv "$copy/$file.whole" "$copy/$file"
+done < <(sed 's/ || / OROR /g' proof/faults.txt | sed 's/ | /|/1; s/ | /|/1; s/ | /|/1' | sed 's/ OROR / || /g' | awk -F'|' 'NF{print}')
+exit "$failed"
--- a/proof/steward_test.go
+++ b/proof/steward_test.go
@@ -104,15 +104,20 @@
 		si.Apply(rolloutAt(0.5, "RUNNING"))
 		time.Sleep(quietLimit)
 		si.Store.Set(standin.Faults{Down: true})
-		bad := 0
+		bad, served := 0, 0
 		for i := range 200 {
 			an := si.Chat(testsite.Call{Entry: 1 + i%3})
+			if an.Status == 200 {
+				served++
+			}
 			if an.Header.Get(entry.HeaderVersion) == "m-2" || an.Status == 502 {
 				bad++
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
 		qt.Assert(t, bad < 15, qt.IsTrue, qt.Commentf("%d answers exposed", bad))
+		// The engines are not blamed for the version: the rest is served.
+		qt.Assert(t, served+bad, qt.Equals, 200)
 	})
 }
 
@@ -233,6 +238,33 @@
 	}
 }
 
+// stewardLinks lists a steward's links to the store and to its peers.
+func stewardLinks(n int) []link {
+	me := testsite.Host(testsite.StewardName(n))
+	out := []link{{me, testsite.StoreAddress}, {me, testsite.PeerAddress(1)}, {testsite.Host(testsite.EntryName(1)), testsite.StewardAddress(n)}}
+	for m := 1; m <= 4; m++ {
+		out = append(out, link{me, testsite.StewardAddress(m)}, link{testsite.Host(testsite.StewardName(m)), testsite.StewardAddress(n)})
+	}
+	return out
+}
+
+type link struct {
+	from testsite.Host
+	to   string
+}
+
+func cutOff(si *testsite.Site, n int) {
+	for _, li := range stewardLinks(n) {
+		si.Net.Cut(li.from, li.to)
+	}
+}
+
+func mendAll(si *testsite.Site, n int) {
+	for _, li := range stewardLinks(n) {
+		si.Net.Mend(li.from, li.to)
+	}
+}
+
 func TestTwoStewardsNeverHoldOneTask(t *testing.T) {
 	withSite(t, testsite.Options{Entries: 1, Stewards: 4, Engines: 2}, func(t *testing.T, si *testsite.Site) {
 		for round := range 6 {
@@ -240,10 +272,10 @@
 			case 0:
 				si.Store.Set(standin.Faults{LoseAnswers: 5})
 			case 1:
-				si.Net.Cut(testsite.Host(testsite.StewardName(1+round%4)), testsite.StoreAddress)
+				cutOff(si, 1+round%4)
 			case 2:
 				for n := 1; n <= 4; n++ {
-					si.Net.Mend(testsite.Host(testsite.StewardName(n)), testsite.StoreAddress)
+					mendAll(si, n)
 				}
 			}
 			for range 100 {
--- a/session/pin.go
+++ b/session/pin.go
@@ -212,7 +212,8 @@
 	pi.pins[key] = pin{version: version, expiresAt: now.Add(pinLifetime), renewAt: now.Add(renewAfter)}
 }
 
-// makeRoom forgets the lapsed pins, or any when none has lapsed.
+// makeRoom forgets the lapsed pins, and some others when too few have lapsed:
+// enough that the next call is far off, since it looks at every pin.
 func (pi *Pins) makeRoom(now time.Time) {
 	for key, pn := range pi.pins {
 		if now.After(pn.expiresAt) {
@@ -220,7 +221,7 @@
 		}
 	}
 	for key := range pi.pins {
-		if len(pi.pins) < maxPins {
+		if len(pi.pins) < maxPins-maxPins/16 {
 			return
 		}
 		delete(pi.pins, key)
--- a/testsite/site.go
+++ b/testsite/site.go
@@ -155,6 +155,9 @@
 // AdminAddress gives the admin address of entry-N.
 func AdminAddress(n int) string { return fmt.Sprintf("10.3.0.%d:82", n) }
 
+// StewardAddress gives the peers' address of steward-N.
+func StewardAddress(n int) string { return fmt.Sprintf("10.4.0.%d:81", n) }
+
 // EntryName gives the name and host of entry-N.
 func EntryName(n int) string { return fmt.Sprintf("entry-%d", n) }
 
