--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -166,7 +166,7 @@
 		b.Run(fmt.Sprintf("organisations-%d", orgs), func(b *testing.B) {
 			qu := admission.NewQueue(start, 1<<20, 0)
 			qu.SetRanks(ranks())
-			qu.SetCapacity(start, 1)
+			qu.SetCapacity(start, 4)
 			for i := range orgs {
 				for range 4 {
 					qu.Offer(start, &admission.Ticket{Organisation: policy.OrganisationID(fmt.Sprint(i)), Share: 1, Rank: "bulk", Cost: 10, LatestStart: start.Add(1 << 50)})
--- a/bill/bill.go
+++ b/bill/bill.go
@@ -65,6 +65,8 @@
 	bills  []*rpc.Bill
 	// holders are the peers that have copies of some of the bills.
 	holders []string
+	// sealed is closed when the store has the batch.
+	sealed chan struct{}
 }
 
 // heldKey is a batch of a peer's.
@@ -134,7 +136,7 @@
 
 func (bo *Book) newBatch() *batch {
 	bo.number++
-	return &batch{number: bo.number}
+	return &batch{number: bo.number, sealed: make(chan struct{})}
 }
 
 // Full tells whether too many bills are unsealed for more work to be taken.
@@ -173,8 +175,8 @@
 	}
 }
 
-// putOpen adds bills to the open batch and gives its number.
-func (bo *Book) putOpen(holders []string, bills []*rpc.Bill) BatchNumber {
+// putOpen adds bills to the open batch and gives it.
+func (bo *Book) putOpen(holders []string, bills []*rpc.Bill) *batch {
 	bo.mu.Lock()
 	defer bo.mu.Unlock()
 	if len(bo.open.bills)+len(bills) > maxBatch {
@@ -186,7 +188,7 @@
 			bo.open.holders = append(bo.open.holders, ad)
 		}
 	}
-	return bo.open.number
+	return bo.open
 }
 
 func (bo *Book) closeOpen() {
@@ -211,18 +213,12 @@
 }
 
 // waitSealed waits until the store has a batch.
-func (bo *Book) waitSealed(ctx context.Context, number BatchNumber) error {
-	const look = 10 * time.Millisecond
-	for {
-		bo.mu.Lock()
-		waiting := bo.open.number == number || slices.ContainsFunc(bo.closed, func(ba *batch) bool { return ba.number == number })
-		bo.mu.Unlock()
-		if !waiting {
-			return nil
-		}
-		if !worker.Sleep(ctx, look) {
-			return eris.Wrap(ErrNotKept, "Book.waitSealed")
-		}
+func waitSealed(ctx context.Context, ba *batch) error {
+	select {
+	case <-ba.sealed:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ErrNotKept, "bill.waitSealed")
 	}
 }
 
@@ -261,6 +257,7 @@
 		}
 		bo.mu.Lock()
 		bo.closed = bo.closed[1:]
+		close(ba.sealed)
 		for _, ad := range ba.holders {
 			bo.sealed[ad] = append(bo.sealed[ad], int64(ba.number))
 		}
--- a/bill/copy.go
+++ b/bill/copy.go
@@ -39,8 +39,8 @@
 		bills[i] = ad.bill
 	}
 	targets := bo.pickHolders()
-	number := bo.putOpen(targets, bills)
-	copies := bo.copyTo(ctx, targets, number, bills)
+	ba := bo.putOpen(targets, bills)
+	copies := bo.copyTo(ctx, targets, ba.number, bills)
 	if copies < bo.opt.Copies {
 		bo.log.Debug(event.BillsNotCopied, nil, event.Fields{"copies": copies, "set": bo.opt.Copies})
 		bo.requestSeal()
@@ -50,7 +50,7 @@
 			ad.done <- nil
 			continue
 		}
-		bo.group.Go(func(ctx context.Context) { ad.done <- bo.waitSealed(ctx, number) })
+		bo.group.Go(func(ctx context.Context) { ad.done <- waitSealed(ctx, ba) })
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -40,7 +41,7 @@
 	callerWriteLimit  = 10 * time.Second
 	maxHeaderBytes    = 32 << 10
 	tickInterval      = 100 * time.Millisecond
-	publishInterval   = time.Second
+	publishInterval   = 400 * time.Millisecond
 	pinSpreadInterval = time.Second
 )
 
@@ -156,7 +157,17 @@
 
 func (da *Daemon) describe(me *rpc.Member) {
 	me.Draining = da.draining.Load()
-	me.InFlight = da.inFlight.Load()
+	me.InFlight = roughly(da.inFlight.Load())
+}
+
+// roughly rounds down to two significant bits, so that the members' states
+// need not be told again for every request.
+func roughly(n int64) int64 {
+	if n < 4 {
+		return n
+	}
+	shift := bits.Len64(uint64(n)) - 2
+	return n >> shift << shift
 }
 
 // Start opens the listeners and starts the daemon's work.
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -22,6 +22,9 @@
 	placementLoad   = 0.7
 	placementLength = 120 * time.Second
 	placementTokens = 100
+	// tellInterval is the time between entries' words of what they have in
+	// flight. They are heard an interval later.
+	tellInterval = 400 * time.Millisecond
 )
 
 // engineFake is a replica with slots, a prefix cache and a lagging report.
@@ -204,7 +207,11 @@
 		trackers = append(trackers, placement.NewTracker(uint64(n+1)))
 	}
 	usable := func(policy.Endpoint) bool { return true }
-	pl.every(exchangeInterval, func() { exchangeInFlight(pl.now, trackers) })
+	told := snapshot(trackers)
+	pl.every(tellInterval, func() {
+		tell(pl.now, trackers, told)
+		told = snapshot(trackers)
+	})
 	return func(n, prefix int) (int, func()) {
 		hash := placement.HashPrefix("o", "v", fmt.Append(nil, prefix))
 		en, _ := trackers[n].Choose(pl.now, pool, hash, nil, usable)
@@ -214,12 +221,17 @@
 	}
 }
 
-// exchangeInFlight tells each entry what the others have in flight.
-func exchangeInFlight(now time.Time, trs []*placement.Tracker) {
+// snapshot gives what each entry has in flight.
+func snapshot(trs []*placement.Tracker) []map[policy.EndpointID]int {
 	all := make([]map[policy.EndpointID]int, len(trs))
 	for n, tr := range trs {
 		all[n] = tr.InFlight()
 	}
+	return all
+}
+
+// tell lets each entry hear what the others had in flight.
+func tell(now time.Time, trs []*placement.Tracker, all []map[policy.EndpointID]int) {
 	for n, tr := range trs {
 		others := map[policy.EndpointID]int{}
 		for m, inFlight := range all {
--- a/peer/board.go
+++ b/peer/board.go
@@ -7,6 +7,7 @@
 package peer
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"strings"
@@ -19,6 +20,10 @@
 // itemLifetime is how long an item stays without being written again.
 const itemLifetime = 30 * time.Second
 
+// rewriteAfter is how old an unchanged value gets before it is written again.
+// It is below the lifetimes that readers give to items.
+const rewriteAfter = 1500 * time.Millisecond
+
 // Version orders the writes of one key: the greater fence wins, then the
 // greater sequence.
 type Version struct {
@@ -36,8 +41,10 @@
 	Version   Version
 	Value     []byte
 	WrittenAt time.Time
-	// change is the board's counter when the item last changed here.
-	change int64
+	// change is the board's counter when the item last changed here,
+	// valueChange when its value did.
+	change      int64
+	valueChange int64
 }
 
 // Board holds the newest item of each key.
@@ -60,11 +67,40 @@
 	if ok && ve.compare(old.Version) <= 0 {
 		return false
 	}
-	bo.change++
-	bo.items[key] = Item{Key: key, Version: ve, Value: value, WrittenAt: writtenAt, change: bo.change}
+	bo.putLocked(Item{Key: key, Version: ve, Value: value, WrittenAt: writtenAt})
 	return true
 }
 
+func (bo *Board) putLocked(it Item) {
+	bo.change++
+	it.change, it.valueChange = bo.change, bo.change
+	if old, ok := bo.items[it.Key]; ok && old.Version.Fence == it.Version.Fence && bytes.Equal(old.Value, it.Value) {
+		it.valueChange = old.valueChange
+	}
+	bo.items[it.Key] = it
+}
+
+// refresh takes a newer version of a value that the board has.
+func (bo *Board) refresh(key string, ve Version, writtenAt time.Time) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	old, ok := bo.items[key]
+	if ok && old.Version.Fence == ve.Fence && ve.compare(old.Version) > 0 {
+		bo.putLocked(Item{Key: key, Version: ve, Value: old.Value, WrittenAt: writtenAt})
+	}
+}
+
+// isFresh tells whether a value need not be written again yet.
+func (bo *Board) isFresh(key string, fence int64, value []byte, now time.Time) bool {
+	if strings.HasPrefix(key, memberPrefix) {
+		return false
+	}
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	it, ok := bo.items[key]
+	return ok && it.Version.Fence == fence && bytes.Equal(it.Value, value) && now.Sub(it.WrittenAt) < rewriteAfter
+}
+
 // Under lists the items under a prefix, by key.
 func (bo *Board) Under(prefix string) []Item {
 	bo.mu.Lock()
@@ -89,12 +125,16 @@
 			delete(bo.items, key)
 			continue
 		}
-		if it.change > change {
-			out = append(out, &rpc.Item{
-				Key: key, Fence: it.Version.Fence, Sequence: it.Version.Sequence,
-				Value: it.Value, AgeMs: now.Sub(it.WrittenAt).Milliseconds(),
-			})
+		if it.change <= change {
+			continue
+		}
+		ms := &rpc.Item{Key: key, Fence: it.Version.Fence, Sequence: it.Version.Sequence, AgeMs: now.Sub(it.WrittenAt).Milliseconds()}
+		if it.valueChange <= change {
+			ms.SameValue = true
+		} else {
+			ms.Value = it.Value
 		}
+		out = append(out, ms)
 	}
 	return out, bo.change
 }
@@ -103,8 +143,13 @@
 func (bo *Board) merge(its []*rpc.Item, now time.Time) {
 	for _, it := range its {
 		writtenAt := now.Add(-time.Duration(it.GetAgeMs()) * time.Millisecond)
-		if now.Sub(writtenAt) <= itemLifetime {
-			bo.Put(it.GetKey(), Version{Fence: it.GetFence(), Sequence: it.GetSequence()}, it.GetValue(), writtenAt)
+		ve := Version{Fence: it.GetFence(), Sequence: it.GetSequence()}
+		switch {
+		case now.Sub(writtenAt) > itemLifetime:
+		case it.GetSameValue():
+			bo.refresh(it.GetKey(), ve, writtenAt)
+		default:
+			bo.Put(it.GetKey(), ve, it.GetValue(), writtenAt)
 		}
 	}
 }
--- a/peer/group.go
+++ b/peer/group.go
@@ -98,7 +98,7 @@
 	return &Group{
 		opt: opt, board: NewBoard(), holder: ho, log: lo,
 		client:   ne.Client(2),
-		fence:    time.Now().UnixNano(),
+		fence:    time.Now().UnixMilli(),
 		progress: map[string]progress{},
 		reached:  map[Incarnation]time.Time{},
 		known:    map[string]Member{},
@@ -118,7 +118,8 @@
 func (gr *Group) Close() { gr.client.CloseIdleConnections() }
 
 // Publish writes an item of this daemon's own. Keys of several owners end in
-// the owner's name.
+// the owner's name. A value that has not changed is written again only now and
+// then, but for a member's state, whose writes are its heartbeats.
 func (gr *Group) Publish(key string, ms proto.Message) {
 	gr.mu.Lock()
 	gr.sequence++
@@ -129,8 +130,8 @@
 
 // PublishAs writes an item whose order among several writers the caller gives.
 func (gr *Group) PublishAs(key string, ve Version, ms proto.Message) {
-	value, err := proto.Marshal(ms)
-	if err != nil {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(ms)
+	if err != nil || gr.board.isFresh(key, ve.Fence, value, time.Now()) {
 		return
 	}
 	gr.board.Put(key, ve, value, time.Now())
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,9 +25,9 @@
 	// pointsPerEndpoint spreads each endpoint over the ring.
 	pointsPerEndpoint = 32
 	// maxRingSteps is how many endpoints a prefix is tried on.
-	maxRingSteps = 3
+	maxRingSteps = 2
 	// stepPenalty is the load that makes up for one step along the ring.
-	stepPenalty = 0.2
+	stepPenalty = 0.1
 	// maxAffinityLoad is the load, in slots, up to which a prefix decides.
 	maxAffinityLoad = 0.9
 	// randomChoices is how many endpoints are compared by load.
--- a/proof/stream_test.go
+++ b/proof/stream_test.go
@@ -209,6 +209,19 @@
 	})
 }
 
+// TestHealthyEntriesStayInTheAnswers looks for entries that are taken for
+// failed, at the size of a site.
+func TestHealthyEntriesStayInTheAnswers(t *testing.T) {
+	withSite(t, testsite.Options{Entries: 8, Stewards: 8, Engines: 1}, func(t *testing.T, si *testsite.Site) {
+		for range 300 {
+			for n := 1; n <= 8; n++ {
+				qt.Assert(t, len(si.Addresses(n)), qt.Equals, 8)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+}
+
 func TestAllEntriesReplacedUnderTrafficLosesAndDoublesNothing(t *testing.T) {
 	withSite(t, testsite.Options{Entries: 8, Engines: 3, Plains: 2}, func(t *testing.T, si *testsite.Site) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/testsite/network.go
+++ b/testsite/network.go
@@ -23,6 +23,7 @@
 	conns     map[*conn]bool
 	cut       map[link]bool
 	dead      map[Host]bool
+	written   map[Host]int64
 }
 
 // link is a direction from a host to an address.
@@ -35,7 +36,7 @@
 func NewNetwork() *Network {
 	return &Network{
 		listeners: map[string]*listener{}, conns: map[*conn]bool{},
-		cut: map[link]bool{}, dead: map[Host]bool{},
+		cut: map[link]bool{}, dead: map[Host]bool{}, written: map[Host]int64{},
 	}
 }
 
@@ -49,6 +50,19 @@
 	}
 }
 
+// Written counts the bytes that a host has sent so far.
+func (nw *Network) Written(ho Host) int64 {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.written[ho]
+}
+
+func (nw *Network) count(ho Host, n int) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.written[ho] += int64(n)
+}
+
 // Cut breaks a link: open connections end, and no new ones come up.
 func (nw *Network) Cut(from Host, to string) {
 	nw.mu.Lock()
@@ -135,8 +149,8 @@
 	}
 	near, far := net.Pipe()
 	pair := &pair{}
-	client := &conn{Conn: near, network: nw, link: link{from, address}, server: li.host, pair: pair}
-	server := &conn{Conn: far, network: nw, link: link{from, address}, server: li.host, pair: pair}
+	client := &conn{Conn: near, network: nw, link: link{from, address}, server: li.host, owner: from, pair: pair}
+	server := &conn{Conn: far, network: nw, link: link{from, address}, server: li.host, owner: li.host, pair: pair}
 	nw.mu.Lock()
 	nw.conns[client], nw.conns[server] = true, true
 	nw.mu.Unlock()
@@ -204,7 +218,9 @@
 	network *Network
 	link    link
 	server  Host
-	pair    *pair
+	// owner is the host at this end.
+	owner Host
+	pair  *pair
 }
 
 func (co *conn) silence() {
@@ -218,6 +234,7 @@
 	co.pair.mu.Lock()
 	silent := co.pair.silent
 	co.pair.mu.Unlock()
+	co.network.count(co.owner, len(buf))
 	if silent {
 		return len(buf), nil
 	}
