Give golden scripts ports of their own, and metrics their last parts

Cause: golden caller.txtar failed once: two of a script's programs were given one port, since each was released before the next was chosen.

Change: ports are counted up, below those of outgoing connections.

Ruled out: a start-up race (the second program's bind failed).

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -114,5 +114,5 @@
 			return eris.Wrap(err, "Daemon.addGauges")
 		}
 	}
-	return nil
+	return da.metrics.GaugeBy("tanager_connections", "Open connections by state.", "state", da.conns.counts)
 }
--- a/entry/entries.go
+++ b/entry/entries.go
@@ -13,6 +13,9 @@
 	"tanagerpoint.example/tanager/vm"
 )
 
+// maxAddresses bounds an answer at a site with many entries.
+const maxAddresses = 16
+
 // remoteWeight is the weight of an entry in another failure domain than the
 // caller's, against one in its own.
 const remoteWeight = 0.9
@@ -41,7 +44,7 @@
 	InFlight      int64
 }
 
-// Answer decides the addresses for a caller in a failure domain, "" when
+// Answer decides the addresses, at most sixteen, for a caller in a failure domain, "" when
 // unknown. Entries that drain, or whose VM is leaving, are left out. The order
 // is random by weight, so that callers that take the first are spread too.
 func Answer(sts []Candidate, leaving func(vm.ID) bool, domain policy.FailureDomain, rng *rand.Rand) []Address {
@@ -73,9 +76,9 @@
 		}
 		return 1
 	})
-	out := make([]Address, len(all))
-	for i, dr := range all {
-		out[i] = dr.address
+	out := []Address{}
+	for _, dr := range all[:min(maxAddresses, len(all))] {
+		out = append(out, dr.address)
 	}
 	return out
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,7 @@
 	ratings  *ratingSubmitter
 	explains *explains
 	orgs     *inFlights
+	conns    *connections
 
 	draining atomic.Bool
 	isolated atomic.Bool
@@ -87,7 +88,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "entry.New")
 	}
-	da := &Daemon{set: es, net: ne, log: lo, metrics: me, group: worker.NewGroup(), started: time.Now()}
+	da := &Daemon{set: es, net: ne, log: lo, metrics: me, group: worker.NewGroup(), started: time.Now(), conns: newConnections()}
 	da.connect()
 	da.decide()
 	return da, eris.Wrap(da.addGauges(), "entry.New")
@@ -204,7 +205,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "listener %s", address)
 	}
-	sv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: da.conns.note}
 	da.servers = append(da.servers, sv)
 	da.group.Go(func(context.Context) { da.serveOn(sv, li) })
 	return nil
--- a/golden/golden_test.go
+++ b/golden/golden_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -56,20 +58,39 @@
 	en.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH"))
 	en.Setenv("USER", "asha")
 	for _, name := range []string{"STORE", "VMS", "ENGINE", "DESK", "CALLERS1", "ADMIN1", "PEERS1", "CALLERS2", "ADMIN2", "PEERS2"} {
-		li, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		en.Setenv(name, li.Addr().String())
-		if err := li.Close(); err != nil {
-			return err
-		}
+		en.Setenv(name, address)
 	}
 	en.Setenv("TANAGER_STORE", "http://"+en.Getenv("STORE"))
 	en.Setenv("TANAGER_ADMIN", en.Getenv("ADMIN1"))
 	return expandFiles(en)
 }
 
+var (
+	portMu   sync.Mutex
+	nextPort = 20000 + os.Getpid()%10000
+)
+
+// freeAddress gives an address that no script has yet. Its port is below those
+// that the system gives to outgoing connections, which could take it before the
+// script's program listens.
+func freeAddress() (string, error) {
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range 1000 {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		li, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, li.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
 // expandFiles replaces ${NAME} in the script's .ini and .json files.
 func expandFiles(en *testscript.Env) error {
 	for _, pattern := range []string{"*.ini", "*.json"} {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -96,6 +96,19 @@
 	return eris.Wrap(err, "Metrics.Gauge")
 }
 
+// GaugeBy adds values that are read when the metrics are scraped, one for each
+// value of an attribute.
+func (me *Metrics) GaugeBy(name, help, key string, read func() map[string]float64) error {
+	_, err := me.meter.Float64ObservableGauge(name, metric.WithDescription(help),
+		metric.WithFloat64Callback(func(_ context.Context, ob metric.Float64Observer) error {
+			for value, number := range read() {
+				ob.Observe(number, metric.WithAttributes(attribute.String(key, value)))
+			}
+			return nil
+		}))
+	return eris.Wrap(err, "Metrics.GaugeBy")
+}
+
 // Handler serves the metrics.
 func (me *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(me.registry, promhttp.HandlerOpts{})
--- a/steward/ratings.go
+++ b/steward/ratings.go
@@ -9,6 +9,7 @@
 	"tanagerpoint.example/tanager/entry"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/lease"
+	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
@@ -60,6 +61,7 @@
 	}
 	for _, ra := range ras {
 		rt.sums.Sequence = max(rt.sums.Sequence, ra.Sequence)
+		rt.daemon.metrics.Quality.Record(ctx, ra.Quality, metric.With(metric.KeyVersion, ra.Version))
 		if _, ok := rt.daemon.holder.Set().Cascades.ByID(policy.CascadeID(ra.Cascade)); ok {
 			rt.add(ra.Cascade, ra.Work, ra.Version, ra.Quality)
 		}
