--- a/placement/placement.go
+++ b/placement/placement.go
@@ -30,6 +30,11 @@
 	stepPenalty = 0.1
 	// maxAffinityLoad is the load, in slots, up to which a prefix decides.
 	maxAffinityLoad = 0.9
+	// ownWeight and othersWeight weigh this entry's requests in flight against
+	// what others told of theirs. Its own count is exact, and stands as well for
+	// what entries in the same position have sent since they told.
+	ownWeight    = 2.0
+	othersWeight = 0.75
 	// randomChoices is how many endpoints are compared by load.
 	randomChoices = 8
 	// othersLifetime is how long the other entries' word counts.
@@ -213,7 +218,7 @@
 	inService := float64(st.InFlight)
 	switch {
 	case now.Before(tr.othersUntil):
-		inService += float64(st.Others)
+		inService = ownWeight*float64(st.InFlight) + othersWeight*float64(st.Others)
 	case now.Before(st.ReportExpiresAt):
 		inService = max(inService, st.Reported+float64(st.InFlight-st.ReportedInFlight))
 	}
