Check histories of operators' changes for linearizability

Cause: the operators' races were proved by counting outcomes only.

Change: TestChangesAreLinearizable records what four operators read and were told, five seeds, with lost answers, a slow and a down store, and has porcupine look for an order that explains it.

Ruled out: outcomes left unknown are taken for changes at any later time.

--- /dev/null
+++ b/proof/history_test.go
@@ -0,0 +1,124 @@
+package proof_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/testsite"
+)
+
+// change is an operator's compare-and-swap of one record's description, or a
+// read of it when Next is empty.
+type change struct {
+	base, next string
+}
+
+// result is what the operator was told.
+type result struct {
+	read    string
+	applied bool
+	unknown bool
+}
+
+// recordModel is one record that is read, and changed by compare-and-swap.
+var recordModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		st, in, out := state.(string), input.(change), output.(result)
+		switch {
+		case in.next == "":
+			return out.read == st, st
+		case out.unknown:
+			if st == in.base {
+				return true, in.next
+			}
+			return true, st
+		case out.applied:
+			return st == in.base, in.next
+		default:
+			return st != in.base, st
+		}
+	},
+}
+
+// TestChangesAreLinearizable lets operators read and change one record while
+// the store loses answers and goes down, and checks the history.
+func TestChangesAreLinearizable(t *testing.T) {
+	for seed := range uint64(5) {
+		withSite(t, testsite.Options{Entries: 1, Engines: 1}, func(t *testing.T, si *testsite.Site) {
+			var clock atomic.Int64
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			note := func(client int, in change, call int64, out result) {
+				mu.Lock()
+				defer mu.Unlock()
+				returned := clock.Add(1)
+				if out.unknown {
+					// It may take effect at any later time.
+					returned = math.MaxInt64
+				}
+				history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: returned})
+			}
+			var wg sync.WaitGroup
+			for client := range 4 {
+				wg.Go(func() {
+					rng := rand.New(rand.NewPCG(seed, uint64(client)))
+					for n := range 6 {
+						operate(t, si, client, n, &clock, note)
+						time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+					}
+				})
+			}
+			rng := rand.New(rand.NewPCG(seed, 99))
+			for range 6 {
+				si.Store.Set([]standin.Faults{{LoseAnswers: 2}, {}, {DelayMS: 50}, {Down: true}}[rng.IntN(4)])
+				time.Sleep(time.Duration(100+rng.IntN(300)) * time.Millisecond)
+			}
+			si.Store.Set(standin.Faults{})
+			wg.Wait()
+			qt.Assert(t, len(history) > 10, qt.IsTrue)
+			qt.Assert(t, porcupine.CheckOperations(recordModel, history), qt.IsTrue, qt.Commentf("seed %d: %v", seed, history))
+		})
+	}
+}
+
+// operate reads the record and changes what it read.
+func operate(t *testing.T, si *testsite.Site, client, n int, clock *atomic.Int64, note func(int, change, int64, result)) {
+	wr, cl := si.Writer(testsite.Host(fmt.Sprint("operator-", client)))
+	defer cl.Close()
+	call := clock.Add(1)
+	se, _, err := wr.Load(t.Context())
+	for err != nil {
+		time.Sleep(50 * time.Millisecond)
+		se, _, err = wr.Load(t.Context())
+	}
+	re, base, _ := se.Record(policy.KindModel, "m")
+	mo, _ := se.Models.ByID("m")
+	note(client, change{}, call, result{read: mo.Description})
+
+	in := change{base: mo.Description, next: fmt.Sprintf("%d-%d", client, n)}
+	mine, err := re.With("spec.description", in.next)
+	qt.Check(t, err, qt.IsNil)
+	call = clock.Add(1)
+	rs, err := wr.Apply(t.Context(), configuration.Request{ChangedBy: "operator", Changes: []configuration.Change{{Record: mine, Base: base}}})
+	var co *configuration.Conflict
+	switch {
+	case err == nil:
+		note(client, in, call, result{applied: rs.Revision > 0})
+	case asConflict(err, &co):
+		note(client, in, call, result{})
+	default:
+		note(client, in, call, result{unknown: true})
+	}
+}
