Ask for isolation at each send, and log what the catalogue promises

Whether an entry is cut off was decided ten times a second; a process paused for longer could, in the tenth of a second after it went on, send by a policy withdrawn meanwhile. Two events of the catalogue (dropped answers, resumed streams) were never logged, and one could not occur.

Change: the decision is made where it is used; the events are logged, and what nobody used is gone.

Ruled out: deciding at admission only (a queued request may wait for longer).

A pause is put to real processes only, by the soak.

--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -105,6 +105,9 @@
 	return nil
 }
 
+// Resumes counts how often the stream went on over a new connection.
+func (st *Stream) Resumes() int { return st.resumes }
+
 // Load gives what the engine said of its load.
 func (st *Stream) Load() Load { return st.load }
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -152,6 +152,9 @@
 	da.endpointDone(en.ID, blamed)
 	at.log.add("%s failed: %v", en.ID, fa)
 	da.metrics.Attempts.Add(ctx, 1, metric.With(metric.KeyOutcome, "failed", metric.KeyCause, string(fa.Cause)))
+	if fa.Cause == endpoint.CauseMismatched {
+		da.log.Warn(event.AnswerDropped, fa, event.Fields{"request": at.chat.id, "endpoint": en.ID})
+	}
 	if result == placement.Failed {
 		da.log.Debug(event.AttemptFailed, fa, event.Fields{"request": at.chat.id, "endpoint": en.ID, "after_ms": time.Since(sentAt).Milliseconds()})
 		da.rollouts.observe(at.target, rollout.Outcome{Failed: true})
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -168,7 +168,7 @@
 	switch {
 	case da.holder.Set().Revision == 0:
 		pr.code, pr.message = "no_configuration", "this entry has no configuration yet"
-	case da.isolated.Load():
+	case da.isIsolated():
 		pr.code, pr.message = "isolated", "this entry is cut off and cannot know the newest configuration"
 	case da.book.Full():
 		pr.code, pr.message = "bills_full", "this entry cannot keep more bills"
--- a/entry/isolation.go
+++ b/entry/isolation.go
@@ -6,14 +6,21 @@
 	"tanagerpoint.example/tanager/event"
 )
 
-// noteIsolation decides whether this entry may take new work. It may while
-// there is fresh evidence, its own or a peer's, that the configuration in force
-// is the store's newest; or while it meets more than half of the entry VMs,
-// since then a store that it cannot reach is down rather than cut off.
-func (da *Daemon) noteIsolation() {
+// isIsolated decides whether this entry must refuse new work. It may take it
+// while there is fresh evidence, its own or a peer's, that the configuration in
+// force is the store's newest; or while it meets more than half of the entry
+// VMs, since then a store that it cannot reach is down rather than cut off. It
+// is asked at each send: a process that was paused learns here that what it
+// knows is old.
+func (da *Daemon) isIsolated() bool {
 	limit := da.set.GetServing().GetIsolatedAfter().AsDuration()
 	fresh := time.Since(da.holder.Evidence()) < limit
-	isolated := !fresh && !da.peers.ReachesMostEntries(len(da.vms.Entries()))
+	return !fresh && !da.peers.ReachesMostEntries(len(da.vms.Entries()))
+}
+
+// noteIsolation logs when isolation begins and ends.
+func (da *Daemon) noteIsolation() {
+	isolated := da.isIsolated()
 	if da.isolated.Swap(isolated) == isolated {
 		return
 	}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -11,6 +11,7 @@
 
 	"tanagerpoint.example/tanager/admission"
 	"tanagerpoint.example/tanager/endpoint"
+	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
@@ -228,6 +229,9 @@
 		outcome = "cut"
 	}
 	an.explain.add("%s after %d tokens", outcome, an.outputTokens())
+	if n := an.opened.stream.Resumes(); n > 0 {
+		an.daemon.log.Info(event.StreamResumed, event.Fields{"request": an.chat.id, "endpoint": an.opened.endpoint.ID, "times": n})
+	}
 	if outcome == "answered" || outcome == "cancelled" {
 		an.bill(outcome)
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -19,7 +19,6 @@
 	Started              Number = 100
 	Draining             Number = 101
 	Stopped              Number = 102
-	SettingsRefused      Number = 103
 	ListenerFailed       Number = 104
 	RequestPanicked      Number = 105
 	PolicyApplied        Number = 200
@@ -63,7 +62,6 @@
 	Started:              "daemon started",
 	Draining:             "graceful shutdown began",
 	Stopped:              "daemon stopped",
-	SettingsRefused:      "settings refused",
 	ListenerFailed:       "listener failed",
 	RequestPanicked:      "request ended by a defect of the program",
 	PolicyApplied:        "policy revision in force",
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,14 +31,6 @@
 	KindRollout      Kind = "rollout"
 )
 
-// Kinds lists the kinds in the order in which they refer to each other.
-func Kinds() []Kind {
-	return []Kind{
-		KindRank, KindModel, KindVersion, KindCascade, KindService,
-		KindEndpoint, KindOrganisation, KindOperator, KindRollout,
-	}
-}
-
 // The ids of records, each unique within its kind.
 type (
 	// OrganisationID names an organisation.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -63,7 +63,6 @@
 	ran      []Ran
 	reported []loadReport
 	prefixes []string
-	hits     int
 	fence    int64
 	loaded   map[string]bool
 	orders   []Order
@@ -111,13 +110,6 @@
 	return append([]Ran(nil), en.ran...)
 }
 
-// CacheHits counts the requests whose prefix was cached.
-func (en *Engine) CacheHits() int {
-	en.mu.Lock()
-	defer en.mu.Unlock()
-	return en.hits
-}
-
 // Orders lists the orders carried out.
 func (en *Engine) Orders() []Order {
 	en.mu.Lock()
@@ -261,7 +253,6 @@
 	for i, pr := range en.prefixes {
 		if pr == prefix {
 			en.prefixes = append(append(en.prefixes[:i:i], en.prefixes[i+1:]...), pr)
-			en.hits++
 			return true
 		}
 	}
--- a/standin/weights.go
+++ b/standin/weights.go
@@ -13,19 +13,11 @@
 	every  time.Duration
 	mu     sync.Mutex
 	freeAt time.Time
-	served int
 }
 
 // NewWeights gives a store that serves one read in each interval.
 func NewWeights(every time.Duration) *Weights { return &Weights{every: every} }
 
-// Served counts the reads that were served.
-func (we *Weights) Served() int {
-	we.mu.Lock()
-	defer we.mu.Unlock()
-	return we.served
-}
-
 // Handler serves weights at /weights/{key}, and 429 beyond the limit.
 func (we *Weights) Handler() http.Handler {
 	mu := http.NewServeMux()
@@ -38,7 +30,6 @@
 			return
 		}
 		we.freeAt = time.Now().Add(we.every)
-		we.served++
 	})
 	return we.Wrap(mu)
 }
