--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -110,7 +110,7 @@
 // lastCheck refuses what the policy in force at this moment does not allow.
 func (at *attempts) lastCheck() error {
 	da := at.daemon
-	if pr := da.notAccepting(time.Now()); pr != nil && !da.book.Full() {
+	if pr := da.cannotSend(); pr != nil {
 		return pr
 	}
 	if pr := mayRun(da.holder.Set(), at.chat.organisation, at.target.version.ID); pr != nil {
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -139,7 +139,7 @@
 
 // authenticate finds the caller's organisation by its key.
 func (da *Daemon) authenticate(co *gin.Context) {
-	if pr := da.notAccepting(time.Now()); pr != nil {
+	if pr := da.notAccepting(); pr != nil {
 		refuse(co, *pr)
 		return
 	}
@@ -162,20 +162,28 @@
 	co.Next()
 }
 
-// notAccepting tells why new work is refused by this entry as a whole.
-func (da *Daemon) notAccepting(now time.Time) *problem {
-	pr := &problem{status: http.StatusServiceUnavailable, retryAt: now.Add(isolatedRetry)}
-	switch {
-	case da.holder.Set().Revision == 0:
-		pr.code, pr.message = "no_configuration", "this entry has no configuration yet"
-	case da.isIsolated():
-		pr.code, pr.message = "isolated", "this entry is cut off and cannot know the newest configuration"
-	case da.book.Full():
-		pr.code, pr.message = "bills_full", "this entry cannot keep more bills"
-	default:
-		return nil
+// notAccepting tells why new requests are refused by this entry as a whole.
+func (da *Daemon) notAccepting() *problem {
+	if da.book.Full() {
+		return unavailable("bills_full", "this entry cannot keep more bills")
 	}
-	return pr
+	return da.cannotSend()
+}
+
+// cannotSend tells why nothing may be sent by this entry as a whole, whether it
+// was accepted before or not.
+func (da *Daemon) cannotSend() *problem {
+	if da.holder.Set().Revision == 0 {
+		return unavailable("no_configuration", "this entry has no configuration yet")
+	}
+	if da.isIsolated() {
+		return unavailable("isolated", "this entry is cut off and cannot know the newest configuration")
+	}
+	return nil
+}
+
+func unavailable(code, message string) *problem {
+	return &problem{status: http.StatusServiceUnavailable, code: code, message: message, retryAt: time.Now().Add(isolatedRetry)}
 }
 
 // request is one caller's request.
--- a/entry/service.go
+++ b/entry/service.go
@@ -196,10 +196,9 @@
 			message: "no endpoint serves the service now", retryAt: time.Now().Add(overloadedRetry),
 		}, nil
 	}
-	or, known := da.holder.Set().Organisations.ByID(ca.organisation)
-	if !known || !or.AllowsService(ca.service.ID) {
+	if pr := da.mayCall(ca); pr != nil {
 		da.tracker.Done(time.Now(), en.ID, placement.Neutral)
-		return en, endpoint.PlainAnswer{}, &problem{status: http.StatusNotFound, code: "service_not_found", message: "the organisation may not use the service any more"}, nil
+		return en, endpoint.PlainAnswer{}, pr, nil
 	}
 	ca.explain.add("sent to %s", en.ID)
 	an, err := da.client.Plain(ctx, endpoint.PlainCall{
@@ -219,6 +218,15 @@
 	return en, an, nil, err
 }
 
+// mayCall tells why a call must not be sent under the policy in force now.
+func (da *Daemon) mayCall(ca *call) *problem {
+	or, known := da.holder.Set().Organisations.ByID(ca.organisation)
+	if !known || !or.AllowsService(ca.service.ID) {
+		return &problem{status: http.StatusNotFound, code: "service_not_found", message: "the organisation may not use the service any more"}
+	}
+	return da.cannotSend()
+}
+
 // callFailed says whether a failed call was run, and gives its claim back when
 // nothing of it was sent.
 func (da *Daemon) callFailed(ho *claim.Hold, sent bool, pr problem) *problem {
