Make one piece of code of what entry, steward and tanagerctl each had

The two daemons made their store client, exchange options and listeners from settings in the same words, and seven commands of tanagerctl read all records in five lines each.

Change: store.OptionsOf, peer.OptionsOf, network.Network.Serve, vm.List.EntryAddresses, and a load of tanagerctl's.

Ruled out: a base type for daemons (they share construction, not behaviour).

--- a/cmd/tanagerctl/main.go
+++ b/cmd/tanagerctl/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"os"
 	"time"
@@ -13,6 +14,7 @@
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/finding"
 	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/store"
 )
 
@@ -80,6 +82,14 @@
 	return configuration.NewWriter(opt.keys(), cl)
 }
 
+// load reads all records.
+func (opt *options) load(ctx context.Context) (*policy.Set, error) {
+	cl := opt.client()
+	defer cl.Close()
+	se, _, err := opt.writer(cl).Load(ctx)
+	return se, exit(err)
+}
+
 // exit gives an error its exit code.
 func exit(err error) error {
 	var li finding.List
--- a/cmd/tanagerctl/record.go
+++ b/cmd/tanagerctl/record.go
@@ -32,10 +32,8 @@
 			}
 			se := policy.NewSet()
 			if !offline {
-				cl := opt.client()
-				defer cl.Close()
-				if se, _, err = opt.writer(cl).Load(co.Context()); err != nil {
-					return exit(err)
+				if se, err = opt.load(co.Context()); err != nil {
+					return err
 				}
 			}
 			if err := policy.ValidateFiles(se, frs).Err(); err != nil {
@@ -66,11 +64,9 @@
 			if err != nil {
 				return exit(err)
 			}
-			cl := opt.client()
-			defer cl.Close()
-			se, _, err := opt.writer(cl).Load(co.Context())
+			se, err := opt.load(co.Context())
 			if err != nil {
-				return exit(err)
+				return err
 			}
 			for _, fr := range frs {
 				writeDiff(co.OutOrStdout(), se, fr.Record)
@@ -151,11 +147,9 @@
 	return &cobra.Command{
 		Use: "get [KIND[/ID]]", Short: "Print records", Long: getHelp, Args: cobra.MaximumNArgs(1),
 		RunE: func(co *cobra.Command, args []string) error {
-			cl := opt.client()
-			defer cl.Close()
-			se, _, err := opt.writer(cl).Load(co.Context())
+			se, err := opt.load(co.Context())
 			if err != nil {
-				return exit(err)
+				return err
 			}
 			if len(args) == 1 && strings.Contains(args[0], "/") {
 				return writeRecord(co.OutOrStdout(), se, args[0])
@@ -197,11 +191,9 @@
 
 // edit changes stored records by a function, comparing what it read.
 func (opt *options) edit(co *cobra.Command, keys []string, change func(re policy.Record) (policy.Record, error)) error {
-	cl := opt.client()
-	defer cl.Close()
-	se, _, err := opt.writer(cl).Load(co.Context())
+	se, err := opt.load(co.Context())
 	if err != nil {
-		return exit(err)
+		return err
 	}
 	rq := configuration.Request{ChangedBy: opt.by}
 	for _, key := range keys {
--- a/cmd/tanagerctl/version.go
+++ b/cmd/tanagerctl/version.go
@@ -21,11 +21,9 @@
 	co := &cobra.Command{
 		Use: "withdraw VERSION", Short: "Withdraw a version", Long: withdrawHelp, Args: cobra.ExactArgs(1),
 		RunE: func(co *cobra.Command, args []string) error {
-			cl := opt.client()
-			defer cl.Close()
-			se, _, err := opt.writer(cl).Load(co.Context())
+			se, err := opt.load(co.Context())
 			if err != nil {
-				return exit(err)
+				return err
 			}
 			rq, err := withdrawal(se, policy.VersionID(args[0]), policy.VersionID(stable))
 			if err != nil {
@@ -94,11 +92,9 @@
 	return &cobra.Command{
 		Use: "start ROLLOUT VERSION", Short: "Start a roll-out", Long: rolloutStartHelp, Args: cobra.ExactArgs(2),
 		RunE: func(co *cobra.Command, args []string) error {
-			cl := opt.client()
-			defer cl.Close()
-			se, _, err := opt.writer(cl).Load(co.Context())
+			se, err := opt.load(co.Context())
 			if err != nil {
-				return exit(err)
+				return err
 			}
 			ve, ok := se.Versions.ByID(policy.VersionID(args[1]))
 			if !ok {
@@ -133,11 +129,9 @@
 	return &cobra.Command{
 		Use: "status", Short: "Show roll-outs", Long: rolloutStatusHelp, Args: command.NoArguments,
 		RunE: func(co *cobra.Command, _ []string) error {
-			cl := opt.client()
-			defer cl.Close()
-			se, _, err := opt.writer(cl).Load(co.Context())
+			se, err := opt.load(co.Context())
 			if err != nil {
-				return exit(err)
+				return err
 			}
 			for _, ro := range se.Rollouts.List() {
 				re, _, _ := se.Record(policy.KindRollout, string(ro.ID))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/bits"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -98,10 +97,7 @@
 // connect makes the parts that reach others.
 func (da *Daemon) connect() {
 	es := da.set
-	da.store = store.NewClient(store.Options{
-		URLs: es.GetStore().GetUrls(), Timeout: es.GetStore().GetTimeout().AsDuration(),
-		WatchProgress: es.GetStore().GetWatchProgress().AsDuration(), Dial: da.net.Dial,
-	})
+	da.store = store.NewClient(store.OptionsOf(es.GetStore(), da.net.Dial))
 	prefix := store.Key(es.GetStore().GetPrefix())
 	da.holder = configuration.NewHolder(da.log)
 	da.watcher = configuration.NewWatcher(configuration.Keys{Prefix: prefix}, da.store, da.holder, da.log)
@@ -138,23 +134,10 @@
 	if public == "" {
 		public = es.GetListen().GetCallers()
 	}
-	return peer.Options{
-		Self: &rpc.Member{
-			Vm: es.GetVm().GetId(), Role: peer.RoleEntry, FailureDomain: es.GetVm().GetFailureDomain(),
-			PeerAddress: es.GetListen().GetPeers(), CallersAddress: public, AdminAddress: es.GetListen().GetAdmin(),
-		},
-		SharedKey: es.GetPeers().GetSharedKey(), Interval: es.GetPeers().GetInterval().AsDuration(),
-		Fanout: int(es.GetPeers().GetFanout()), FailedAfter: es.GetPeers().GetFailedAfter().AsDuration(),
-		Seeds: es.GetPeers().GetSeeds(), Listed: da.listedPeers, Describe: da.describe,
-	}
-}
-
-func (da *Daemon) listedPeers() []string {
-	var out []string
-	for _, v := range da.vms.Entries() {
-		out = append(out, v.Address)
-	}
-	return out
+	opt := peer.OptionsOf(es, peer.RoleEntry)
+	opt.Self.CallersAddress = public
+	opt.Listed, opt.Describe = da.vms.EntryAddresses, da.describe
+	return opt
 }
 
 func (da *Daemon) describe(me *rpc.Member) {
@@ -203,20 +186,11 @@
 }
 
 func (da *Daemon) serve(address string, ha http.Handler) error {
-	li, err := da.net.Listen(address)
-	if err != nil {
-		return eris.Wrapf(err, "listener %s", address)
-	}
 	sv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: da.conns.note}
 	da.servers = append(da.servers, sv)
-	da.group.Go(func(context.Context) { da.serveOn(sv, li) })
-	return nil
-}
-
-func (da *Daemon) serveOn(sv *http.Server, li net.Listener) {
-	if err := sv.Serve(li); !eris.Is(err, http.ErrServerClosed) {
-		da.log.Warn(event.ListenerFailed, err, event.Fields{"address": li.Addr().String()})
-	}
+	return da.net.Serve(da.group, address, sv, func(err error) {
+		da.log.Warn(event.ListenerFailed, err, event.Fields{"address": address})
+	})
 }
 
 // tick brings the decisions up to the present.
--- a/network/network.go
+++ b/network/network.go
@@ -7,6 +7,10 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/worker"
 )
 
 // idleLimit is how long a pooled connection is trusted: something between the
@@ -28,6 +32,21 @@
 	}
 }
 
+// Serve opens a listener and serves on it in a goroutine of a group, until the
+// server is closed. failed hears why it ended otherwise.
+func (ne Network) Serve(gr *worker.Group, address string, sv *http.Server, failed func(err error)) error {
+	li, err := ne.Listen(address)
+	if err != nil {
+		return eris.Wrapf(err, "Network.Serve: %s", address)
+	}
+	gr.Go(func(context.Context) {
+		if err := sv.Serve(li); !eris.Is(err, http.ErrServerClosed) {
+			failed(err)
+		}
+	})
+	return nil
+}
+
 // Client gives an HTTP client that pools up to idle connections a host.
 func (ne Network) Client(idle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/peer/group.go
+++ b/peer/group.go
@@ -62,6 +62,26 @@
 	Describe func(me *rpc.Member)
 }
 
+// Settings are the sections that the exchange needs.
+type Settings interface {
+	GetVm() *rpc.VMSection
+	GetListen() *rpc.ListenSection
+	GetPeers() *rpc.PeersSection
+}
+
+// OptionsOf gives the options that settings ask for, for a daemon of a role.
+func OptionsOf(se Settings, role string) Options {
+	ps := se.GetPeers()
+	return Options{
+		Self: &rpc.Member{
+			Vm: se.GetVm().GetId(), Role: role, FailureDomain: se.GetVm().GetFailureDomain(),
+			PeerAddress: se.GetListen().GetPeers(), AdminAddress: se.GetListen().GetAdmin(),
+		},
+		SharedKey: ps.GetSharedKey(), Interval: ps.GetInterval().AsDuration(), Fanout: int(ps.GetFanout()),
+		FailedAfter: ps.GetFailedAfter().AsDuration(), Seeds: ps.GetSeeds(),
+	}
+}
+
 // Group is this daemon's part in the exchange.
 //
 // mu guards progress, reached, known and sequence. It is taken before the
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -67,10 +67,7 @@
 		return nil, eris.Wrap(err, "steward.New")
 	}
 	da := &Daemon{set: ss, net: ne, log: lo, metrics: me, group: worker.NewGroup()}
-	da.store = store.NewClient(store.Options{
-		URLs: ss.GetStore().GetUrls(), Timeout: ss.GetStore().GetTimeout().AsDuration(),
-		WatchProgress: ss.GetStore().GetWatchProgress().AsDuration(), Dial: ne.Dial,
-	})
+	da.store = store.NewClient(store.OptionsOf(ss.GetStore(), ne.Dial))
 	da.keys = configuration.Keys{Prefix: store.Key(ss.GetStore().GetPrefix())}
 	da.holder = configuration.NewHolder(lo)
 	da.watcher = configuration.NewWatcher(da.keys, da.store, da.holder, lo)
@@ -88,24 +85,9 @@
 }
 
 func (da *Daemon) peerOptions() peer.Options {
-	ss := da.set
-	return peer.Options{
-		Self: &rpc.Member{
-			Vm: ss.GetVm().GetId(), Role: peer.RoleSteward, FailureDomain: ss.GetVm().GetFailureDomain(),
-			PeerAddress: ss.GetListen().GetPeers(), AdminAddress: ss.GetListen().GetAdmin(),
-		},
-		SharedKey: ss.GetPeers().GetSharedKey(), Interval: ss.GetPeers().GetInterval().AsDuration(),
-		Fanout: int(ss.GetPeers().GetFanout()), FailedAfter: ss.GetPeers().GetFailedAfter().AsDuration(),
-		Seeds: ss.GetPeers().GetSeeds(), Listed: da.listedPeers,
-	}
-}
-
-func (da *Daemon) listedPeers() []string {
-	var out []string
-	for _, v := range da.vms.Entries() {
-		out = append(out, v.Address)
-	}
-	return out
+	opt := peer.OptionsOf(da.set, peer.RoleSteward)
+	opt.Listed = da.vms.EntryAddresses
+	return opt
 }
 
 // Start opens the listeners and starts the work.
@@ -128,18 +110,11 @@
 }
 
 func (da *Daemon) serve(address string, ha http.Handler) error {
-	li, err := da.net.Listen(address)
-	if err != nil {
-		return eris.Wrapf(err, "listener %s", address)
-	}
 	sv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout}
 	da.servers = append(da.servers, sv)
-	da.group.Go(func(context.Context) {
-		if err := sv.Serve(li); !eris.Is(err, http.ErrServerClosed) {
-			da.log.Warn(event.ListenerFailed, err, event.Fields{"address": address})
-		}
+	return da.net.Serve(da.group, address, sv, func(err error) {
+		da.log.Warn(event.ListenerFailed, err, event.Fields{"address": address})
 	})
-	return nil
 }
 
 // Drain gives up the tasks, so that other stewards take them at once.
--- a/store/client.go
+++ b/store/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/rpc"
 )
 
 // maxAnswerBytes bounds what one read may bring.
@@ -31,6 +33,14 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// OptionsOf gives the options that settings ask for.
+func OptionsOf(se *rpc.StoreSection, dial func(ctx context.Context, network, address string) (net.Conn, error)) Options {
+	return Options{
+		URLs: se.GetUrls(), Timeout: se.GetTimeout().AsDuration(),
+		WatchProgress: se.GetWatchProgress().AsDuration(), Dial: dial,
+	}
+}
+
 // Client is a Store over HTTP. It is safe for concurrent use.
 type Client struct {
 	opt   Options
--- a/vm/vm.go
+++ b/vm/vm.go
@@ -105,6 +105,15 @@
 	return out
 }
 
+// EntryAddresses lists the addresses of the entry VMs' peers' listeners.
+func (li *List) EntryAddresses() []string {
+	var out []string
+	for _, v := range li.Entries() {
+		out = append(out, v.Address)
+	}
+	return out
+}
+
 // EndpointLeaving tells whether the VM of an endpoint is leaving.
 func (li *List) EndpointLeaving(endpoint string) bool {
 	return li.state.Load().leaving[endpoint]
