Accept a session token in one form only

Cause: FuzzToken found a token with other trailing bits in its last character that passed: base64 ignores them. Its content was the issued one, so nothing was forged; but two texts were one token.

Change: strict decoding. Ruled out: a weakness of the signature (the decoded bytes are equal).

--- a/session/token.go
+++ b/session/token.go
@@ -24,6 +24,10 @@
 // maxTokenBytes bounds a token.
 const maxTokenBytes = 1024
 
+// encoding refuses texts that differ only in bits that decode to nothing, so
+// that a token has one form.
+var encoding = base64.RawURLEncoding.Strict()
+
 // Claims are what a token says.
 type Claims struct {
 	Organisation policy.OrganisationID `json:"o"`
@@ -48,8 +52,8 @@
 	if err != nil {
 		return "", eris.Wrap(err, "Signer.Issue")
 	}
-	text := base64.RawURLEncoding.EncodeToString(body)
-	return text + "." + base64.RawURLEncoding.EncodeToString(si.sign(text)), nil
+	text := encoding.EncodeToString(body)
+	return text + "." + encoding.EncodeToString(si.sign(text)), nil
 }
 
 // Check gives what a token says, or ErrToken.
@@ -58,11 +62,11 @@
 	if !ok || len(token) > maxTokenBytes {
 		return Claims{}, eris.Wrap(ErrToken, "Signer.Check")
 	}
-	given, err := base64.RawURLEncoding.DecodeString(mac)
+	given, err := encoding.DecodeString(mac)
 	if err != nil || !hmac.Equal(given, si.sign(text)) {
 		return Claims{}, eris.Wrap(ErrToken, "Signer.Check")
 	}
-	body, err := base64.RawURLEncoding.DecodeString(text)
+	body, err := encoding.DecodeString(text)
 	if err != nil {
 		return Claims{}, eris.Wrap(ErrToken, "Signer.Check")
 	}
