Count each entry's report once, and use the field's terms in comments

An entry looked for another one's report by a prefix, so entry-1's question found those of entry-10 and entry-11 as well: eleven entries shared 23.6 of 32 slots (TestEntriesShareThePoolWhateverTheirNames failed). Comments said word and blame where the field says report and failure.

Change: Board.Get reads one item by its key; comments and two names changed.

Ruled out: the demand's smoothing (the sum was short at rest as well).

--- a/admission/fleet.go
+++ b/admission/fleet.go
@@ -32,7 +32,7 @@
 	ditherInterval = 2 * time.Second
 	// goldenRatio spreads successive roundings evenly.
 	goldenRatio = 0.6180339887498949
-	// fleetLifetime is how long the other entries' word counts.
+	// fleetLifetime is how long the other entries' reports are valid.
 	fleetLifetime = 4 * time.Second
 )
 
@@ -52,13 +52,13 @@
 	Cost         Cost
 }
 
-// Report is what a queue tells the other entries.
+// Report is what a queue publishes to the other entries.
 type Report struct {
 	Organisations []Usage
 	Levels        []LevelUsage
 }
 
-// Fleet is what the other entries told: the pool's slots for all entries, and
+// Fleet is what the other entries reported: the pool's slots for all entries, and
 // the sums of the others' reports.
 type Fleet struct {
 	Capacity Slots
@@ -86,7 +86,7 @@
 	return re
 }
 
-// SetFleet takes in what the other entries told. It counts for a few seconds;
+// SetFleet processes what the other entries reported. It is valid for a few seconds;
 // without it the queue keeps to its own slots and its own usage.
 func (qu *Queue) SetFleet(now time.Time, fl Fleet) {
 	qu.advance(now)
--- a/bill/bill.go
+++ b/bill/bill.go
@@ -39,7 +39,7 @@
 	copyTimeout = 400 * time.Millisecond
 	// adoptAfter is how long an owner is unheard of before a peer seals for it.
 	adoptAfter = 5 * time.Second
-	// checkAfter is how long copies stay with no word of their sealing.
+	// checkAfter is how long copies stay without a notification that their batch is sealed.
 	checkAfter = time.Minute
 	// adoptInterval is the time between looks for failed owners.
 	adoptInterval = time.Second
@@ -82,7 +82,7 @@
 type heldBatch struct {
 	bills []*rpc.Bill
 	// checkAt is when the batch is sealed even if its owner lives: by then the
-	// owner has sealed it, and its word of that was lost.
+	// owner has sealed it, and its notification was lost.
 	checkAt time.Time
 }
 
@@ -111,7 +111,7 @@
 	open   *batch
 	closed []*batch
 	held   map[heldKey]heldBatch
-	// sealed are batches whose holders have not been told yet.
+	// sealed are batches whose holders have not been notified yet.
 	sealed map[string][]int64
 }
 
--- a/bill/hold.go
+++ b/bill/hold.go
@@ -27,7 +27,7 @@
 }
 
 // adopt seals the held batches of owners that are not heard of any more, and
-// those that no word came of.
+// those whose owner sent no notification.
 func (bo *Book) adopt(ctx context.Context) {
 	for key, hb := range bo.adoptable() {
 		if err := bo.seal(ctx, key.incarnation, key.number, hb.bills); err != nil {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -143,13 +143,13 @@
 	if fa.CallerMistake() || ctx.Err() != nil {
 		result = placement.Neutral
 	}
-	blamed := result
+	endpointResult := result
 	if fa.Cause != endpoint.CauseUnreachable && da.rollouts.candidate(at.target) {
-		// A version on trial is blamed before the endpoints that run it: they
-		// are needed for the version in use.
-		blamed = placement.Neutral
+		// The failures of a candidate version do not count against the endpoints
+		// that run it: they are needed for the version in use.
+		endpointResult = placement.Neutral
 	}
-	da.endpointDone(en.ID, blamed)
+	da.endpointDone(en.ID, endpointResult)
 	at.log.add("%s failed: %v", en.ID, fa)
 	da.metrics.Attempts.Add(ctx, 1, metric.With(metric.KeyOutcome, "failed", metric.KeyCause, string(fa.Cause)))
 	if fa.Cause == endpoint.CauseMismatched {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,7 +146,7 @@
 }
 
 // roughly rounds down to two significant bits, so that the members' states
-// need not be told again for every request.
+// need not be sent again for every request.
 func roughly(n int64) int64 {
 	if n < 4 {
 		return n
@@ -199,7 +199,7 @@
 	da.pools.tick()
 }
 
-// refresh takes in what the other daemons told.
+// refresh processes the reports of the other daemons.
 func (da *Daemon) refresh(context.Context) {
 	da.pools.refresh()
 	da.rollouts.refresh()
--- a/entry/explain.go
+++ b/entry/explain.go
@@ -30,7 +30,7 @@
 	return &explains{byID: ca}
 }
 
-// explain is one request's story.
+// explain collects one request's steps.
 type explain struct {
 	mu sync.Mutex
 	ex Explanation
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -57,7 +57,7 @@
 	// the queues are of.
 	revision  store.Revision
 	refreshed store.Revision
-	// heard are the others' items as last taken in.
+	// heard are the others' items as last processed.
 	heard     map[string]peer.Version
 	byID      map[poolID]*pool
 	members   map[poolID]*placement.Pool
@@ -221,14 +221,14 @@
 	return ok && !now.Draining && !da.vms.EndpointLeaving(string(en.ID))
 }
 
-// remoteWork is what the other entries told of their work.
+// remoteWork is what the other entries reported of their work.
 type remoteWork struct {
 	entries int
 	demand  map[poolID]float64
 	reports map[poolID]admission.Report
 	// inFlight is what the others have in flight at each endpoint.
 	inFlight map[policy.EndpointID]int
-	// changed tells that something was told since the last time.
+	// changed tells that a report came since the last time.
 	changed bool
 }
 
@@ -239,7 +239,7 @@
 		if !mb.Draining || mb.InFlight > 0 {
 			re.entries++
 		}
-		for _, it := range po.daemon.peers.Board().Under(usagePrefix + string(mb.VM)) {
+		if it, ok := po.daemon.peers.Board().Get(usagePrefix + string(mb.VM)); ok {
 			seen[it.Key] = it.Version
 			re.add(it)
 		}
@@ -302,7 +302,7 @@
 	po.daemon.peers.Publish(usagePrefix+string(po.daemon.peers.VM()), us)
 }
 
-// usage gives what the other entries are told of a queue.
+// usage gives the report on a queue for the other entries.
 func (pl *pool) usage(id poolID) *rpc.PoolUsage {
 	pu := &rpc.PoolUsage{Pool: string(id), Demand: pl.demand()}
 	pl.gate.Change(func(qu *admission.Queue, now time.Time) {
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -101,14 +101,14 @@
 	return gu
 }
 
-// refresh forgets ended roll-outs, and hears of versions that others suspect.
+// refresh forgets ended roll-outs, and learns which versions others suspect.
 func (ro *rollouts) refresh() {
 	se := ro.holder.Set()
-	told := map[policy.VersionID]bool{}
+	reported := map[policy.VersionID]bool{}
 	for _, it := range ro.peers.Board().Under(HealthPrefix) {
 		var he rpc.VersionHealth
 		if proto.Unmarshal(it.Value, &he) == nil && he.GetSuspect() {
-			told[policy.VersionID(he.GetVersion())] = true
+			reported[policy.VersionID(he.GetVersion())] = true
 		}
 	}
 	ro.mu.Lock()
@@ -122,7 +122,7 @@
 	for _, rec := range se.Rollouts.List() {
 		id := policy.VersionID(rec.ToVersion)
 		gu, ok := ro.guards[rec.ID]
-		if rec.Active() && (told[id] || ok && gu.reason != "") {
+		if rec.Active() && (reported[id] || ok && gu.reason != "") {
 			ro.suspects[id] = true
 		}
 	}
--- a/measure/placement.go
+++ b/measure/placement.go
@@ -22,8 +22,8 @@
 	placementLoad   = 0.7
 	placementLength = 120 * time.Second
 	placementTokens = 100
-	// tellInterval is the time between entries' words of what they have in
-	// flight. They are heard an interval later.
+	// tellInterval is the time between entries' reports of what they have in
+	// flight. They arrive an interval later.
 	tellInterval = 400 * time.Millisecond
 )
 
--- a/peer/board.go
+++ b/peer/board.go
@@ -107,6 +107,14 @@
 	return ok && it.Version.Fence == fence && bytes.Equal(it.Value, value) && now.Sub(it.WrittenAt) < rewriteAfter
 }
 
+// Get gives one item.
+func (bo *Board) Get(key string) (Item, bool) {
+	bo.mu.Lock()
+	defer bo.mu.Unlock()
+	it, ok := bo.items[key]
+	return it, ok
+}
+
 // Under lists the items under a prefix, by key.
 func (bo *Board) Under(prefix string) []Item {
 	bo.mu.Lock()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,13 +31,13 @@
 	// maxAffinityLoad is the load, in slots, up to which a prefix decides.
 	maxAffinityLoad = 0.9
 	// ownWeight and othersWeight weigh this entry's requests in flight against
-	// what others told of theirs. Its own count is exact, and stands as well for
-	// what entries in the same position have sent since they told.
+	// what others reported of theirs. Its own count is exact, and stands as well for
+	// what entries in the same position have sent since their reports.
 	ownWeight    = 2.0
 	othersWeight = 0.75
 	// randomChoices is how many endpoints are compared by load.
 	randomChoices = 8
-	// othersLifetime is how long the other entries' word counts.
+	// othersLifetime is how long the other entries' reports are valid.
 	othersLifetime = 4 * time.Second
 	// reportLifetime is how long a report of load counts.
 	reportLifetime = 5 * time.Second
@@ -104,7 +104,7 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	states map[policy.EndpointID]*State
-	// othersUntil is until when the other entries' word counts.
+	// othersUntil is until when the other entries' reports are valid.
 	othersUntil time.Time
 }
 
@@ -113,7 +113,7 @@
 	InFlight int
 	// Others is the other entries' requests in flight.
 	Others int
-	// Reported is the requests in service that the endpoint told of.
+	// Reported is the requests in service that the endpoint reported.
 	Reported float64
 	// ReportedInFlight is this entry's part of them.
 	ReportedInFlight int
@@ -208,7 +208,7 @@
 }
 
 // load estimates an endpoint's requests in service for each slot. Best known
-// is what the entries have in flight there; without their word it is what the
+// is what the entries have in flight there; without their reports it is what the
 // endpoint reported, and what this entry has sent since.
 func (tr *Tracker) load(now time.Time, en policy.Endpoint) float64 {
 	st, ok := tr.states[en.ID]
@@ -270,7 +270,7 @@
 	return st
 }
 
-// Report records the utilisation that an endpoint told of.
+// Report records the utilisation that an endpoint reported.
 func (tr *Tracker) Report(now time.Time, en policy.Endpoint, utilisation float64) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
--- a/proof/limit_test.go
+++ b/proof/limit_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"strings"
@@ -165,3 +166,23 @@
 		qt.Assert(t, failed <= 10, qt.IsTrue, qt.Commentf("%d of %d failed", failed, received))
 	})
 }
+
+// TestEntriesShareThePoolWhateverTheirNames has entry-1 beside entry-10 and
+// entry-11: each one's report counts once.
+func TestEntriesShareThePoolWhateverTheirNames(t *testing.T) {
+	withSite(t, testsite.Options{Entries: 11, Engines: 4}, func(t *testing.T, si *testsite.Site) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var an answers
+		var wg sync.WaitGroup
+		load(ctx, si, &an, &wg, 1, 2, 10, 11)
+		time.Sleep(5 * time.Second)
+		sum := 0.0
+		for n := 1; n <= 11; n++ {
+			sum += si.State(n).Pools["model/m"].Capacity
+		}
+		cancel()
+		wg.Wait()
+		const slots = 4 * 8
+		qt.Assert(t, sum > 0.9*slots && sum < 1.1*slots, qt.IsTrue, qt.Commentf("entries share %.1f slots of %d", sum, slots))
+	})
+}
--- a/steward/task.go
+++ b/steward/task.go
@@ -97,10 +97,8 @@
 		return
 	}
 	ttl := ts.daemon.set.GetSteward().GetLease().AsDuration()
-	for _, it := range ts.daemon.peers.Board().Under(taskPrefix + string(ta)) {
-		if it.Key == taskPrefix+string(ta) && time.Since(it.WrittenAt) < ttl {
-			return
-		}
+	if it, ok := ts.daemon.peers.Board().Get(taskPrefix + string(ta)); ok && time.Since(it.WrittenAt) < ttl {
+		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, ttl)
 	defer cancel()
