Start nothing in a closed group, and answer callers that send too much

(1) TestKillAtEveryMomentOfACall, data race: a handler that outlived its daemon started a goroutine in a group whose Close was waiting. (2) TestCallersMistakesGetClearErrors: a body that was too large was refused while the caller was still writing, who then saw a broken connection in place of the 413. (3) TestMissingPeersDoNotFloodTheStore measured 50.1 writes a second against 50 in one of five runs.

--- a/bill/bill.go
+++ b/bill/bill.go
@@ -45,7 +45,7 @@
 	adoptInterval = time.Second
 	// leastSealInterval is the least time between two batches, also when bills
 	// wait for the store because peers are missing.
-	leastSealInterval = 20 * time.Millisecond
+	leastSealInterval = 25 * time.Millisecond
 	// entriesAtSealInterval is how many entries seal at the set interval; more
 	// of them seal less often, so that the store's writes do not grow.
 	entriesAtSealInterval = 8
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -48,8 +48,10 @@
 )
 
 const (
-	keyOrganisation  = "organisation"
-	maxIDBytes       = 256
+	keyOrganisation = "organisation"
+	maxIDBytes      = 256
+	// maxDrainedBytes of a body that is too large are read and dropped.
+	maxDrainedBytes  = 1 << 20
 	isolatedRetry    = 2 * time.Second
 	overloadedRetry  = time.Second
 	maxDeadline      = 24 * time.Hour
@@ -249,13 +251,14 @@
 
 func (da *Daemon) readBody(co *gin.Context) ([]byte, *problem) {
 	limit := da.set.GetServing().GetMaxBodyBytes()
-	body, err := io.ReadAll(http.MaxBytesReader(co.Writer, co.Request.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, err := io.ReadAll(io.LimitReader(co.Request.Body, limit+1))
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &problem{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
 	case err != nil:
 		return nil, &problem{status: http.StatusRequestTimeout, code: "body_unreadable", message: "the body could not be read in time"}
+	case int64(len(body)) > limit:
+		// A caller that is still writing reads the answer only afterwards.
+		_, _ = io.CopyN(io.Discard, co.Request.Body, maxDrainedBytes)
+		return nil, &problem{status: http.StatusRequestEntityTooLarge, code: "body_too_large", message: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"}
 	}
 	_ = http.NewResponseController(co.Writer).SetReadDeadline(time.Time{})
 	return body, nil
--- a/worker/group.go
+++ b/worker/group.go
@@ -8,10 +8,14 @@
 )
 
 // Group runs goroutines that end with it. Close cancels them and waits.
+//
+// mu guards closed, and keeps goroutines from being started while Close waits.
 type Group struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
+	mu     sync.Mutex
+	closed bool
 }
 
 // NewGroup gives an empty group.
@@ -23,9 +27,13 @@
 // Context ends when the group is closed.
 func (gr *Group) Context() context.Context { return gr.ctx }
 
-// Go runs fn in a goroutine of the group.
+// Go runs fn in a goroutine of the group. A closed group runs nothing more.
 func (gr *Group) Go(fn func(ctx context.Context)) {
-	gr.wait.Go(func() { fn(gr.ctx) })
+	gr.mu.Lock()
+	defer gr.mu.Unlock()
+	if !gr.closed {
+		gr.wait.Go(func() { fn(gr.ctx) })
+	}
 }
 
 // Every runs fn at once and then whenever interval has passed since it ended.
@@ -40,6 +48,9 @@
 
 // Close cancels the goroutines and waits until all have ended.
 func (gr *Group) Close() {
+	gr.mu.Lock()
+	gr.closed = true
+	gr.mu.Unlock()
 	gr.cancel()
 	gr.wait.Wait()
 }
