--- a/capacity/entry_test.go
+++ b/capacity/entry_test.go
@@ -78,7 +78,7 @@
 		qt.Assert(b, err, qt.IsNil)
 		rq.Changes = append(rq.Changes, configuration.Change{Record: re})
 	}
-	_, err := configuration.NewWriter(configuration.Keys{Prefix: "tanager/"}, cl).Apply(b.Context(), rq)
+	_, err := configuration.NewWriter(configuration.Keys{Root: "tanager/"}, cl).Apply(b.Context(), rq)
 	qt.Assert(b, err, qt.IsNil)
 }
 
--- /dev/null
+++ b/cmd/tanager-router/main.go
@@ -0,0 +1,39 @@
+// Command tanager-router carries the requests of routes on a VM of the users'
+// platform.
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"tanagerpoint.example/tanager/command"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/router"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+const help = `tanager-router carries the requests of routes to the endpoints of their
+services on the users' platform. Run one on every VM: it serves callers, tells
+them which routers to use, and takes its part of the control work.
+
+Exit codes: 0 ended, 1 failed, 2 usage, 3 findings in the settings.`
+
+// drainMargin is left of the time for a graceful shutdown to end the process.
+const drainMargin = 500 * time.Millisecond
+
+func main() {
+	gin.SetMode(gin.ReleaseMode)
+	os.Exit(command.Execute(command.NewRoot(command.Program[*rpc.RouterSettings]{
+		Name: "tanager-router", Short: "Carry the requests of routes", Long: help,
+		NewSettings: func() *rpc.RouterSettings { return &rpc.RouterSettings{} },
+		NewDaemon: func(rs *rpc.RouterSettings, ne network.Network, lo *event.Log) (command.Daemon, error) {
+			return router.New(rs, ne, lo)
+		},
+		DrainLimit: func(rs *rpc.RouterSettings) time.Duration {
+			return rs.GetServing().GetDrainLimit().AsDuration() - drainMargin
+		},
+	})))
+}
--- a/cmd/tanagerctl/main.go
+++ b/cmd/tanagerctl/main.go
@@ -71,7 +71,7 @@
 }
 
 func (opt *options) keys() configuration.Keys {
-	return configuration.Keys{Prefix: store.Key(opt.prefix)}
+	return configuration.Keys{Root: store.Key(opt.prefix)}
 }
 
 func (opt *options) client() *store.Client {
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -17,41 +17,95 @@
 
 // Keys gives the places of the configuration in the store.
 type Keys struct {
-	Prefix store.Key
+	Root store.Key
 }
 
 // Records is the prefix of all policy records.
-func (ke Keys) Records() store.Key { return ke.Prefix + "policy/" }
+func (ke Keys) Records() store.Key { return ke.Root + "policy/" }
 
 // Record is the key of one record, from its kind/id.
 func (ke Keys) Record(key string) store.Key { return ke.Records() + store.Key(key) }
 
 // Head is written by every change; its revision orders the changes.
-func (ke Keys) Head() store.Key { return ke.Prefix + "policy_head" }
+func (ke Keys) Head() store.Key { return ke.Root + "policy_head" }
 
 // All is a prefix of the records and the head.
-func (ke Keys) All() store.Key { return ke.Prefix + "policy" }
+func (ke Keys) All() store.Key { return ke.Root + "policy" }
 
 // History is the prefix of a record's earlier states.
-func (ke Keys) History(key string) store.Key { return ke.Prefix + "history/" + store.Key(key) + "/" }
+func (ke Keys) History(key string) store.Key { return ke.Root + "history/" + store.Key(key) + "/" }
+
+// Layout says where the configuration lies in the store, and which records
+// what lies there makes.
+type Layout interface {
+	// Prefix is that of all keys to read and watch.
+	Prefix() store.Key
+	// Complete gives what a read of all keys changes in a set, and the revision
+	// up to which the set is then complete.
+	Complete(se *policy.Set, pa store.Page) ([]policy.Stored, store.Revision)
+	// Changed gives what watched changes change in a set.
+	Changed(se *policy.Set, chs []store.Change) []policy.Stored
+}
+
+// Prefix implements Layout.
+func (ke Keys) Prefix() store.Key { return ke.Records() }
+
+// Complete implements Layout. Records are never removed, only marked deleted.
+func (ke Keys) Complete(_ *policy.Set, pa store.Page) ([]policy.Stored, store.Revision) {
+	var out []policy.Stored
+	newest := store.Revision(0)
+	for _, kv := range pa.KeyValues {
+		out = append(out, ke.stored(kv))
+		newest = max(newest, kv.ModRevision)
+	}
+	return out, newest
+}
+
+// Changed implements Layout.
+func (ke Keys) Changed(_ *policy.Set, chs []store.Change) []policy.Stored {
+	var out []policy.Stored
+	for _, ch := range chs {
+		out = append(out, ke.stored(ch.KeyValue))
+	}
+	return out
+}
 
 // Watcher follows the store's records into a Holder with one watch.
 type Watcher struct {
-	keys   Keys
+	layout Layout
 	store  store.Store
 	holder *Holder
 	log    *event.Log
 	opened atomic.Int64
+	// answered is when the store last answered, failed when it last did not,
+	// in Unix nanoseconds.
+	answered atomic.Int64
+	failed   atomic.Int64
 }
 
 // NewWatcher gives a watcher; Run starts it.
-func NewWatcher(ke Keys, st store.Store, ho *Holder, lo *event.Log) *Watcher {
-	return &Watcher{keys: ke, store: st, holder: ho, log: lo}
+func NewWatcher(la Layout, st store.Store, ho *Holder, lo *event.Log) *Watcher {
+	return &Watcher{layout: la, store: st, holder: ho, log: lo}
 }
 
 // Opened counts the watches opened so far.
 func (wa *Watcher) Opened() int64 { return wa.opened.Load() }
 
+// Answered gives when the store last answered, and Failed when it last did not.
+func (wa *Watcher) Answered() time.Time { return time.Unix(0, wa.answered.Load()) }
+
+// Failed gives when a call to the store last failed.
+func (wa *Watcher) Failed() time.Time { return time.Unix(0, wa.failed.Load()) }
+
+func (wa *Watcher) noteAnswer() { wa.answered.Store(time.Now().UnixNano()) }
+
+func (wa *Watcher) noteFailure() {
+	if at, failed := wa.answered.Load(), wa.failed.Load(); at >= failed {
+		wa.log.Warn(event.StoreLost, nil, event.Fields{"last_answer": time.Unix(0, at)})
+	}
+	wa.failed.Store(time.Now().UnixNano())
+}
+
 // Run follows the store until ctx ends.
 func (wa *Watcher) Run(ctx context.Context) {
 	next := store.Revision(0)
@@ -69,17 +123,14 @@
 // load reads all records and gives the revision to watch from, 0 on failure.
 func (wa *Watcher) load(ctx context.Context) store.Revision {
 	asked := time.Now()
-	pa, err := wa.store.Range(ctx, wa.keys.Records())
+	pa, err := wa.store.Range(ctx, wa.layout.Prefix())
 	if err != nil {
+		wa.noteFailure()
 		wa.log.Warn(event.StoreUnreachable, err, nil)
 		return 0
 	}
-	var changes []policy.Stored
-	newest := store.Revision(0)
-	for _, kv := range pa.KeyValues {
-		changes = append(changes, wa.stored(kv))
-		newest = max(newest, kv.ModRevision)
-	}
+	wa.noteAnswer()
+	changes, newest := wa.layout.Complete(wa.holder.Set(), pa)
 	if newest < wa.holder.Set().Revision {
 		wa.log.Warn(event.StoreBehind, nil, event.Fields{"store": newest, "in_force": wa.holder.Set().Revision})
 		return 0
@@ -94,12 +145,12 @@
 func (wa *Watcher) follow(ctx context.Context, from store.Revision) store.Revision {
 	wa.opened.Add(1)
 	next := from
-	err := wa.store.Watch(ctx, wa.keys.Records(), from, func(no store.Notice) {
-		var changes []policy.Stored
+	err := wa.store.Watch(ctx, wa.layout.Prefix(), from, func(no store.Notice) {
+		wa.noteAnswer()
+		changes := wa.layout.Changed(wa.holder.Set(), no.Changes)
 		newest := store.Revision(0)
-		for _, ch := range no.Changes {
-			changes = append(changes, wa.stored(ch.KeyValue))
-			newest = max(newest, ch.KeyValue.ModRevision)
+		for _, st := range changes {
+			newest = max(newest, st.ModRevision)
 		}
 		if len(changes) > 0 {
 			wa.holder.Update(newest, changes)
@@ -114,12 +165,13 @@
 	if isCompacted(err) {
 		return 0
 	}
+	wa.noteFailure()
 	return next
 }
 
-func (wa *Watcher) stored(kv store.KeyValue) policy.Stored {
+func (ke Keys) stored(kv store.KeyValue) policy.Stored {
 	return policy.Stored{
-		Key:         strings.TrimPrefix(string(kv.Key), string(wa.keys.Records())),
+		Key:         strings.TrimPrefix(string(kv.Key), string(ke.Records())),
 		Value:       kv.Value,
 		ModRevision: kv.ModRevision,
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,7 @@
 	da.store = store.NewClient(store.OptionsOf(es.GetStore(), da.net.Dial))
 	prefix := store.Key(es.GetStore().GetPrefix())
 	da.holder = configuration.NewHolder(da.log)
-	da.watcher = configuration.NewWatcher(configuration.Keys{Prefix: prefix}, da.store, da.holder, da.log)
+	da.watcher = configuration.NewWatcher(configuration.Keys{Root: prefix}, da.store, da.holder, da.log)
 	da.vms = vm.NewList(es.GetPlatform().GetVmListUrl(), da.net, da.log)
 	da.peers = peer.NewGroup(da.peerOptions(), da.holder, da.net, da.log)
 	da.client = endpoint.NewClient(da.net, es.GetServing().GetProgress().AsDuration())
--- a/event/event.go
+++ b/event/event.go
@@ -19,6 +19,7 @@
 	Started              Number = 100
 	Draining             Number = 101
 	Stopped              Number = 102
+	DrainCut             Number = 103
 	ListenerFailed       Number = 104
 	RequestPanicked      Number = 105
 	PolicyApplied        Number = 200
@@ -29,6 +30,7 @@
 	StoreUnreachable     Number = 205
 	Isolated             Number = 206
 	IsolationEnded       Number = 207
+	StoreLost            Number = 208
 	MemberJoined         Number = 300
 	MemberFailed         Number = 301
 	PeerUnreachable      Number = 302
@@ -41,6 +43,10 @@
 	StreamResumed        Number = 404
 	VersionSuspect       Number = 405
 	RetryBudgetSpent     Number = 406
+	RequestRefused       Number = 407
+	RequestFailed        Number = 408
+	StreamCut            Number = 409
+	EndpointLapsed       Number = 410
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -62,6 +68,7 @@
 	Started:              "daemon started",
 	Draining:             "graceful shutdown began",
 	Stopped:              "daemon stopped",
+	DrainCut:             "graceful shutdown ended before its last answers",
 	ListenerFailed:       "listener failed",
 	RequestPanicked:      "request ended by a defect of the program",
 	PolicyApplied:        "policy revision in force",
@@ -71,6 +78,7 @@
 	WatchEnded:           "store watch ended and is opened anew",
 	StoreUnreachable:     "store unreachable",
 	Isolated:             "no evidence of the newest policy; new work is refused",
+	StoreLost:            "store stopped answering; the policy in force is kept",
 	IsolationEnded:       "evidence of the newest policy is back; new work is accepted",
 	MemberJoined:         "peer joined",
 	MemberFailed:         "peer not heard of in time",
@@ -84,6 +92,10 @@
 	StreamResumed:        "stream resumed on a new connection",
 	VersionSuspect:       "candidate version stopped on this site's own evidence",
 	RetryBudgetSpent:     "retry budget spent",
+	RequestRefused:       "request refused",
+	RequestFailed:        "request found no good answer",
+	StreamCut:            "stream could not be completed and was cut off",
+	EndpointLapsed:       "endpoint vanished while the store was unsteady; kept for the grace",
 	ClaimUnresolved:      "claim's answer was lost and is not yet resolved",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/measure/address.go
+++ b/measure/address.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"tanagerpoint.example/tanager/entry"
+	"tanagerpoint.example/tanager/directory"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/vm"
 )
@@ -47,17 +47,17 @@
 
 // answer gives the addresses as an entry would.
 func (re *replacing) answer() []int {
-	var cas []entry.Candidate
+	var cas []directory.Candidate
 	for n := range addressEntries {
 		if re.hears && re.dead(n) && re.since() > entriesDie+entryFailedIn {
 			continue
 		}
 		name := strconv.Itoa(n)
-		cas = append(cas, entry.Candidate{VM: vm.ID(name), Address: name, FailureDomain: policy.FailureDomain(strconv.Itoa(n % 3))})
+		cas = append(cas, directory.Candidate{VM: vm.ID(name), Address: name, FailureDomain: policy.FailureDomain(strconv.Itoa(n % 3))})
 	}
 	domain := policy.FailureDomain(strconv.Itoa(re.rng.IntN(3)))
 	var out []int
-	for _, ad := range entry.Answer(cas, func(vm.ID) bool { return false }, domain, re.rng) {
+	for _, ad := range directory.Answer(cas, func(vm.ID) bool { return false }, domain, re.rng) {
 		n, err := strconv.Atoi(ad.Address)
 		if err == nil {
 			out = append(out, n)
--- a/peer/group.go
+++ b/peer/group.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,7 @@
 const (
 	RoleEntry   = "entry"
 	RoleSteward = "steward"
+	RoleRouter  = "router"
 )
 
 const memberPrefix = "member/"
@@ -313,9 +315,22 @@
 	return out
 }
 
-// Entries lists the other entries that are heard of.
+// Entries lists the other daemons heard of that serve callers as entries do.
 func (gr *Group) Entries() []Member {
-	return slices.DeleteFunc(gr.Members(), func(mb Member) bool { return mb.Role != RoleEntry })
+	return slices.DeleteFunc(gr.Members(), func(mb Member) bool { return mb.Role == RoleSteward })
+}
+
+// Preferred tells whether this daemon is among the first of its role to try
+// for a task, by highest random weight among the live ones.
+func (gr *Group) Preferred(task string, first int) bool {
+	weigh := func(id vm.ID) uint64 { return xxhash.Sum64String(string(id) + "\x00" + task) }
+	own, before := weigh(gr.VM()), 0
+	for _, mb := range gr.Members() {
+		if mb.Role == gr.opt.Self.GetRole() && mb.VM != gr.VM() && weigh(mb.VM) > own {
+			before++
+		}
+	}
+	return before < first
 }
 
 // Heard gives when a run of a daemon was last heard of, over any peer.
--- /dev/null
+++ b/peer/registry.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	// registryLease is how long an entry outlives its daemon.
+	registryLease = 10 * time.Second
+	registryRenew = registryLease / 3
+	// readEvery renewals the others' entries are read.
+	readEvery = 3
+)
+
+// Registry keeps this daemon's entry in the store, under a lease, and reads
+// those of the others: peers are found there when no seed is left.
+//
+// mu guards listed. No other lock is taken while it is held.
+type Registry struct {
+	prefix store.Key
+	store  store.Store
+	self   *rpc.Member
+	log    *event.Log
+
+	mu     sync.Mutex
+	listed []string
+}
+
+// NewRegistry gives a registry under a prefix of the store; Run starts it.
+func NewRegistry(prefix store.Key, st store.Store, self *rpc.Member, lo *event.Log) *Registry {
+	return &Registry{prefix: prefix + "member/", store: st, self: self, log: lo}
+}
+
+// Listed gives the addresses read last.
+func (rg *Registry) Listed() []string {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.listed
+}
+
+// Run keeps the entry until ctx ends, and then takes it away.
+func (rg *Registry) Run(ctx context.Context) {
+	lease := store.LeaseID(0)
+	for round := 0; ; round++ {
+		lease = rg.renew(ctx, lease)
+		if round%readEvery == 0 {
+			rg.read(ctx)
+		}
+		if !worker.Sleep(ctx, registryRenew) {
+			break
+		}
+	}
+	if lease != 0 {
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		if err := rg.store.Revoke(ending, lease); err != nil {
+			rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
+		}
+	}
+}
+
+// renew keeps the lease alive, or writes the entry under a new one.
+func (rg *Registry) renew(ctx context.Context, lease store.LeaseID) store.LeaseID {
+	if lease != 0 {
+		alive, err := rg.store.KeepAlive(ctx, lease)
+		if err != nil {
+			rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
+			return lease
+		}
+		if alive {
+			return lease
+		}
+	}
+	lease, err := rg.store.Grant(ctx, registryLease)
+	if err == nil {
+		err = rg.write(ctx, lease)
+	}
+	if err != nil {
+		rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
+		return 0
+	}
+	return lease
+}
+
+func (rg *Registry) write(ctx context.Context, lease store.LeaseID) error {
+	value, err := proto.Marshal(rg.self)
+	if err != nil {
+		return err
+	}
+	// A repeated write of the same entry changes nothing, so a lost answer does not matter.
+	_, err = rg.store.Apply(ctx, store.Commit{Puts: []store.Put{{Key: rg.prefix + store.Key(rg.self.GetVm()), Value: value, Lease: lease}}})
+	return err
+}
+
+func (rg *Registry) read(ctx context.Context) {
+	pa, err := rg.store.Range(ctx, rg.prefix)
+	if err != nil {
+		rg.log.Debug(event.StoreUnreachable, err, event.Fields{"prefix": rg.prefix})
+		return
+	}
+	var listed []string
+	for _, kv := range pa.KeyValues {
+		var me rpc.Member
+		if err := proto.Unmarshal(kv.Value, &me); err != nil {
+			rg.log.Warn(event.PolicyRecordUnusable, err, event.Fields{"key": kv.Key})
+			continue
+		}
+		listed = append(listed, me.GetPeerAddress())
+	}
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.listed = listed
+}
--- /dev/null
+++ b/placement/balancer.go
@@ -0,0 +1,290 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerpoint.example/tanager/policy"
+)
+
+const (
+	// rememberedHome is how long a prompt sent to an endpoint counts as cached there.
+	rememberedHome = 6 * time.Second
+	// maxRemembered bounds the prompts remembered.
+	maxRemembered = 4096
+	// homes is how many endpoints a prompt's start has by hash.
+	homes = 2
+	// secondHomeCredit is the part of a cached start that is expected at the second.
+	secondHomeCredit = 0.5
+	// runningCost is what each running stream delays a new prompt.
+	runningCost = Work(0.0015)
+	// overflowCost is what each request beyond an endpoint's slots waits.
+	overflowCost = Work(0.3)
+	// failureCost is what a certain failure costs, in seconds.
+	failureCost = 1.5
+	// failureSmoothing and speedSmoothing weigh a new outcome.
+	failureSmoothing = 0.2
+	speedSmoothing   = 0.25
+	// slowest and fastest bound an endpoint's measured factor.
+	slowest = 32.0
+	fastest = 0.5
+	// jitter spreads choices that are about as good.
+	jitter = 0.1
+)
+
+// Work is an amount of work, in seconds of an idle endpoint.
+type Work float64
+
+// Job is what a request asks of an endpoint.
+type Job struct {
+	// Start names the shared start of its prompt, 0 when there is none.
+	Start Prefix
+	// Work is what it takes until the answer begins, and Cached the part of it
+	// that a cached start saves.
+	Work   Work
+	Cached Work
+}
+
+// Load is what one entry has at an endpoint.
+type Load struct {
+	Running int
+	// Backlog is the work that has not begun to be answered.
+	Backlog Work
+}
+
+// node is what is known of one endpoint.
+type node struct {
+	suspension
+	own    Load
+	others Load
+	// speed is the measured time against the expected.
+	speed float64
+	// failing is the smoothed share of failures.
+	failing float64
+}
+
+// remembered is a prompt's start sent to an endpoint.
+type remembered struct {
+	start    Prefix
+	endpoint policy.EndpointID
+}
+
+// Balancer chooses endpoints by the time until they would answer, in one scale:
+// work before it, the batch beside it, what is cached, how fast and how
+// reliable the endpoint has been. It answers two loads: long prompts that crowd
+// on the endpoint that has their start cached, and endpoints that are slow or
+// fail while they look idle.
+//
+// mu guards all fields. No other lock is taken while it is held.
+type Balancer struct {
+	mu          sync.Mutex
+	rng         *rand.Rand
+	nodes       map[policy.EndpointID]*node
+	sent        map[remembered]time.Time
+	othersUntil time.Time
+}
+
+// NewBalancer gives a balancer that knows nothing; seed drives its chances.
+func NewBalancer(seed uint64) *Balancer {
+	return &Balancer{
+		rng:   rand.New(rand.NewPCG(seed, mix(seed))),
+		nodes: map[policy.EndpointID]*node{}, sent: map[remembered]time.Time{},
+	}
+}
+
+// Choose picks an endpoint and counts the job there; Answered and Done must
+// follow. tried are endpoints that failed this request.
+func (ba *Balancer) Choose(now time.Time, ens []policy.Endpoint, jo Job, tried []policy.EndpointID, usable func(en policy.Endpoint, ru Running) bool) (policy.Endpoint, bool) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	ens = slices.DeleteFunc(slices.Clone(ens), func(en policy.Endpoint) bool {
+		return slices.Contains(tried, en.ID) || !usable(en, ba.running(now, en.ID)) || !ba.node(en.ID).open(now)
+	})
+	if len(ens) == 0 {
+		return policy.Endpoint{}, false
+	}
+	credits := ba.credits(now, ens, jo)
+	best, bestScore := 0, 0.0
+	for i, en := range ens {
+		score := ba.score(now, en, jo, credits[i]) * (1 + jitter*ba.rng.Float64())
+		if i == 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	en := ens[best]
+	no := ba.node(en.ID)
+	no.own.Running++
+	no.own.Backlog += jo.Work
+	no.probe()
+	ba.remember(now, jo.Start, en.ID)
+	return en, true
+}
+
+// score estimates the seconds until an endpoint would answer.
+func (ba *Balancer) score(now time.Time, en policy.Endpoint, jo Job, credit float64) float64 {
+	no := ba.node(en.ID)
+	load := no.own
+	if now.Before(ba.othersUntil) {
+		load.Running += no.others.Running
+		load.Backlog += no.others.Backlog
+	}
+	wait := load.Backlog + Work(load.Running)*runningCost
+	if over := load.Running + 1 - int(en.Slots); over > 0 {
+		wait += Work(over) * max(overflowCost, jo.Work)
+	}
+	wait += jo.Work - Work(credit)*jo.Cached
+	return no.speed*float64(wait) + no.failing*failureCost
+}
+
+// credits gives, for each endpoint, which part of the job's start is expected
+// in its cache: all where it was sent of late, and at its first home by hash.
+func (ba *Balancer) credits(now time.Time, ens []policy.Endpoint, jo Job) []float64 {
+	out := make([]float64, len(ens))
+	if jo.Start == 0 {
+		return out
+	}
+	order := make([]int, len(ens))
+	hashes := make([]uint64, len(ens))
+	for i, en := range ens {
+		order[i], hashes[i] = i, mix(xxhash.Sum64String(string(en.ID))^uint64(jo.Start))
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[b], hashes[a]) })
+	credit := 1.0
+	for _, i := range order[:min(homes, len(order))] {
+		out[i] = credit
+		credit = secondHomeCredit
+	}
+	for i, en := range ens {
+		if at, ok := ba.sent[remembered{jo.Start, en.ID}]; ok && now.Sub(at) < rememberedHome {
+			out[i] = 1
+		}
+	}
+	return out
+}
+
+func (ba *Balancer) remember(now time.Time, start Prefix, id policy.EndpointID) {
+	if start == 0 {
+		return
+	}
+	if len(ba.sent) >= maxRemembered {
+		for key, at := range ba.sent {
+			if now.Sub(at) >= rememberedHome {
+				delete(ba.sent, key)
+			}
+		}
+		if len(ba.sent) >= maxRemembered {
+			clear(ba.sent)
+		}
+	}
+	ba.sent[remembered{start, id}] = now
+}
+
+// Answered tells that an endpoint began to answer a job after a time.
+func (ba *Balancer) Answered(id policy.EndpointID, jo Job, took time.Duration) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	no := ba.node(id)
+	no.own.Backlog = max(0, no.own.Backlog-jo.Work)
+	if jo.Work > 0 {
+		factor := min(slowest, max(fastest, took.Seconds()/float64(jo.Work)))
+		no.speed += speedSmoothing * (factor - no.speed)
+	}
+}
+
+// Abandoned tells that a job ended before its answer began.
+func (ba *Balancer) Abandoned(id policy.EndpointID, jo Job) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	no := ba.node(id)
+	no.own.Backlog = max(0, no.own.Backlog-jo.Work)
+}
+
+// Done ends a job, and tells whether the endpoint was suspended or taken back.
+func (ba *Balancer) Done(now time.Time, id policy.EndpointID, re Result) (suspended, resumed bool) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	no := ba.node(id)
+	no.own.Running--
+	switch re {
+	case Succeeded:
+		no.failing -= failureSmoothing * no.failing
+	case Failed, Erred:
+		no.failing += failureSmoothing * (1 - no.failing)
+	}
+	return no.note(now, re, ba.rng.Float64())
+}
+
+// SetOthers takes in what the other entries have at each endpoint. It counts
+// for a few seconds.
+func (ba *Balancer) SetOthers(now time.Time, others map[policy.EndpointID]Load) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	ba.othersUntil = now.Add(othersLifetime)
+	for _, no := range ba.nodes {
+		no.others = Load{}
+	}
+	for id, lo := range others {
+		ba.node(id).others = lo
+	}
+}
+
+// Loads gives what this entry has at each endpoint.
+func (ba *Balancer) Loads() map[policy.EndpointID]Load {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	out := map[policy.EndpointID]Load{}
+	for id, no := range ba.nodes {
+		if no.own.Running > 0 {
+			out[id] = no.own
+		}
+	}
+	return out
+}
+
+// Running is the requests in flight at an endpoint.
+type Running struct {
+	// Own are this entry's, All those of every entry.
+	Own, All int
+}
+
+// running gives the requests in flight at an endpoint.
+func (ba *Balancer) running(now time.Time, id policy.EndpointID) Running {
+	no := ba.node(id)
+	ru := Running{Own: no.own.Running, All: no.own.Running}
+	if now.Before(ba.othersUntil) {
+		ru.All += no.others.Running
+	}
+	return ru
+}
+
+// Healthy tells whether an endpoint is not suspended.
+func (ba *Balancer) Healthy(id policy.EndpointID) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return ba.node(id).healthy()
+}
+
+// Keep forgets endpoints that are gone and have nothing in flight.
+func (ba *Balancer) Keep(known func(id policy.EndpointID) bool) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	for id, no := range ba.nodes {
+		if no.own.Running <= 0 && !known(id) {
+			delete(ba.nodes, id)
+		}
+	}
+}
+
+func (ba *Balancer) node(id policy.EndpointID) *node {
+	no, ok := ba.nodes[id]
+	if !ok {
+		no = &node{speed: 1}
+		ba.nodes[id] = no
+	}
+	return no
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -118,9 +118,7 @@
 	// ReportedInFlight is this entry's part of them.
 	ReportedInFlight int
 	ReportExpiresAt  time.Time
-	Failures         int
-	SuspendedUntil   time.Time
-	probing          bool
+	suspension
 }
 
 // NewTracker gives an empty tracker; seed drives its random choices.
@@ -151,7 +149,7 @@
 	en := po.Endpoints[i]
 	st := tr.state(en.ID)
 	st.InFlight++
-	st.probing = st.Failures >= failuresToSuspend
+	st.probe()
 	return en, true
 }
 
@@ -255,10 +253,7 @@
 // open tells whether an endpoint is not suspended, or may be probed.
 func (tr *Tracker) open(now time.Time, id policy.EndpointID) bool {
 	st, ok := tr.states[id]
-	if !ok || st.Failures < failuresToSuspend {
-		return true
-	}
-	return now.After(st.SuspendedUntil) && !st.probing
+	return !ok || st.open(now)
 }
 
 func (tr *Tracker) state(id policy.EndpointID) *State {
@@ -284,10 +279,13 @@
 type Result int
 
 // The results. Neutral ones, such as a caller's mistake, say nothing of it.
+// Erred is an error that the endpoint answered with, which some requests bring
+// about wherever they run: it counts against the endpoint, but does not suspend it.
 const (
 	Neutral Result = iota
 	Succeeded
 	Failed
+	Erred
 )
 
 // Done ends a request in flight, and tells whether the endpoint was suspended
@@ -297,21 +295,7 @@
 	defer tr.mu.Unlock()
 	st := tr.state(id)
 	st.InFlight--
-	st.probing = false
-	switch re {
-	case Succeeded:
-		resumed = st.Failures >= failuresToSuspend
-		st.Failures = 0
-	case Failed:
-		st.Failures++
-		if st.Failures >= failuresToSuspend {
-			wait := min(maxSuspension, firstSuspension<<min(st.Failures-failuresToSuspend, 8))
-			wait = time.Duration(float64(wait) * (0.5 + tr.rng.Float64()))
-			st.SuspendedUntil = now.Add(wait)
-			suspended = st.Failures == failuresToSuspend
-		}
-	}
-	return suspended, resumed
+	return st.note(now, re, tr.rng.Float64())
 }
 
 // Healthy tells whether an endpoint is not suspended.
@@ -319,7 +303,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	st, ok := tr.states[id]
-	return !ok || st.Failures < failuresToSuspend
+	return !ok || st.healthy()
 }
 
 // States gives a copy of all states, for dumps.
--- /dev/null
+++ b/policy/limits.go
@@ -0,0 +1,70 @@
+package policy
+
+import (
+	"time"
+
+	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+// LimitsSite is the id of the limits of the site.
+const LimitsSite LimitsID = "site"
+
+const (
+	defaultMaxHeaderBytes  = 32 << 10
+	defaultMaxBodyBytes    = 1 << 20
+	defaultHeaderTimeoutMS = 5_000
+	defaultIdleTimeoutMS   = 60_000
+)
+
+// Limits bound what callers may send, and how long they may take.
+type Limits struct {
+	ID LimitsID
+	*rpc.Limits
+}
+
+// Defaults sets what the record leaves out.
+func (lm Limits) Defaults() {
+	if lm.MaxHeaderBytes == 0 {
+		lm.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if lm.MaxBodyBytes == 0 {
+		lm.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if lm.HeaderTimeoutMs == 0 {
+		lm.HeaderTimeoutMs = defaultHeaderTimeoutMS
+	}
+	if lm.IdleTimeoutMs == 0 {
+		lm.IdleTimeoutMs = defaultIdleTimeoutMS
+	}
+}
+
+// Validate finds mistakes.
+func (lm Limits) Validate(li *finding.List, pl finding.Place, _ *Set) {
+	for _, fi := range []struct {
+		key   string
+		value int64
+	}{
+		{"max_header_bytes", lm.MaxHeaderBytes}, {"max_body_bytes", lm.MaxBodyBytes},
+		{"header_timeout_ms", lm.HeaderTimeoutMs}, {"idle_timeout_ms", lm.IdleTimeoutMs},
+	} {
+		if fi.value < 0 {
+			li.Add(placeIn(pl)(fi.key), "%d is negative", fi.value)
+		}
+	}
+}
+
+// IdleTimeout is how long a caller's connection may stay without a request.
+func (lm Limits) IdleTimeout() time.Duration {
+	return time.Duration(lm.IdleTimeoutMs) * time.Millisecond
+}
+
+// SiteLimits gives the limits in force.
+func (se *Set) SiteLimits() Limits {
+	if lm, ok := se.Limits.ByID(LimitsSite); ok {
+		return lm
+	}
+	lm := Limits{ID: LimitsSite, Limits: &rpc.Limits{}}
+	lm.Defaults()
+	return lm
+}
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -56,6 +56,10 @@
 		return Endpoint{ID: EndpointID(id), Endpoint: sp}
 	case *rpc.Service:
 		return Service{ID: ServiceID(id), Service: sp}
+	case *rpc.Route:
+		return Route{ID: RouteID(id), Route: sp}
+	case *rpc.Limits:
+		return Limits{ID: LimitsID(id), Limits: sp}
 	default:
 		return Rollout{ID: RolloutID(id), Rollout: ms.(*rpc.Rollout), FencingToken: re.GetFencingToken()}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,8 @@
 	KindEndpoint     Kind = "endpoint"
 	KindService      Kind = "service"
 	KindRollout      Kind = "rollout"
+	KindRoute        Kind = "route"
+	KindLimits       Kind = "limits"
 )
 
 // The ids of records, each unique within its kind.
@@ -51,6 +53,12 @@
 	ServiceID string
 	// RolloutID names a roll-out.
 	RolloutID string
+	// RouteID names a route.
+	RouteID string
+	// LimitsID names the limits; the site's is LimitsSite.
+	LimitsID string
+	// ReleaseID names a version of the software that endpoints run.
+	ReleaseID string
 )
 
 // FailureDomain is a part of a site that fails as one.
--- a/policy/record.go
+++ b/policy/record.go
@@ -47,6 +47,29 @@
 	return Record{Record: ms, JSON: compact.Bytes()}, nil
 }
 
+// NewRecord gives the record of a spec. The same spec gives the same text.
+func NewRecord(ki Kind, id string, spec proto.Message) (Record, error) {
+	text, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(spec)
+	if err != nil {
+		return Record{}, eris.Wrap(err, "policy.NewRecord")
+	}
+	return newRecord(ki, id, "spec", json.RawMessage(text))
+}
+
+// NewTombstone gives the record that stands in place of a deleted one.
+func NewTombstone(ki Kind, id string) (Record, error) {
+	return newRecord(ki, id, "deleted", json.RawMessage("true"))
+}
+
+func newRecord(ki Kind, id, field string, value json.RawMessage) (Record, error) {
+	// Marshal orders the fields, and takes out the spaces of protojson.
+	text, err := json.Marshal(map[string]any{"schema_version": SchemaVersion, "kind": ki, "id": id, field: value})
+	if err != nil {
+		return Record{}, eris.Wrap(err, "policy.newRecord")
+	}
+	return ParseRecord(text)
+}
+
 // Key is the record's place among all records: kind/id.
 func (re Record) Key() string { return re.GetKind() + "/" + re.GetId() }
 
@@ -153,6 +176,10 @@
 		return &rpc.Service{}
 	case KindRollout:
 		return &rpc.Rollout{}
+	case KindRoute:
+		return &rpc.Route{}
+	case KindLimits:
+		return &rpc.Limits{}
 	}
 	return nil
 }
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -37,6 +37,10 @@
 // Validate finds mistakes.
 func (ro Rollout) Validate(li *finding.List, pl finding.Place, se *Set) {
 	at := placeIn(pl)
+	if ro.Service != "" {
+		ro.validateRelease(li, pl, se)
+		return
+	}
 	if _, ok := se.Models.ByID(ModelID(ro.Model)); !ok {
 		li.Add(at("model"), "no model %q", ro.Model)
 	}
@@ -71,6 +75,23 @@
 	}
 }
 
+// validateRelease finds mistakes in a roll-out of a service's release.
+func (ro Rollout) validateRelease(li *finding.List, pl finding.Place, se *Set) {
+	at := placeIn(pl)
+	if _, ok := se.Services.ByID(ServiceID(ro.Service)); !ok {
+		li.Add(at("service"), "no service %q", ro.Service)
+	}
+	if ro.Model != "" {
+		li.Add(at("model"), "set beside service")
+	}
+	if ro.ToVersion == "" {
+		li.Add(at("to_version"), "missing")
+	}
+	if ro.DurationMs <= 0 {
+		li.Add(at("duration_ms"), "%d is not positive", ro.DurationMs)
+	}
+}
+
 // Active tells whether the roll-out is running or paused.
 func (ro Rollout) Active() bool {
 	return ro.State == rpc.RolloutState_RUNNING || ro.State == rpc.RolloutState_PAUSED
--- a/policy/set.go
+++ b/policy/set.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 
@@ -23,12 +24,16 @@
 	Endpoints     Table[EndpointID, Endpoint]
 	Services      Table[ServiceID, Service]
 	Rollouts      Table[RolloutID, Rollout]
+	Routes        Table[RouteID, Route]
+	Limits        Table[LimitsID, Limits]
 
 	// Findings are records that this program cannot use; they count as absent.
 	Findings finding.List
 
 	byCallerKey   map[string]OrganisationID
 	byOperatorKey map[string]OperatorID
+	// byHost lists each host's routes, longest prefix first.
+	byHost map[string][]Route
 }
 
 // entry is one record as stored, with what it parsed to.
@@ -117,6 +122,24 @@
 	return out
 }
 
+// Holds tells whether a record's text is the one stored.
+func (se *Set) Holds(re Record) bool {
+	return bytes.Equal(se.entries[re.Key()].stored.Value, re.JSON)
+}
+
+// IDs lists the records of a kind that are not deleted, usable or not.
+func (se *Set) IDs(ki Kind) []string {
+	var out []string
+	for key, en := range se.entries {
+		id, ok := strings.CutPrefix(key, string(ki)+"/")
+		if ok && (en.record.Record == nil || !en.record.GetDeleted()) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Len counts the records, deleted ones included.
 func (se *Set) Len() int { return len(se.entries) }
 
@@ -209,6 +232,9 @@
 	se.Endpoints.seal()
 	se.Services.seal()
 	se.Rollouts.seal()
+	se.Routes.seal()
+	se.Limits.seal()
+	se.byHost = routesByHost(se.Routes.List())
 }
 
 func (se *Set) fillOne(value any) {
@@ -237,5 +263,9 @@
 		se.Services.put(va.ID, va)
 	case Rollout:
 		se.Rollouts.put(va.ID, va)
+	case Route:
+		se.Routes.put(va.ID, va)
+	case Limits:
+		se.Limits.put(va.ID, va)
 	}
 }
--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+// loadPrefix is the prefix of the routers' items on their work: load/VM.
+const loadPrefix = "load/"
+
+// Publish tells the other routers of this one's work.
+func (ro *Router) Publish() {
+	us := &rpc.Usage{}
+	for id, lo := range ro.balancer.Loads() {
+		us.Endpoints = append(us.Endpoints, &rpc.EndpointUsage{
+			Endpoint: string(id), InFlight: int64(lo.Running), BacklogMs: int64(float64(lo.Backlog) * 1000),
+		})
+	}
+	ro.peers.Publish(loadPrefix+string(ro.peers.VM()), us)
+	ro.releases.publish()
+}
+
+// Refresh processes what the other routers told.
+func (ro *Router) Refresh() {
+	now := time.Now()
+	others := map[policy.EndpointID]placement.Load{}
+	entries := ro.peers.Entries()
+	for _, mb := range entries {
+		it, ok := ro.peers.Board().Get(loadPrefix + string(mb.VM))
+		var us rpc.Usage
+		if !ok || proto.Unmarshal(it.Value, &us) != nil {
+			continue
+		}
+		for _, eu := range us.GetEndpoints() {
+			lo := others[policy.EndpointID(eu.GetEndpoint())]
+			lo.Running += int(eu.GetInFlight())
+			lo.Backlog += placement.Work(float64(eu.GetBacklogMs()) / 1000)
+			others[policy.EndpointID(eu.GetEndpoint())] = lo
+		}
+	}
+	ro.routers.Store(int64(len(entries) + 1))
+	ro.balancer.SetOthers(now, others)
+	ro.releases.refresh()
+}
--- /dev/null
+++ b/relay/release.go
@@ -0,0 +1,245 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rollout"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+// healthPrefix is the prefix of the routers' items on releases under roll-out:
+// release/SERVICE/VM.
+const healthPrefix = "release/"
+
+// releases decides which release of a service a request runs on, and judges
+// the releases that are rolled out.
+//
+// mu guards trials. No other lock is taken while it is held.
+type releases struct {
+	router *Router
+	mu     sync.Mutex
+	trials map[policy.ServiceID]*trial
+}
+
+// trial is a release under roll-out as this router sees it.
+type trial struct {
+	target policy.ReleaseID
+	guard  rollout.Guard
+	// stable counts the answers of the release in use in the same time.
+	stable rollout.Counts
+	// bad is why the release is bad, "" while it is not known to be.
+	bad string
+	// seenAt is when this router learnt of the roll-out.
+	seenAt time.Time
+}
+
+func newReleases(ro *Router) *releases {
+	return &releases{router: ro, trials: map[policy.ServiceID]*trial{}}
+}
+
+// endpoints gives those that a call may be sent to.
+func (re *releases) endpoints(now time.Time, ca *call) []policy.Endpoint {
+	all := re.router.fleet.of(now, ca.service.ID)
+	ro, ok := re.router.holder.Set().ServiceRollout(ca.service.ID)
+	if !ok {
+		return all
+	}
+	current, target := byRelease(all, ro.ToVersion)
+	switch ro.State {
+	case rpc.RolloutState_DONE:
+		return target
+	case rpc.RolloutState_ABORTED:
+		return current
+	}
+	re.mu.Lock()
+	tr := re.get(now, ro)
+	share := tr.plan(ro).Share(now, re.router.opt.Rollout.GetExposedShare())
+	bad := tr.bad != ""
+	re.mu.Unlock()
+	// A request that failed on the new release goes on with the old one.
+	if bad || len(target) == 0 || len(ca.tried) > 0 && share < 1 || ca.request.draw(ro.ToVersion) >= share {
+		return current
+	}
+	return target
+}
+
+func byRelease(ens []policy.Endpoint, release string) (others, of []policy.Endpoint) {
+	for _, en := range ens {
+		if en.Release == release {
+			of = append(of, en)
+		} else {
+			others = append(others, en)
+		}
+	}
+	return others, of
+}
+
+func (re *releases) get(now time.Time, ro policy.Rollout) *trial {
+	id := policy.ServiceID(ro.Service)
+	tr, ok := re.trials[id]
+	if !ok || tr.target != policy.ReleaseID(ro.ToVersion) {
+		tr = &trial{target: policy.ReleaseID(ro.ToVersion), seenAt: now}
+		re.trials[id] = tr
+	}
+	return tr
+}
+
+// plan gives the roll-out's times: from when it was taken up, or was seen here.
+func (tr *trial) plan(ro policy.Rollout) rollout.Plan {
+	started := tr.seenAt
+	if ro.StartedAtMs > 0 {
+		started = time.UnixMilli(ro.StartedAtMs)
+	}
+	return rollout.Plan{StartedAt: started, DeadlineAt: started.Add(time.Duration(ro.DurationMs) * time.Millisecond)}
+}
+
+// observe takes in an answer, or a failure, of an endpoint.
+func (re *releases) observe(id policy.ServiceID, en policy.Endpoint, ou rollout.Outcome) {
+	ro, ok := re.router.holder.Set().ServiceRollout(id)
+	if !ok || !ro.Active() {
+		return
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	tr := re.get(time.Now(), ro)
+	if policy.ReleaseID(en.Release) != tr.target {
+		tr.guard.Stable(ou)
+		tr.stable.Observe(ou)
+		return
+	}
+	tr.guard.Candidate(ou)
+	if reason := tr.guard.Verdict(); reason != "" {
+		re.condemn(ro, tr, reason)
+	}
+}
+
+// condemn stops a release at this router.
+func (re *releases) condemn(ro policy.Rollout, tr *trial, reason string) {
+	if tr.bad != "" {
+		return
+	}
+	tr.bad = reason
+	re.router.log.Warn(event.VersionSuspect, nil, event.Fields{
+		"service": ro.Service, "release": tr.target, "reason": reason,
+		"answers": tr.guard.Answers, "failures": tr.guard.Failures,
+	})
+}
+
+// refresh takes in what the other routers saw: one that found a release bad
+// stops it everywhere, and so do failures that are few at each router.
+func (re *releases) refresh() {
+	se := re.router.holder.Set()
+	for _, ro := range se.Rollouts.List() {
+		if ro.Service == "" || !ro.Active() {
+			continue
+		}
+		heard := re.heard(ro)
+		re.mu.Lock()
+		tr := re.get(time.Now(), ro)
+		target := heard.target.Plus(rollout.Counts{Answers: tr.guard.Answers, Failures: tr.guard.Failures})
+		switch {
+		case heard.bad != "":
+			re.condemn(ro, tr, heard.bad)
+		case target.Worse(heard.stable.Plus(tr.stable)):
+			re.condemn(ro, tr, "failures over all routers")
+		}
+		re.mu.Unlock()
+	}
+}
+
+// heardRelease is what the other routers told of a roll-out.
+type heardRelease struct {
+	bad            string
+	target, stable rollout.Counts
+	stableInFlight int64
+}
+
+func (re *releases) heard(ro policy.Rollout) heardRelease {
+	var out heardRelease
+	pe := re.router.peers
+	own := healthKey(ro.Service, string(pe.VM()))
+	for _, it := range pe.Board().Under(healthPrefix + ro.Service + "/") {
+		var he rpc.VersionHealth
+		if it.Key == own || proto.Unmarshal(it.Value, &he) != nil || he.GetVersion() != ro.ToVersion {
+			continue
+		}
+		if he.GetSuspect() {
+			out.bad = he.GetReason()
+		}
+		out.target = out.target.Plus(rollout.Counts{Answers: he.GetAnswers(), Failures: he.GetFailures()})
+		out.stable = out.stable.Plus(rollout.Counts{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()})
+		if time.Since(it.WrittenAt) < inFlightLifetime {
+			out.stableInFlight += he.GetStableInFlight()
+		}
+	}
+	return out
+}
+
+// inFlightLifetime is how long a router's word on its requests in flight counts.
+const inFlightLifetime = 4 * time.Second
+
+func healthKey(service, vm string) string { return healthPrefix + service + "/" + vm }
+
+// publish tells the other routers what this one saw.
+func (re *releases) publish() {
+	for _, ro := range re.router.holder.Set().Rollouts.List() {
+		if ro.Service == "" || !ro.Active() {
+			continue
+		}
+		inFlight := re.stableInFlight(ro)
+		re.mu.Lock()
+		tr := re.get(time.Now(), ro)
+		he := &rpc.VersionHealth{
+			Version: ro.ToVersion, Answers: tr.guard.Answers, Failures: tr.guard.Failures,
+			StableAnswers: tr.stable.Answers, StableFailures: tr.stable.Failures,
+			Suspect: tr.bad != "", Reason: tr.bad, StableInFlight: inFlight,
+		}
+		re.mu.Unlock()
+		re.router.peers.Publish(healthKey(ro.Service, string(re.router.peers.VM())), he)
+	}
+}
+
+// stableInFlight counts this router's requests on the release in use.
+func (re *releases) stableInFlight(ro policy.Rollout) int64 {
+	sum := 0
+	loads := re.router.balancer.Loads()
+	for _, en := range re.router.holder.Set().Endpoints.List() {
+		if en.Service == ro.Service && en.Release != ro.ToVersion {
+			sum += loads[en.ID].Running
+		}
+	}
+	return int64(sum)
+}
+
+// Verdict is what is known of a roll-out over all routers.
+type Verdict struct {
+	Plan rollout.Plan
+	// Bad is why the release must be taken back, "" while it is not known bad.
+	Bad string
+	// Answers are the release's so far.
+	Answers int64
+	// StableInFlight are the requests that still run on the release in use.
+	StableInFlight int64
+}
+
+// Verdict judges a roll-out that is under way.
+func (ro *Router) Verdict(now time.Time, rec policy.Rollout) Verdict {
+	heard := ro.releases.heard(rec)
+	inFlight := ro.releases.stableInFlight(rec)
+	ro.releases.mu.Lock()
+	defer ro.releases.mu.Unlock()
+	tr := ro.releases.get(now, rec)
+	ve := Verdict{
+		Plan: tr.plan(rec), Bad: tr.bad,
+		Answers: heard.target.Answers + tr.guard.Answers, StableInFlight: heard.stableInFlight + inFlight,
+	}
+	if ve.Bad == "" {
+		ve.Bad = heard.bad
+	}
+	return ve
+}
--- /dev/null
+++ b/relay/run.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"tanagerpoint.example/tanager/cascade"
+	"tanagerpoint.example/tanager/endpoint"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/metric"
+)
+
+// run sends a request until there is an answer to pass on, and passes it on.
+// The refusal is the final answer when there is none.
+func (ro *Router) run(ctx context.Context, wr http.ResponseWriter, ca *call) *Refusal {
+	var last *failure
+	for {
+		an, fa := ro.attempt(ctx, ca, ca.request.After)
+		if fa == nil && ro.larger(ca, an) {
+			an.drop()
+			ca.model = len(ca.models()) - 1
+			continue
+		}
+		if fa == nil {
+			ro.deliver(ctx, wr, ca, an)
+			return nil
+		}
+		if fa.answer != nil || last == nil || last.answer == nil {
+			last = fa
+		}
+		if fa.nowhere || !ro.mayRepeat(ctx, ca, fa) {
+			return ro.final(ctx, wr, ca, last)
+		}
+	}
+}
+
+// larger tells whether an answer that has begun is dropped for one of a larger
+// model.
+func (ro *Router) larger(ca *call, an *answer) bool {
+	models := ca.models()
+	if ca.model == len(models)-1 || !an.head.Rated || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
+		return false
+	}
+	step := cascade.Step{Confidence: an.head.Confidence}
+	return step.Escalate() && ro.budgets.take(ca.service.ID, escalationReserve)
+}
+
+// mayRepeat decides whether a request whose attempt failed is sent again.
+func (ro *Router) mayRepeat(ctx context.Context, ca *call, fa *failure) bool {
+	if ctx.Err() != nil || ca.sends >= ca.route.MaxAttempts || fa.callerMistake {
+		return false
+	}
+	if !ca.route.Repeatable() && !fa.notRun {
+		return false
+	}
+	if !ro.budgets.take(ca.service.ID, 0) {
+		ro.log.Debug(event.RetryBudgetSpent, nil, event.Fields{"request": ca.request.ID})
+		return false
+	}
+	ro.metrics.Retries.Add(ctx, 1)
+	return true
+}
+
+// final gives the last answer to a request that found no good one.
+func (ro *Router) final(ctx context.Context, wr http.ResponseWriter, ca *call, last *failure) *Refusal {
+	now := time.Now()
+	ro.log.Debug(event.RequestFailed, last.err, event.Fields{
+		"request": ca.request.ID, "route": ca.route.ID, "sends": ca.sends, "may_have_run": ca.mayHaveRun,
+		"after_ms": now.Sub(ca.request.Arrived).Milliseconds(),
+	})
+	switch {
+	case last.answer != nil:
+		ro.passFailure(wr, last.answer)
+		return nil
+	case !ca.mayHaveRun && last.nowhere:
+		return notRun(ReasonBusy, now.Add(ro.fleet.returnAfter(ca)))
+	case !ca.mayHaveRun:
+		return notRun(ReasonUnreachable, now.Add(soon))
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return &Refusal{Status: http.StatusGatewayTimeout, Reason: ReasonTimeout}
+	default:
+		return &Refusal{Status: http.StatusBadGateway, Reason: ReasonBroken}
+	}
+}
+
+// passFailure gives the caller an endpoint's own failure. Statuses that promise
+// that a request was not run are the router's alone to give.
+func (ro *Router) passFailure(wr http.ResponseWriter, an *answer) {
+	status := an.status
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		status = http.StatusBadGateway
+		ro.opt.Dialect.Unsigned(an.header)
+	}
+	an.writeWhole(wr, status)
+}
+
+// deliver passes an answer on.
+func (ro *Router) deliver(ctx context.Context, wr http.ResponseWriter, ca *call, an *answer) {
+	took := time.Since(ca.request.Arrived)
+	ro.metrics.FirstToken.Record(ctx, took.Seconds())
+	outcome := "answered"
+	if an.stream == nil {
+		an.writeWhole(wr, an.status)
+	} else if !ro.passStream(ctx, wr, ca, an) {
+		outcome = "cut"
+	}
+	ro.metrics.Requests.Add(ctx, 1, metric.With(metric.KeyOutcome, outcome))
+	ro.metrics.Latency.Record(ctx, time.Since(ca.request.Arrived).Seconds())
+	if outcome == "cut" {
+		// The caller must not take what it has for a whole answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// failure is an attempt without an answer to pass on.
+type failure struct {
+	err error
+	// notRun tells that the attempt did not run the request.
+	notRun bool
+	// nowhere tells that there was no endpoint to send to.
+	nowhere bool
+	// callerMistake tells that every endpoint would answer so.
+	callerMistake bool
+	// answer is the endpoint's own failure.
+	answer *answer
+}
+
+func failureOf(err error) *failure {
+	var fa *endpoint.Failure
+	if errors.As(err, &fa) {
+		return &failure{err: err, notRun: !fa.Sent}
+	}
+	return &failure{err: err}
+}
--- a/steward/ratings.go
+++ b/steward/ratings.go
@@ -47,7 +47,7 @@
 	return &ratingsTask{daemon: da, choosers: map[string]*cascade.Chooser{}}
 }
 
-func (rt *ratingsTask) key() store.Key { return rt.daemon.keys.Prefix + "ratings" }
+func (rt *ratingsTask) key() store.Key { return rt.daemon.keys.Root + "ratings" }
 
 // look implements task.
 func (rt *ratingsTask) look(ctx context.Context, ho lease.Hold) bool {
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -5,13 +5,11 @@
 package steward
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"tanagerpoint.example/tanager/admin"
@@ -68,13 +66,13 @@
 	}
 	da := &Daemon{set: ss, net: ne, log: lo, metrics: me, group: worker.NewGroup()}
 	da.store = store.NewClient(store.OptionsOf(ss.GetStore(), ne.Dial))
-	da.keys = configuration.Keys{Prefix: store.Key(ss.GetStore().GetPrefix())}
+	da.keys = configuration.Keys{Root: store.Key(ss.GetStore().GetPrefix())}
 	da.holder = configuration.NewHolder(lo)
 	da.watcher = configuration.NewWatcher(da.keys, da.store, da.holder, lo)
 	da.writer = configuration.NewWriter(da.keys, da.store)
 	da.vms = vm.NewList(ss.GetPlatform().GetVmListUrl(), ne, lo)
 	da.peers = peer.NewGroup(da.peerOptions(), da.holder, ne, lo)
-	da.leases = lease.NewManager(da.keys.Prefix, da.store, string(da.peers.Incarnation()), ss.GetSteward().GetLease().AsDuration(), lo)
+	da.leases = lease.NewManager(da.keys.Root, da.store, string(da.peers.Incarnation()), ss.GetSteward().GetLease().AsDuration(), lo)
 	da.client = endpoint.NewClient(ne, orderTimeout)
 	if ur := ss.GetPlatform().GetRatingUrl(); ur != "" {
 		da.ratings = rating.NewService(ur, ne)
@@ -161,23 +159,9 @@
 	}
 }
 
-// preferred tells whether this steward is among the first to try for a task,
-// by highest random weight among the live ones.
+// preferred tells whether this steward is among the first to try for a task.
 func (da *Daemon) preferred(ta lease.Task) bool {
-	type ranked struct {
-		vm     vm.ID
-		weight uint64
-	}
-	weigh := func(id vm.ID) ranked { return ranked{id, xxhash.Sum64String(string(id) + "\x00" + string(ta))} }
-	all := []ranked{weigh(da.peers.VM())}
-	for _, mb := range da.peers.Members() {
-		if mb.Role == peer.RoleSteward && mb.VM != da.peers.VM() {
-			all = append(all, weigh(mb.VM))
-		}
-	}
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
-	first := all[:min(candidates, len(all))]
-	return slices.ContainsFunc(first, func(ra ranked) bool { return ra.vm == da.peers.VM() })
+	return da.peers.Preferred(string(ta), candidates)
 }
 
 // failureDomains lists the failure domains that have endpoints.
--- a/testsite/caller.go
+++ b/testsite/caller.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"tanagerpoint.example/tanager/bill"
+	"tanagerpoint.example/tanager/directory"
 	"tanagerpoint.example/tanager/entry"
 )
 
@@ -150,7 +151,7 @@
 // Addresses asks an entry which entries to use.
 func (si *Site) Addresses(n int) []string {
 	an := si.Get(Call{Entry: n}, "/v1/entries")
-	var ads entry.Addresses
+	var ads directory.Addresses
 	if an.Err != nil || json.Unmarshal([]byte(an.Body), &ads) != nil {
 		return nil
 	}
--- a/testsite/site.go
+++ b/testsite/site.go
@@ -320,7 +320,7 @@
 // Writer gives an operator's writer of records, and its store client.
 func (si *Site) Writer(ho Host) (*configuration.Writer, *store.Client) {
 	cl := si.Client(ho)
-	return configuration.NewWriter(configuration.Keys{Prefix: "tanager/"}, cl), cl
+	return configuration.NewWriter(configuration.Keys{Root: "tanager/"}, cl), cl
 }
 
 // Apply writes records as an operator, and gives the revision.
