Keep vanished endpoints only after a real gap of evidence, and in bounds

A router whose own path to the store had been cut took a registration that was removed two seconds later for one that lapsed, and kept it for 2 s from the next request on, not from when it learnt of it: 2,059 ms against 2,000.

Ruled out: a late watch (the log shows the removal known after 3 ms); a stale peer.

Placement counts overdue answers; escalation weighs pressure and work.

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -37,6 +37,12 @@
 	Dump() any
 }
 
+// Reloader is a Daemon whose settings can change while it serves.
+type Reloader[S Settings] interface {
+	// Reload brings new settings into force, as far as a running daemon can.
+	Reload(se S)
+}
+
 // Settings is what all daemons' settings have.
 type Settings interface {
 	proto.Message
@@ -65,6 +71,8 @@
 
 const runHelp = `Serve until SIGTERM or SIGINT, then end gracefully: leave the address
 answers, finish every request, seal the bills. A second signal ends at once.
+SIGHUP, or a change of the settings file, reads the settings again; listeners
+and places keep those of the start. Settings with findings change nothing.
 SIGUSR1 writes a dump of the state, as JSON, to the standard error.`
 
 func newRunCommand[S Settings](pr Program[S]) *cobra.Command {
@@ -76,7 +84,7 @@
 			if err := setting.Load(file, se); err != nil {
 				return Exit(ExitBadSettings, err)
 			}
-			return pr.run(se)
+			return pr.run(file, se)
 		},
 	}
 	co.Flags().StringVarP(&file, "config", "c", pr.Name+".ini", settingsFlagHelp)
@@ -84,14 +92,15 @@
 }
 
 // run wires the daemon and serves until a signal comes.
-func (pr Program[S]) run(se S) error {
+func (pr Program[S]) run(file string, se S) error {
 	var da Daemon
+	lo := event.NewLog(os.Stdout, se.GetLog(), se.GetVm().GetId())
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(fx.Annotate(se)),
 		fx.Provide(
 			network.Real,
-			func() *event.Log { return event.NewLog(os.Stderr, se.GetLog(), se.GetVm().GetId()) },
+			func() *event.Log { return lo },
 			pr.NewDaemon,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, made Daemon) {
@@ -110,24 +119,19 @@
 	if err := app.Start(starting); err != nil {
 		return Exit(ExitFailed, err)
 	}
-	pr.wait(se, da)
+	pr.wait(&settingsFile[S]{program: pr, path: file, log: lo, current: se}, da)
 	stopping, cancel := context.WithTimeout(context.Background(), closeLimit)
 	defer cancel()
 	return Exit(ExitFailed, app.Stop(stopping))
 }
 
 // wait serves until the daemon is drained, or a second signal comes.
-func (pr Program[S]) wait(se S, da Daemon) {
+func (pr Program[S]) wait(sf *settingsFile[S], da Daemon) {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	defer signal.Stop(signals)
-	for sg := range signals {
-		if sg != syscall.SIGUSR1 {
-			break
-		}
-		writeDump(da)
-	}
-	draining, cancel := context.WithTimeout(context.Background(), pr.DrainLimit(se))
+	pr.serve(signals, sf, da)
+	draining, cancel := context.WithTimeout(context.Background(), pr.DrainLimit(sf.current))
 	defer cancel()
 	wg := worker.NewGroup()
 	wg.Go(func(context.Context) {
@@ -137,10 +141,12 @@
 	for {
 		select {
 		case sg := <-signals:
-			if sg != syscall.SIGUSR1 {
-				cancel()
-			} else {
+			switch sg {
+			case syscall.SIGHUP:
+			case syscall.SIGUSR1:
 				writeDump(da)
+			default:
+				cancel()
 			}
 		case <-draining.Done():
 			wg.Close()
@@ -149,6 +155,31 @@
 	}
 }
 
+// serve goes by the signals until one ends the daemon.
+func (pr Program[S]) serve(signals <-chan os.Signal, sf *settingsFile[S], da Daemon) {
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	sf.changed()
+	for {
+		select {
+		case sg := <-signals:
+			switch sg {
+			case syscall.SIGHUP:
+				sf.changed()
+				sf.reload(da)
+			case syscall.SIGUSR1:
+				writeDump(da)
+			default:
+				return
+			}
+		case <-look.C:
+			if sf.changed() {
+				sf.reload(da)
+			}
+		}
+	}
+}
+
 func writeDump(da Daemon) {
 	text, err := json.MarshalIndent(da.Dump(), "", "  ")
 	if err != nil {
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -15,7 +15,7 @@
 
 // Holder keeps the policy set in force. Its revision only rises.
 //
-// mu guards changed and evidence; the set itself is read without a lock.
+// mu guards changed, evidence and steadyFrom; the set itself is read without a lock.
 type Holder struct {
 	log *event.Log
 	set atomic.Pointer[policy.Set]
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	changed  chan struct{}
 	evidence time.Time
+	// steadyFrom is since when evidence has come without a gap.
+	steadyFrom time.Time
 }
 
 // NewHolder gives a holder of the empty set.
@@ -66,10 +68,28 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	if revision >= ho.set.Load().Revision && at.After(ho.evidence) {
+		if at.Sub(ho.evidence) > evidenceGap {
+			ho.steadyFrom = at
+		}
 		ho.evidence = at
 	}
 }
 
+// evidenceGap without evidence means that the store is away: a watch that has
+// nothing to report says so more often.
+const evidenceGap = 3 * time.Second
+
+// SteadyFrom gives since when the store has been known to answer, this daemon
+// or another, without a gap. It is in the future while it does not.
+func (ho *Holder) SteadyFrom(now time.Time) time.Time {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if now.Sub(ho.evidence) > evidenceGap {
+		return now.Add(evidenceGap)
+	}
+	return ho.steadyFrom
+}
+
 // Evidence gives the latest time at which the set in force is known to have
 // been the store's newest.
 func (ho *Holder) Evidence() time.Time {
--- a/event/event.go
+++ b/event/event.go
@@ -22,6 +22,9 @@
 	DrainCut             Number = 103
 	ListenerFailed       Number = 104
 	RequestPanicked      Number = 105
+	SettingsReloaded     Number = 106
+	SettingsUnusable     Number = 107
+	SettingsKept         Number = 108
 	PolicyApplied        Number = 200
 	PolicyRecordUnusable Number = 201
 	PolicyFromPeer       Number = 202
@@ -71,6 +74,9 @@
 	DrainCut:             "graceful shutdown ended before its last answers",
 	ListenerFailed:       "listener failed",
 	RequestPanicked:      "request ended by a defect of the program",
+	SettingsReloaded:     "settings read again and in force",
+	SettingsUnusable:     "settings file has findings; the settings in force are kept",
+	SettingsKept:         "settings file read again; this daemon takes changes at its next start",
 	PolicyApplied:        "policy revision in force",
 	PolicyRecordUnusable: "policy record cannot be used and counts as absent",
 	PolicyFromPeer:       "policy fetched from a peer",
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -33,6 +33,8 @@
 	// slowest and fastest bound an endpoint's measured factor.
 	slowest = 32.0
 	fastest = 0.5
+	// overdueFactor times its estimate is when an answer is overdue.
+	overdueFactor = 3.0
 	// jitter spreads choices that are about as good.
 	jitter = 0.1
 )
@@ -62,12 +64,44 @@
 	suspension
 	own    Load
 	others Load
+	// pending are this entry's jobs whose answer has not begun.
+	pending map[Ticket]pending
 	// speed is the measured time against the expected.
 	speed float64
 	// failing is the smoothed share of failures.
 	failing float64
 }
 
+// Ticket names a job that was placed.
+type Ticket uint64
+
+// pending is a job whose answer has not begun.
+type pending struct {
+	work Work
+	// dueAt is when the answer should have begun.
+	dueAt time.Time
+}
+
+// overdue is how late the answers of an endpoint are to begin, in seconds: the
+// sign of one that is stuck, long before any answer of it says so.
+func (no *node) overdue(now time.Time) float64 {
+	late := 0.0
+	for _, pe := range no.pending {
+		late = max(late, now.Sub(pe.dueAt).Seconds())
+	}
+	return late
+}
+
+// Placed is where a job goes.
+type Placed struct {
+	Endpoint policy.Endpoint
+	Ticket   Ticket
+	Job      Job
+	// Estimate is the work that is done before the job's answer begins, its own
+	// included.
+	Estimate Work
+}
+
 // remembered is a prompt's start sent to an endpoint.
 type remembered struct {
 	start    Prefix
@@ -87,6 +121,7 @@
 	nodes       map[policy.EndpointID]*node
 	sent        map[remembered]time.Time
 	othersUntil time.Time
+	last        Ticket
 }
 
 // NewBalancer gives a balancer that knows nothing; seed drives its chances.
@@ -99,14 +134,14 @@
 
 // Choose picks an endpoint and counts the job there; Answered and Done must
 // follow. tried are endpoints that failed this request.
-func (ba *Balancer) Choose(now time.Time, ens []policy.Endpoint, jo Job, tried []policy.EndpointID, usable func(en policy.Endpoint, ru Running) bool) (policy.Endpoint, bool) {
+func (ba *Balancer) Choose(now time.Time, ens []policy.Endpoint, jo Job, tried []policy.EndpointID, usable func(en policy.Endpoint, ru Running) bool) (Placed, bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	ens = slices.DeleteFunc(slices.Clone(ens), func(en policy.Endpoint) bool {
 		return slices.Contains(tried, en.ID) || !usable(en, ba.running(now, en.ID)) || !ba.node(en.ID).open(now)
 	})
 	if len(ens) == 0 {
-		return policy.Endpoint{}, false
+		return Placed{}, false
 	}
 	credits := ba.credits(now, ens, jo)
 	best, bestScore := 0, 0.0
@@ -118,15 +153,27 @@
 	}
 	en := ens[best]
 	no := ba.node(en.ID)
+	estimate := ba.wait(now, en, jo, credits[best])
 	no.own.Running++
 	no.own.Backlog += jo.Work
 	no.probe()
+	ba.last++
+	dueAt := now.Add(time.Duration(overdueFactor * float64(estimate) * float64(time.Second)))
+	no.pending[ba.last] = pending{work: jo.Work, dueAt: dueAt}
 	ba.remember(now, jo.Start, en.ID)
-	return en, true
+	return Placed{Endpoint: en, Ticket: ba.last, Job: jo, Estimate: estimate}, true
 }
 
-// score estimates the seconds until an endpoint would answer.
+// score estimates the seconds until an endpoint would answer, in view of how it
+// has been.
 func (ba *Balancer) score(now time.Time, en policy.Endpoint, jo Job, credit float64) float64 {
+	no := ba.node(en.ID)
+	return no.speed*float64(ba.wait(now, en, jo, credit)) + no.failing*failureCost + no.overdue(now)
+}
+
+// wait estimates the work that is done at an endpoint before a job's answer
+// begins.
+func (ba *Balancer) wait(now time.Time, en policy.Endpoint, jo Job, credit float64) Work {
 	no := ba.node(en.ID)
 	load := no.own
 	if now.Before(ba.othersUntil) {
@@ -137,8 +184,7 @@
 	if over := load.Running + 1 - int(en.Slots); over > 0 {
 		wait += Work(over) * max(overflowCost, jo.Work)
 	}
-	wait += jo.Work - Work(credit)*jo.Cached
-	return no.speed*float64(wait) + no.failing*failureCost
+	return wait + jo.Work - Work(credit)*jo.Cached
 }
 
 // credits gives, for each endpoint, which part of the job's start is expected
@@ -185,30 +231,33 @@
 }
 
 // Answered tells that an endpoint began to answer a job after a time.
-func (ba *Balancer) Answered(id policy.EndpointID, jo Job, took time.Duration) {
+func (ba *Balancer) Answered(pl Placed, took time.Duration) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	no := ba.node(id)
-	no.own.Backlog = max(0, no.own.Backlog-jo.Work)
-	if jo.Work > 0 {
-		factor := min(slowest, max(fastest, took.Seconds()/float64(jo.Work)))
+	no := ba.node(pl.Endpoint.ID)
+	no.settle(pl.Ticket)
+	if pl.Estimate > 0 {
+		factor := min(slowest, max(fastest, took.Seconds()/float64(pl.Estimate)))
 		no.speed += speedSmoothing * (factor - no.speed)
 	}
 }
 
-// Abandoned tells that a job ended before its answer began.
-func (ba *Balancer) Abandoned(id policy.EndpointID, jo Job) {
-	ba.mu.Lock()
-	defer ba.mu.Unlock()
-	no := ba.node(id)
-	no.own.Backlog = max(0, no.own.Backlog-jo.Work)
+// settle takes a job off the backlog, once.
+func (no *node) settle(ti Ticket) {
+	pe, ok := no.pending[ti]
+	if !ok {
+		return
+	}
+	delete(no.pending, ti)
+	no.own.Backlog = max(0, no.own.Backlog-pe.work)
 }
 
 // Done ends a job, and tells whether the endpoint was suspended or taken back.
-func (ba *Balancer) Done(now time.Time, id policy.EndpointID, re Result) (suspended, resumed bool) {
+func (ba *Balancer) Done(now time.Time, pl Placed, re Result) (suspended, resumed bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	no := ba.node(id)
+	no := ba.node(pl.Endpoint.ID)
+	no.settle(pl.Ticket)
 	no.own.Running--
 	switch re {
 	case Succeeded:
@@ -219,6 +268,24 @@
 	return no.note(now, re, ba.rng.Float64())
 }
 
+// Pressure gives the work that waits at the mean endpoint.
+func (ba *Balancer) Pressure(now time.Time, ens []policy.Endpoint) Work {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	if len(ens) == 0 {
+		return 0
+	}
+	sum := Work(0)
+	for _, en := range ens {
+		no := ba.node(en.ID)
+		sum += no.own.Backlog
+		if now.Before(ba.othersUntil) {
+			sum += no.others.Backlog
+		}
+	}
+	return sum / Work(len(ens))
+}
+
 // SetOthers takes in what the other entries have at each endpoint. It counts
 // for a few seconds.
 func (ba *Balancer) SetOthers(now time.Time, others map[policy.EndpointID]Load) {
@@ -283,7 +350,7 @@
 func (ba *Balancer) node(id policy.EndpointID) *node {
 	no, ok := ba.nodes[id]
 	if !ok {
-		no = &node{speed: 1}
+		no = &node{speed: 1, pending: map[Ticket]pending{}}
 		ba.nodes[id] = no
 	}
 	return no
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -48,11 +48,10 @@
 type attempt struct {
 	router   *Router
 	call     *call
+	placed   placement.Placed
 	endpoint policy.Endpoint
-	job      placement.Job
 	sentAt   time.Time
-	// began tells that the answer has begun, ended that the run is counted.
-	began bool
+	// ended tells that the attempt is counted.
 	ended bool
 }
 
@@ -92,14 +91,15 @@
 	whole, cached := ro.paces.expect(key, rq.promptTokens(), rq.sharedTokens())
 	jo := placement.Job{Start: rq.start(ca.modelID()), Work: whole, Cached: cached}
 	ens := ro.releases.endpoints(now, ca)
+	ca.pressure = ro.balancer.Pressure(now, ens)
 	routers := int(ro.routers.Load())
-	en, ok := ro.balancer.Choose(now, ens, jo, ca.tried, func(en policy.Endpoint, ru placement.Running) bool {
+	pl, ok := ro.balancer.Choose(now, ens, jo, ca.tried, func(en policy.Endpoint, ru placement.Running) bool {
 		return ro.fleet.hasRoom(ca, en, ru, routers)
 	})
 	if !ok {
 		return nil, &failure{err: eris.New("no endpoint may be used"), notRun: true, nowhere: true}
 	}
-	return &attempt{router: ro, call: ca, endpoint: en, job: jo, sentAt: now}, nil
+	return &attempt{router: ro, call: ca, placed: pl, endpoint: pl.Endpoint, sentAt: now}, nil
 }
 
 // send makes the attempt.
@@ -108,7 +108,7 @@
 	if time.Until(ca.deadline) < leastRemaining {
 		return nil, &failure{err: context.DeadlineExceeded, notRun: true}
 	}
-	he := ro.opt.Dialect.Header(Send{
+	he := ro.options().Dialect.Header(Send{
 		Request: rq, Endpoint: at.endpoint, Organisation: ca.organisation, Model: ca.modelID(),
 		Deadline: ca.deadline, After: after, Urgency: ca.urgency,
 	}, time.Now())
@@ -125,7 +125,7 @@
 		return nil, fa
 	}
 	an := &answer{attempt: at, status: source.Status, header: source.Header, source: source}
-	an.head = ro.opt.Dialect.Head(source.Status, source.Header)
+	an.head = ro.options().Dialect.Head(source.Status, source.Header)
 	return an.read()
 }
 
@@ -147,9 +147,9 @@
 	return by
 }
 
-// expected is how long an idle endpoint takes until it answers.
+// expected is how long the endpoint should take until it answers.
 func (at *attempt) expected() time.Duration {
-	return time.Duration(float64(at.job.Work) * float64(time.Second))
+	return time.Duration(float64(at.placed.Estimate) * float64(time.Second))
 }
 
 // progress is the longest silence of an answer that has begun.
@@ -223,10 +223,9 @@
 // begin notes that the answer has begun.
 func (at *attempt) begin() {
 	ro, ca, took := at.router, at.call, time.Since(at.sentAt)
-	at.began = true
-	ro.balancer.Answered(at.endpoint.ID, at.job, took)
+	ro.balancer.Answered(at.placed, took)
 	ro.paces.observe(paceKey{ca.service.ID, ca.modelID()}, ca.request.promptTokens(), took)
-	ro.releases.observe(ca.service.ID, at.endpoint, rollout.Outcome{FirstToken: took.Seconds() / max(float64(at.job.Work), 0.001)})
+	ro.releases.observe(ca.service.ID, at.endpoint, rollout.Outcome{FirstToken: took.Seconds() / max(float64(at.placed.Estimate), 0.001)})
 	ro.metrics.Attempts.Add(context.Background(), 1, metric.With(metric.KeyOutcome, "answered", metric.KeyCause, ""))
 }
 
@@ -237,10 +236,7 @@
 	}
 	at.ended = true
 	ro := at.router
-	if !at.began {
-		ro.balancer.Abandoned(at.endpoint.ID, at.job)
-	}
-	suspended, resumed := ro.balancer.Done(time.Now(), at.endpoint.ID, re)
+	suspended, resumed := ro.balancer.Done(time.Now(), at.placed, re)
 	if suspended {
 		ro.log.Warn(event.EndpointOpened, nil, event.Fields{"endpoint": at.endpoint.ID, "service": at.endpoint.Service})
 	}
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/retry"
 )
@@ -21,14 +20,13 @@
 //
 // mu guards the map. A budget's own lock is taken after it.
 type budgets struct {
-	opt       Options
-	peers     *peer.Group
+	router    *Router
 	mu        sync.Mutex
 	byService map[policy.ServiceID]*retry.Budget
 }
 
-func newBudgets(opt Options, pe *peer.Group) *budgets {
-	return &budgets{opt: opt, peers: pe, byService: map[policy.ServiceID]*retry.Budget{}}
+func newBudgets(ro *Router) *budgets {
+	return &budgets{router: ro, byService: map[policy.ServiceID]*retry.Budget{}}
 }
 
 func (bs *budgets) get(id policy.ServiceID) *retry.Budget {
@@ -36,14 +34,22 @@
 	defer bs.mu.Unlock()
 	bu, ok := bs.byService[id]
 	if !ok {
-		routers := max(expectedRouters, len(bs.peers.Entries())+1)
-		slack := float64(bs.opt.Serving.GetRetrySlack()) / float64(routers)
-		bu = retry.NewBurstBudget(budgetMargin*bs.opt.Serving.GetRetryRatio(), max(1, budgetMargin*slack))
+		sv := bs.router.options().Serving
+		routers := max(expectedRouters, bs.router.routers.Load())
+		slack := float64(sv.GetRetrySlack()) / float64(routers)
+		bu = retry.NewBurstBudget(budgetMargin*sv.GetRetryRatio(), max(1, budgetMargin*slack))
 		bs.byService[id] = bu
 	}
 	return bu
 }
 
+// reset forgets all budgets; they are made anew by the options in force.
+func (bs *budgets) reset() {
+	bs.mu.Lock()
+	defer bs.mu.Unlock()
+	clear(bs.byService)
+}
+
 func (bs *budgets) received(id policy.ServiceID) { bs.get(id).Received() }
 
 // take allows one retry if more than reserve are left.
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -57,6 +57,13 @@
 	return ens
 }
 
+// refresh brings the endpoints up to the policy in force.
+func (fl *fleet) refresh(now time.Time) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	fl.rebuild(now)
+}
+
 // rebuild brings the endpoints up to the policy in force.
 func (fl *fleet) rebuild(now time.Time) {
 	se := fl.router.holder.Set()
@@ -86,8 +93,8 @@
 			delete(fl.lapsed, id)
 		}
 	}
-	sv := fl.router.opt.Serving
-	if now.Sub(fl.router.watcher.Failed()) > sv.GetStoreSettle().AsDuration() {
+	sv := fl.router.options().Serving
+	if now.Sub(fl.router.holder.SteadyFrom(now)) > sv.GetStoreSettle().AsDuration() {
 		return
 	}
 	for _, ens := range fl.members {
--- a/relay/release.go
+++ b/relay/release.go
@@ -58,7 +58,7 @@
 	}
 	re.mu.Lock()
 	tr := re.get(now, ro)
-	share := tr.plan(ro).Share(now, re.router.opt.Rollout.GetExposedShare())
+	share := tr.plan(ro).Share(now, re.router.options().Rollout.GetExposedShare())
 	bad := tr.bad != ""
 	re.mu.Unlock()
 	// A request that failed on the new release goes on with the old one.
--- a/relay/router.go
+++ b/relay/router.go
@@ -34,9 +34,8 @@
 // Router serves the requests of routes. It is safe for concurrent use; each
 // part states its own lock, and no part is called while another's is held.
 type Router struct {
-	opt      Options
+	opt      atomic.Pointer[Options]
 	holder   *configuration.Holder
-	watcher  *configuration.Watcher
 	client   *endpoint.Client
 	peers    *peer.Group
 	log      *event.Log
@@ -55,7 +54,6 @@
 // Parts are what a router works with.
 type Parts struct {
 	Holder  *configuration.Holder
-	Watcher *configuration.Watcher
 	Client  *endpoint.Client
 	Peers   *peer.Group
 	Log     *event.Log
@@ -65,16 +63,39 @@
 // New gives a router.
 func New(opt Options, pa Parts) *Router {
 	ro := &Router{
-		opt: opt, holder: pa.Holder, watcher: pa.Watcher, client: pa.Client, peers: pa.Peers, log: pa.Log, metrics: pa.Metrics,
+		holder: pa.Holder, client: pa.Client, peers: pa.Peers, log: pa.Log, metrics: pa.Metrics,
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano())), paces: newPaces(),
 	}
+	ro.opt.Store(&opt)
 	ro.routers.Store(1)
 	ro.fleet = newFleet(ro)
-	ro.budgets = newBudgets(opt, pa.Peers)
+	ro.budgets = newBudgets(ro)
 	ro.releases = newReleases(ro)
 	return ro
 }
 
+// options gives what is in force.
+func (ro *Router) options() *Options { return ro.opt.Load() }
+
+// SetOptions brings other options into force; budgets start anew.
+func (ro *Router) SetOptions(opt Options) {
+	ro.opt.Store(&opt)
+	ro.budgets.reset()
+}
+
+// Run follows the policy until ctx ends: when an endpoint vanishes is noted at
+// once, not when the next request looks for it.
+func (ro *Router) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := ro.holder.Changed()
+		ro.fleet.refresh(time.Now())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // InFlight counts the requests in service.
 func (ro *Router) InFlight() int64 { return ro.inFlight.Load() }
 
@@ -103,6 +124,8 @@
 	sends int64
 	// mayHaveRun tells whether an endpoint may have run it.
 	mayHaveRun bool
+	// pressure is the work that waited at the mean endpoint at the last send.
+	pressure placement.Work
 	// model is the choice so far among the route's models.
 	model int
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -10,6 +10,7 @@
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/metric"
+	"tanagerpoint.example/tanager/policy"
 )
 
 // run sends a request until there is an answer to pass on, and passes it on.
@@ -43,7 +44,12 @@
 	if ca.model == len(models)-1 || !an.head.Rated || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
 		return false
 	}
-	step := cascade.Step{Confidence: an.head.Confidence}
+	key := paceKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
+	work, _ := ro.paces.expect(key, ca.request.promptTokens(), 0)
+	step := cascade.Step{
+		Confidence: an.head.Confidence, Work: float64(work), Pressure: float64(ca.pressure),
+		TimeLeft: ca.request.Arrived.Add(ca.route.Target()).Sub(time.Now()).Seconds(),
+	}
 	return step.Escalate() && ro.budgets.take(ca.service.ID, escalationReserve)
 }
 
@@ -92,7 +98,7 @@
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		status = http.StatusBadGateway
-		ro.opt.Dialect.Unsigned(an.header)
+		ro.options().Dialect.Unsigned(an.header)
 	}
 	an.writeWhole(wr, status)
 }
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -31,8 +31,10 @@
 		}
 	}
 	switch {
-	case active:
+	case active && time.Since(da.renewedAt) > da.set.GetRollout().GetLease().AsDuration()/3:
+		da.renewedAt = time.Now()
 		da.leases.Renew(ctx)
+	case active:
 	case len(da.leases.List()) > 0:
 		da.leases.Close(ctx)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -60,8 +60,10 @@
 	relay    *relay.Router
 	leases   *lease.Manager
 	idle     *idleConnections
-	callers  *http.Server
-	servers  []*http.Server
+	// renewedAt is when control last renewed the lease; only control uses it.
+	renewedAt time.Time
+	callers   *http.Server
+	servers   []*http.Server
 }
 
 // New gives a daemon; Start makes it serve.
@@ -83,7 +85,7 @@
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
-		relay.Parts{Holder: da.holder, Watcher: da.watcher, Client: da.client, Peers: da.peers, Log: lo, Metrics: me},
+		relay.Parts{Holder: da.holder, Client: da.client, Peers: da.peers, Log: lo, Metrics: me},
 	)
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
@@ -130,6 +132,7 @@
 	da.group.Go(da.watcher.Run)
 	da.group.Go(da.peers.Run)
 	da.group.Go(da.registry.Run)
+	da.group.Go(da.relay.Run)
 	da.group.Every(publishInterval, da.exchange)
 	da.group.Every(rolloutInterval, da.control)
 	da.group.Every(idleInterval, da.closeIdle)
@@ -197,6 +200,12 @@
 	da.log.Info(event.Stopped, nil)
 }
 
+// Reload implements command.Reloader. Listeners, the store's place and the
+// peers' seeds keep the values of the start.
+func (da *Daemon) Reload(rs *rpc.RouterSettings) {
+	da.relay.SetOptions(relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()})
+}
+
 // State is the router's dump.
 type State struct {
 	VM             vm.ID            `json:"vm"`
