Take a roll-out's actions from any router, and end a trial by answers

The two routers that were first to try for the roll-out's task were the ones that the store turned away; one waited in the resolution of a lost answer for ever, and no other tried, so a release known to be bad after 1.3 s was never rolled back. After all VMs had lost power the new processes knew nothing of it, took the passed time for proof and completed the roll-out.

Ruled out: late word between routers (all stopped the release within 0.6 s).

Change: rollout.Progress.Next decides the action that is due, as a plain value; every router tries when the first ones have not acted for half a lease; the task's lease is held for one action, with a time limit; a trial ends, and a roll-out completes, only when enough answers were seen, and one that nobody proved by its deadline is rolled back.

Conclusion: control work no longer hangs on two routers.

--- a/cascade/step.go
+++ b/cascade/step.go
@@ -3,16 +3,16 @@
 const (
 	// escalateBelow is the confidence, from 0 to 100, below which an answer is
 	// given up at an idle fleet.
-	escalateBelow = 60
+	escalateBelow = 75
 	// leastConfidence is always low enough, while there is time.
 	leastConfidence = 12
 	// workWeight is the confidence that a second of work is worth, and
 	// pressureWeight that of a second that waits at every endpoint, for each
 	// second of work.
-	workWeight     = 40
-	pressureWeight = 150
+	workWeight     = 10
+	pressureWeight = 300
 	// waitWeight is the confidence that using up the whole time left is worth.
-	waitWeight = 40
+	waitWeight = 20
 )
 
 // Step decides what becomes of an answer that a small model has begun, before
--- a/event/event.go
+++ b/event/event.go
@@ -50,6 +50,9 @@
 	RequestFailed        Number = 408
 	StreamCut            Number = 409
 	EndpointLapsed       Number = 410
+	RequestSent          Number = 411
+	RequestAnswered      Number = 412
+	ModelRaised          Number = 413
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -102,6 +105,9 @@
 	RequestFailed:        "request found no good answer",
 	StreamCut:            "stream could not be completed and was cut off",
 	EndpointLapsed:       "endpoint vanished while the store was unsteady; kept for the grace",
+	RequestSent:          "request sent to an endpoint",
+	RequestAnswered:      "request answered",
+	ModelRaised:          "answer of a small model given up for one of the largest",
 	ClaimUnresolved:      "claim's answer was lost and is not yet resolved",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -113,6 +113,11 @@
 		Deadline: ca.deadline, After: after, Urgency: ca.urgency,
 	}, time.Now())
 	ca.sends++
+	ro.log.Debug(event.RequestSent, nil, event.Fields{
+		"request": rq.ID, "route": ca.route.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release, "model": ca.modelID(),
+		"send": ca.sends, "estimate_ms": at.expected().Milliseconds(), "pressure_ms": int64(float64(ca.pressure) * 1000),
+		"policy": ro.holder.Set().Revision,
+	})
 	source, err := ro.client.Carry(ctx, endpoint.CarriedCall{
 		URL: at.endpoint.Url, Method: rq.Method, Target: rq.Target, Host: rq.Host, Header: he, Body: rq.Body,
 		Repeatable: ca.route.Repeatable(), AnswerBy: at.answerBy(), Progress: at.progress(),
--- a/relay/release.go
+++ b/relay/release.go
@@ -34,6 +34,8 @@
 	stable rollout.Counts
 	// bad is why the release is bad, "" while it is not known to be.
 	bad string
+	// heardAnswers counts the other routers' answers of the new release.
+	heardAnswers int64
 	// seenAt is when this router learnt of the roll-out.
 	seenAt time.Time
 }
@@ -58,7 +60,7 @@
 	}
 	re.mu.Lock()
 	tr := re.get(now, ro)
-	share := tr.plan(ro).Share(now, re.router.options().Rollout.GetExposedShare())
+	share := tr.plan(ro).Share(now, re.router.options().Rollout.GetExposedShare(), tr.heardAnswers+tr.guard.Answers)
 	bad := tr.bad != ""
 	re.mu.Unlock()
 	// A request that failed on the new release goes on with the old one.
@@ -141,6 +143,7 @@
 		heard := re.heard(ro)
 		re.mu.Lock()
 		tr := re.get(time.Now(), ro)
+		tr.heardAnswers = heard.target.Answers
 		target := heard.target.Plus(rollout.Counts{Answers: tr.guard.Answers, Failures: tr.guard.Failures})
 		switch {
 		case heard.bad != "":
@@ -216,30 +219,19 @@
 	return int64(sum)
 }
 
-// Verdict is what is known of a roll-out over all routers.
-type Verdict struct {
-	Plan rollout.Plan
-	// Bad is why the release must be taken back, "" while it is not known bad.
-	Bad string
-	// Answers are the release's so far.
-	Answers int64
-	// StableInFlight are the requests that still run on the release in use.
-	StableInFlight int64
-}
-
-// Verdict judges a roll-out that is under way.
-func (ro *Router) Verdict(now time.Time, rec policy.Rollout) Verdict {
+// Progress judges a roll-out that is under way.
+func (ro *Router) Progress(now time.Time, rec policy.Rollout) rollout.Progress {
 	heard := ro.releases.heard(rec)
 	inFlight := ro.releases.stableInFlight(rec)
 	ro.releases.mu.Lock()
 	defer ro.releases.mu.Unlock()
 	tr := ro.releases.get(now, rec)
-	ve := Verdict{
-		Plan: tr.plan(rec), Bad: tr.bad,
+	pr := rollout.Progress{
+		Plan: tr.plan(rec), Started: rec.StartedAtMs > 0, Bad: tr.bad,
 		Answers: heard.target.Answers + tr.guard.Answers, StableInFlight: heard.stableInFlight + inFlight,
 	}
-	if ve.Bad == "" {
-		ve.Bad = heard.bad
+	if pr.Bad == "" {
+		pr.Bad = heard.bad
 	}
-	return ve
+	return pr
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -46,11 +46,19 @@
 	}
 	key := paceKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
 	work, _ := ro.paces.expect(key, ca.request.promptTokens(), 0)
+	left := time.Until(ca.request.Arrived.Add(ca.route.Target()))
 	step := cascade.Step{
 		Confidence: an.head.Confidence, Work: float64(work), Pressure: float64(ca.pressure),
-		TimeLeft: ca.request.Arrived.Add(ca.route.Target()).Sub(time.Now()).Seconds(),
+		TimeLeft: left.Seconds(),
 	}
-	return step.Escalate() && ro.budgets.take(ca.service.ID, escalationReserve)
+	if !step.Escalate() || !ro.budgets.take(ca.service.ID, escalationReserve) {
+		return false
+	}
+	ro.log.Debug(event.ModelRaised, nil, event.Fields{
+		"request": ca.request.ID, "from": ca.modelID(), "confidence": an.head.Confidence,
+		"pressure_ms": int64(float64(ca.pressure) * 1000), "left_ms": left.Milliseconds(),
+	})
+	return true
 }
 
 // mayRepeat decides whether a request whose attempt failed is sent again.
@@ -114,6 +122,10 @@
 		outcome = "cut"
 	}
 	ro.metrics.Requests.Add(ctx, 1, metric.With(metric.KeyOutcome, outcome))
+	ro.log.Debug(event.RequestAnswered, nil, event.Fields{
+		"request": ca.request.ID, "route": ca.route.ID, "status": an.status, "outcome": outcome, "model": ca.modelID(), "sends": ca.sends,
+		"first_ms": took.Milliseconds(), "whole_ms": time.Since(ca.request.Arrived).Milliseconds(),
+	})
 	ro.metrics.Latency.Record(ctx, time.Since(ca.request.Arrived).Seconds())
 	if outcome == "cut" {
 		// The caller must not take what it has for a whole answer.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -12,6 +12,9 @@
 	// lastShare of the time is when the release in use is given up even though
 	// requests still run on it.
 	lastShare = 0.88
+	// provingAnswers end a trial, and fewestAnswers do when time runs out.
+	provingAnswers = 30
+	fewestAnswers  = 5
 	// leastFailures and leastDeviations say when failures over all routers show
 	// that a release is worse.
 	leastFailures   = 6
@@ -31,25 +34,68 @@
 }
 
 // Share gives the share of sessions for the new release; exposed is that of
-// the trial.
-func (pl Plan) Share(now time.Time, exposed float64) float64 {
-	if now.Before(pl.at(trialShare)) {
+// the trial. Time alone proves nothing: the trial lasts until enough answers
+// have been seen, also by routers that have all started anew.
+func (pl Plan) Share(now time.Time, exposed float64, answers int64) float64 {
+	if now.Before(pl.at(trialShare)) || answers < provingAnswers {
 		return exposed
 	}
 	return 1
 }
 
-// Complete tells whether the release in use may be stopped.
-func (pl Plan) Complete(now time.Time, stableInFlight int64) bool {
-	if now.Before(pl.at(trialShare)) {
-		return false
+// Action is what is due in a roll-out.
+type Action int
+
+// The actions.
+const (
+	ActionNone Action = iota
+	// ActionStart notes when the roll-out was taken up.
+	ActionStart
+	// ActionAbort gives the new release up.
+	ActionAbort
+	// ActionComplete stops the release in use.
+	ActionComplete
+)
+
+// Progress is what is known of a roll-out over all entries.
+type Progress struct {
+	Plan
+	// Started tells whether the time of its start is noted.
+	Started bool
+	// Bad is why the release is bad, "" while it is not known to be.
+	Bad string
+	// Answers are the new release's.
+	Answers int64
+	// StableInFlight are the requests that still run on the release in use.
+	StableInFlight int64
+}
+
+// Next gives the action that is due.
+func (pr Progress) Next(now time.Time) Action {
+	switch {
+	case pr.Bad != "":
+		return ActionAbort
+	case !pr.Started:
+		return ActionStart
+	case pr.completes(now):
+		return ActionComplete
+	case now.After(pr.DeadlineAt):
+		// Nobody has seen enough of it, and nobody waits for it any more.
+		return ActionAbort
 	}
+	return ActionNone
+}
+
+func (pr Progress) completes(now time.Time) bool {
 	// Requests admitted just before the move count at the next exchange.
 	const settle = 1500 * time.Millisecond
-	if now.Sub(pl.at(trialShare)) < settle {
+	if now.Before(pr.at(trialShare).Add(settle)) || now.After(pr.DeadlineAt) {
 		return false
 	}
-	return stableInFlight == 0 || now.After(pl.at(lastShare))
+	if now.After(pr.at(lastShare)) {
+		return pr.Answers >= fewestAnswers
+	}
+	return pr.Answers >= provingAnswers && pr.StableInFlight == 0
 }
 
 // Counts are a release's answers and failures.
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -7,6 +7,7 @@
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/lease"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 )
@@ -14,56 +15,69 @@
 const (
 	// taskRollout is the prefix of the tasks of roll-outs.
 	taskRollout = "rollout/"
-	// candidates is how many routers try for a free task.
+	// candidates is how many routers try at once for an action that is due.
 	candidates = 2
 )
 
-// control moves the roll-outs whose task this router holds.
+// control takes the actions that are due in roll-outs. A task's lease is held
+// for one action only.
 func (da *Daemon) control(ctx context.Context) {
-	active := false
+	now := time.Now()
 	for _, ro := range da.holder.Set().Rollouts.List() {
 		if ro.Service == "" || !ro.Active() || da.relay.Draining() {
 			continue
 		}
-		active = true
+		pr := da.relay.Progress(now, ro)
+		ac := pr.Next(now)
+		if ac == rollout.ActionNone {
+			delete(da.dueSince, ro.ID)
+			continue
+		}
+		if !da.mayTry(now, ro.ID) {
+			continue
+		}
 		if ho, ok := da.acquire(ctx, lease.Task(taskRollout+ro.Service)); ok {
-			da.move(ctx, ho, ro)
+			da.take(ctx, ho, ro, pr, ac)
+			da.leases.Close(ctx)
 		}
 	}
-	switch {
-	case active && time.Since(da.renewedAt) > da.set.GetRollout().GetLease().AsDuration()/3:
-		da.renewedAt = time.Now()
-		da.leases.Renew(ctx)
-	case active:
-	case len(da.leases.List()) > 0:
-		da.leases.Close(ctx)
+}
+
+// mayTry tells whether this router tries for an action: a few do at once, and
+// everyone when they seem unable to.
+func (da *Daemon) mayTry(now time.Time, id policy.RolloutID) bool {
+	since, ok := da.dueSince[id]
+	if !ok {
+		da.dueSince[id], since = now, now
 	}
+	ttl := da.set.GetRollout().GetLease().AsDuration()
+	return now.Sub(since) > ttl/2 || da.peers.Preferred(taskRollout+string(id), candidates)
 }
 
 func (da *Daemon) acquire(ctx context.Context, ta lease.Task) (lease.Hold, bool) {
-	if ho, ok := da.leases.Holds(ta); ok {
-		return ho, true
-	}
-	if !da.peers.Preferred(string(ta), candidates) {
-		return lease.Hold{}, false
-	}
+	ctx, cancel := context.WithTimeout(ctx, da.set.GetRollout().GetLease().AsDuration()/2)
+	defer cancel()
 	if _, err := da.leases.Acquire(ctx, ta); err != nil {
 		da.log.Debug(event.StoreUnreachable, err, event.Fields{"task": ta})
+		// Whatever lease there was may have ended with the attempt.
+		da.leases.Close(ctx)
 	}
 	return da.leases.Holds(ta)
 }
 
-// move takes a roll-out's next step, if one is due.
-func (da *Daemon) move(ctx context.Context, ho lease.Hold, ro policy.Rollout) {
-	now := time.Now()
-	ve := da.relay.Verdict(now, ro)
-	switch {
-	case ve.Bad != "":
-		da.record(ctx, ho, ro, rpc.RolloutState_ABORTED, ve.Plan.StartedAt, ve.Bad)
-	case ro.StartedAtMs == 0:
-		da.record(ctx, ho, ro, rpc.RolloutState_RUNNING, ve.Plan.StartedAt, "taken up")
-	case ve.Answers > 0 && ve.Plan.Complete(now, ve.StableInFlight):
-		da.record(ctx, ho, ro, rpc.RolloutState_DONE, ve.Plan.StartedAt, "proved")
+// take takes an action.
+func (da *Daemon) take(ctx context.Context, ho lease.Hold, ro policy.Rollout, pr rollout.Progress, ac rollout.Action) {
+	switch ac {
+	case rollout.ActionStart:
+		da.record(ctx, ho, ro, rpc.RolloutState_RUNNING, pr.StartedAt, "taken up")
+	case rollout.ActionAbort:
+		why := pr.Bad
+		if why == "" {
+			why = "not proved in time"
+		}
+		da.record(ctx, ho, ro, rpc.RolloutState_ABORTED, pr.StartedAt, why)
+	case rollout.ActionComplete:
+		da.record(ctx, ho, ro, rpc.RolloutState_DONE, pr.StartedAt, "proved")
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -60,10 +60,10 @@
 	relay    *relay.Router
 	leases   *lease.Manager
 	idle     *idleConnections
-	// renewedAt is when control last renewed the lease; only control uses it.
-	renewedAt time.Time
-	callers   *http.Server
-	servers   []*http.Server
+	// dueSince is since when actions in roll-outs are due; only control uses it.
+	dueSince map[policy.RolloutID]time.Time
+	callers  *http.Server
+	servers  []*http.Server
 }
 
 // New gives a daemon; Start makes it serve.
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "router.New")
 	}
-	da := &Daemon{set: rs, net: ne, log: lo, metrics: me, group: worker.NewGroup(), idle: newIdleConnections()}
+	da := &Daemon{set: rs, net: ne, log: lo, metrics: me, group: worker.NewGroup(), idle: newIdleConnections(), dueSince: map[policy.RolloutID]time.Time{}}
 	prefix := store.Key(rs.GetStore().GetPrefix())
 	da.store = platform.NewStore(store.OptionsOf(rs.GetStore(), ne.Dial))
 	da.layout = platform.NewLayout(lo)
