--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -68,7 +68,7 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	if revision >= ho.set.Load().Revision && at.After(ho.evidence) {
-		if at.Sub(ho.evidence) > evidenceGap {
+		if !ho.evidence.IsZero() && at.Sub(ho.evidence) > evidenceGap {
 			ho.steadyFrom = at
 		}
 		ho.evidence = at
--- /dev/null
+++ b/placement/balancer_test.go
@@ -0,0 +1,122 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engines(n int) []policy.Endpoint {
+	var out []policy.Endpoint
+	for i := range n {
+		out = append(out, policy.Endpoint{ID: policy.EndpointID(fmt.Sprint("e", i)), Endpoint: &rpc.Endpoint{Slots: 64}})
+	}
+	return out
+}
+
+func anyEndpoint(policy.Endpoint, placement.Running) bool { return true }
+
+// TestLongPromptsWithOneStartAreSpread replays a crowd of long prompts that
+// share their start: they must not queue up where it is cached.
+func TestLongPromptsWithOneStartAreSpread(t *testing.T) {
+	ba := placement.NewBalancer(1)
+	counts := map[policy.EndpointID]int{}
+	jo := placement.Job{Start: 7, Work: 0.5, Cached: 0.2}
+	for range 45 {
+		pl, ok := ba.Choose(begin, engines(9), jo, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		counts[pl.Endpoint.ID]++
+	}
+	for id, n := range counts {
+		qt.Assert(t, n <= 8, qt.IsTrue, qt.Commentf("%s has %d of 45", id, n))
+	}
+}
+
+// TestCachedStartIsUsedWhileThereIsRoom sends prompts one after the other.
+func TestCachedStartIsUsedWhileThereIsRoom(t *testing.T) {
+	ba := placement.NewBalancer(1)
+	counts := map[policy.EndpointID]int{}
+	jo := placement.Job{Start: 7, Work: 0.5, Cached: 0.3}
+	now := begin
+	for range 20 {
+		pl, _ := ba.Choose(now, engines(9), jo, nil, anyEndpoint)
+		counts[pl.Endpoint.ID]++
+		now = now.Add(500 * time.Millisecond)
+		ba.Answered(pl, 200*time.Millisecond)
+		ba.Done(now, pl, placement.Succeeded)
+	}
+	qt.Assert(t, counts, qt.HasLen, 1)
+}
+
+// TestStuckEndpointIsLeftBeforeItAnswers has one endpoint take eight times as
+// long: while its first answers are still out, work goes elsewhere.
+func TestStuckEndpointIsLeftBeforeItAnswers(t *testing.T) {
+	ba := placement.NewBalancer(1)
+	stuck := policy.EndpointID("e3")
+	var out []placement.Placed
+	now, late := begin, 0
+	for i := range 400 {
+		pl, ok := ba.Choose(now, engines(9), placement.Job{Work: 0.05}, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		if pl.Endpoint.ID == stuck {
+			out = append(out, pl)
+			if i > 100 {
+				late++
+			}
+		} else {
+			ba.Answered(pl, 50*time.Millisecond)
+			ba.Done(now, pl, placement.Succeeded)
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	qt.Assert(t, len(out) > 0, qt.IsTrue)
+	qt.Assert(t, late, qt.Equals, 0)
+}
+
+// TestFailingEndpointGetsLess has one endpoint fail half of its requests.
+func TestFailingEndpointGetsLess(t *testing.T) {
+	ba := placement.NewBalancer(1)
+	now, there := begin, 0
+	for i := range 300 {
+		pl, ok := ba.Choose(now, engines(3), placement.Job{Work: 0.03}, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		re := placement.Succeeded
+		if pl.Endpoint.ID == "e1" {
+			there++
+			if i%2 == 0 {
+				re = placement.Erred
+			}
+		}
+		ba.Answered(pl, 30*time.Millisecond)
+		ba.Done(now, pl, re)
+		now = now.Add(20 * time.Millisecond)
+	}
+	qt.Assert(t, there < 40, qt.IsTrue, qt.Commentf("%d of 300", there))
+}
+
+func TestOthersLoadCounts(t *testing.T) {
+	ba := placement.NewBalancer(1)
+	ba.SetOthers(begin, map[policy.EndpointID]placement.Load{"e0": {Running: 30, Backlog: 2}, "e1": {Running: 30, Backlog: 2}})
+	for range 5 {
+		pl, _ := ba.Choose(begin, engines(3), placement.Job{Work: 0.05}, nil, anyEndpoint)
+		qt.Assert(t, pl.Endpoint.ID, qt.Equals, policy.EndpointID("e2"))
+	}
+	qt.Assert(t, float64(ba.Pressure(begin, engines(3))) > 1.3, qt.IsTrue)
+}
+
+func TestBacklogIsSettledOnce(t *testing.T) {
+	ba := placement.NewBalancer(1)
+	pl, _ := ba.Choose(begin, engines(1), placement.Job{Work: 1}, nil, anyEndpoint)
+	ba.Choose(begin, engines(1), placement.Job{Work: 1}, nil, anyEndpoint)
+	ba.Answered(pl, time.Second)
+	ba.Done(begin, pl, placement.Succeeded)
+	qt.Assert(t, ba.Loads()["e0"], qt.Equals, placement.Load{Running: 1, Backlog: 1})
+}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -89,13 +89,16 @@
 func (pr Progress) completes(now time.Time) bool {
 	// Requests admitted just before the move count at the next exchange.
 	const settle = 1500 * time.Millisecond
-	if now.Before(pr.at(trialShare).Add(settle)) || now.After(pr.DeadlineAt) {
+	switch {
+	case now.Before(pr.at(trialShare).Add(settle)):
 		return false
-	}
-	if now.After(pr.at(lastShare)) {
+	case now.After(pr.DeadlineAt):
+		return pr.Answers >= provingAnswers
+	case now.After(pr.at(lastShare)):
 		return pr.Answers >= fewestAnswers
+	default:
+		return pr.Answers >= provingAnswers && pr.StableInFlight == 0
 	}
-	return pr.Answers >= provingAnswers && pr.StableInFlight == 0
 }
 
 // Counts are a release's answers and failures.
--- /dev/null
+++ b/rollout/plan_test.go
@@ -0,0 +1,62 @@
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/rollout"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func plan() rollout.Plan {
+	return rollout.Plan{StartedAt: start, DeadlineAt: start.Add(24 * time.Second)}
+}
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func TestShareRisesOnlyAfterATrial(t *testing.T) {
+	pl := plan()
+	qt.Assert(t, pl.Share(at(1), 0.1, 1000), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(12), 0.1, 1000), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(13), 0.1, 1000), qt.Equals, 1.0)
+	// A router that has just started has seen nothing: time alone proves nothing.
+	qt.Assert(t, pl.Share(at(23), 0.1, 3), qt.Equals, 0.1)
+}
+
+func TestActions(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		now  float64
+		pr   rollout.Progress
+		want rollout.Action
+	}{
+		{"not noted yet", 1, rollout.Progress{}, rollout.ActionStart},
+		{"on trial", 5, rollout.Progress{Started: true, Answers: 100}, rollout.ActionNone},
+		{"bad", 5, rollout.Progress{Started: true, Bad: "errors", Answers: 9}, rollout.ActionAbort},
+		{"bad before it was noted", 1, rollout.Progress{Bad: "errors"}, rollout.ActionAbort},
+		{"requests just moved", 13, rollout.Progress{Started: true, Answers: 100}, rollout.ActionNone},
+		{"old release still serves", 16, rollout.Progress{Started: true, Answers: 100, StableInFlight: 1}, rollout.ActionNone},
+		{"proved", 16, rollout.Progress{Started: true, Answers: 100}, rollout.ActionComplete},
+		{"too few answers", 16, rollout.Progress{Started: true, Answers: 10}, rollout.ActionNone},
+		{"time runs out", 22, rollout.Progress{Started: true, Answers: 10, StableInFlight: 3}, rollout.ActionComplete},
+		{"nothing seen", 22, rollout.Progress{Started: true, Answers: 1}, rollout.ActionNone},
+		{"nobody proved it", 25, rollout.Progress{Started: true, Answers: 1}, rollout.ActionAbort},
+		{"proved, but the store was away", 25, rollout.Progress{Started: true, Answers: 100}, rollout.ActionComplete},
+	} {
+		tc.pr.Plan = plan()
+		qt.Check(t, tc.pr.Next(at(tc.now)), qt.Equals, tc.want, qt.Commentf("%s", tc.name))
+	}
+}
+
+func TestCountsTellBadFromUnlucky(t *testing.T) {
+	stable := rollout.Counts{Answers: 500, Failures: 70} // a service whose requests often fail
+	qt.Assert(t, rollout.Counts{Answers: 50, Failures: 10}.Worse(stable), qt.IsFalse)
+	qt.Assert(t, rollout.Counts{Answers: 50, Failures: 30}.Worse(stable), qt.IsTrue)
+	qt.Assert(t, rollout.Counts{Answers: 5, Failures: 5}.Worse(rollout.Counts{Answers: 500}), qt.IsFalse)
+	qt.Assert(t, rollout.Counts{Answers: 20, Failures: 6}.Worse(rollout.Counts{Answers: 500}), qt.IsTrue)
+}
--- a/standin/store.go
+++ b/standin/store.go
@@ -30,6 +30,8 @@
 	changed  chan struct{}
 	reads    int64
 	writes   int64
+	// compacted is the revision up to which there is no history.
+	compacted int64
 }
 
 type storedPair struct {
@@ -45,7 +47,7 @@
 // NewStore gives an empty store.
 func NewStore() *Store {
 	st := &Store{revision: 1, pairs: map[string]storedPair{}, leases: map[int64]storedLease{}, changed: make(chan struct{})}
-	st.losable = func(rq *http.Request) bool { return rq.URL.Path == "/v3/kv/txn" }
+	st.losable = func(rq *http.Request) bool { return rq.URL.Path == "/v3/kv/txn" || rq.URL.Path == "/v1/kv-txn" }
 	return st
 }
 
--- /dev/null
+++ b/testsite/routers.go
@@ -0,0 +1,283 @@
+package testsite
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/router"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/setting"
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/worker"
+)
+
+// The users' platform at a test site: its store, and the names of what is
+// configured there.
+const (
+	KVAddress    = "10.8.0.1:80"
+	RouteHost    = "drawers.example"
+	EngineRoute  = "/notes/"
+	UnsafeRoute  = "/loans/"
+	SafeRoute    = "/places/"
+	EngineGroup  = "scribes"
+	PlainGroup   = "desk"
+	Tenant       = "survey"
+	SmallModel   = "small"
+	LargeModel   = "large"
+	firstRelease = "v1"
+)
+
+// RouterOptions describe a site of routers on the users' platform.
+type RouterOptions struct {
+	Routers int
+	// Engines and Plains are the replicas of the two services.
+	Engines, Plains int
+	Engine          standin.ReplicaOptions
+	Plain           standin.ReplicaOptions
+	// Unconfigured leaves the platform without a configuration.
+	Unconfigured bool
+	// Log shows the routers' logs.
+	Log bool
+}
+
+// RouterSite is routers before replicas on the users' platform, in one process.
+type RouterSite struct {
+	tb       testing.TB
+	opt      RouterOptions
+	Net      *Network
+	Store    *standin.Store
+	Replicas map[string]*standin.Replica
+	Routers  map[int]*router.Daemon
+	servers  map[Host]*http.Server
+	group    *worker.Group
+	dir      string
+	version  int64
+}
+
+// NewRouterSite brings a site up and waits until every router is ready. Close
+// ends it.
+func NewRouterSite(tb testing.TB, opt RouterOptions) *RouterSite {
+	gin.SetMode(gin.ReleaseMode)
+	if opt.Engine.Events == 0 {
+		opt.Engine = standin.ReplicaOptions{
+			Events: 5, Gap: 20 * time.Millisecond, Delay: 20 * time.Millisecond,
+			Confidence: map[string]string{SmallModel: "90", LargeModel: "95"},
+		}
+	}
+	rs := &RouterSite{
+		tb: tb, opt: opt, Net: NewNetwork(), Store: standin.NewStore(), Replicas: map[string]*standin.Replica{},
+		Routers: map[int]*router.Daemon{}, servers: map[Host]*http.Server{}, group: worker.NewGroup(), dir: tb.TempDir(),
+	}
+	rs.Serve("kv", KVAddress, rs.Store.KVHandler())
+	rs.group.Every(100*time.Millisecond, func(context.Context) { rs.Store.ExpireLeases() })
+	for n := 1; n <= opt.Engines; n++ {
+		rs.AddReplica(EngineGroup, n, firstRelease)
+	}
+	for n := 1; n <= opt.Plains; n++ {
+		rs.AddReplica(PlainGroup, n, firstRelease)
+	}
+	if !opt.Unconfigured {
+		rs.Configure(nil)
+	}
+	for n := 1; n <= opt.Routers; n++ {
+		rs.StartRouter(n)
+	}
+	if !opt.Unconfigured {
+		rs.Eventually(5*time.Second, "every router is ready", func() bool {
+			for n := 1; n <= opt.Routers; n++ {
+				if !rs.Ready(n) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	return rs
+}
+
+// Serve serves a stand-in on a host of its own.
+func (rs *RouterSite) Serve(ho Host, address string, ha http.Handler) {
+	li, err := rs.Net.Of(ho).Listen(address)
+	if err != nil {
+		rs.tb.Fatal(err)
+	}
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
+	rs.servers[ho] = sv
+	rs.group.Go(func(context.Context) { _ = sv.Serve(li) })
+}
+
+// ReplicaID names a replica of a service and release.
+func ReplicaID(service string, n int, release string) string {
+	return fmt.Sprintf("i-%s-%d-%s", service, n, release)
+}
+
+// ReplicaAddress is where a replica listens.
+func ReplicaAddress(service string, n int, release string) string {
+	return fmt.Sprintf("10.%d.%d.%d:80", 20+len(service), len(release)+int(release[len(release)-1]), n)
+}
+
+// AddReplica starts a replica and registers it.
+func (rs *RouterSite) AddReplica(service string, n int, release string) *standin.Replica {
+	opt := rs.opt.Plain
+	if service == EngineGroup {
+		opt = rs.opt.Engine
+	}
+	opt.ID = ReplicaID(service, n, release)
+	re := standin.NewReplica(opt)
+	rs.Replicas[opt.ID] = re
+	rs.Serve(Host(opt.ID), ReplicaAddress(service, n, release), re.Handler())
+	rs.Register(service, n, release, "ready")
+	return re
+}
+
+// Register writes what a replica says of itself.
+func (rs *RouterSite) Register(service string, n int, release, state string) {
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"sequence":1`,
+		service, ReplicaAddress(service, n, release), release, state)
+	if service == EngineGroup {
+		text += `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
+	}
+	rs.Store.Write("servers/"+ReplicaID(service, n, release), []byte(text+"}"))
+}
+
+// Unregister removes a replica's entry; the replica goes on.
+func (rs *RouterSite) Unregister(service string, n int, release string) {
+	rs.Store.Write("servers/"+ReplicaID(service, n, release), nil)
+}
+
+// Configure writes the operator's configuration, after change has changed it.
+func (rs *RouterSite) Configure(change func(co map[string]any)) {
+	rs.version++
+	text := fmt.Sprintf(`{"version":%d,"routes":[
+		{"name":"r-notes","host":%[2]q,"prefix":%[3]q,"kind":"streaming","timeout_ms":20000,"target_latency_ms":1000,"priority":0,
+		 "sizes":["small","large"],"service":"scribes","max_attempts":3,"session_affinity":true,"stream_resume":true,"target_gap_ms":800},
+		{"name":"r-loans","host":%[2]q,"prefix":%[4]q,"kind":"unsafe","timeout_ms":800,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":1},
+		{"name":"r-places","host":%[2]q,"prefix":%[5]q,"kind":"safe","timeout_ms":800,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":2}],
+		"services":[{"name":"scribes","health_path":"/health","max_connections":370,"engine":{"slots":8,"kv_tokens":484470}},
+		 {"name":"desk","health_path":"/health","max_connections":110}],
+		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+		"tenants":[{"name":%[6]q,"api_keys":[%[7]q]}]}`, rs.version, RouteHost, EngineRoute, UnsafeRoute, SafeRoute, Tenant, CallerKey)
+	var co map[string]any
+	if err := json.Unmarshal([]byte(text), &co); err != nil {
+		rs.tb.Fatal(err)
+	}
+	if change != nil {
+		change(co)
+	}
+	out, err := json.Marshal(co)
+	if err != nil {
+		rs.tb.Fatal(err)
+	}
+	rs.Store.Write("op/config", out)
+}
+
+// OrderRollout writes the operator's order to roll a release out.
+func (rs *RouterSite) OrderRollout(service, release string, limit time.Duration) {
+	rs.Store.Write("op/rollout/"+service, fmt.Appendf(nil, `{"service":%q,"target":%q,"duration_s":%g}`, service, release, limit.Seconds()))
+}
+
+// RolloutState gives what the routers report of a roll-out.
+func (rs *RouterSite) RolloutState(service string) string {
+	var st struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(rs.Store.Value("status/rollout/"+service), &st) != nil {
+		return ""
+	}
+	return st.State
+}
+
+// RouterName is the host of a router, RouterAddress where it listens.
+func RouterName(n int) string { return fmt.Sprintf("router-%d", n) }
+
+// RouterAddress is where a router listens: for callers at port 80, for
+// readiness at 81, the directory at 82, peers at 83.
+func RouterAddress(n, port int) string { return fmt.Sprintf("10.9.0.%d:%d", n, port) }
+
+// StartRouter starts a router.
+func (rs *RouterSite) StartRouter(n int) {
+	rs.tb.Helper()
+	ho := Host(RouterName(n))
+	rs.Net.Revive(ho)
+	text := fmt.Sprintf("[vm]\nid = %s\nsite = s\nfailure_domain = zone-a\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
+		"[store]\nurls = http://%s\n[peers]\nshared_key = key-of-the-test-site\nseeds = %s\n[serving]\nretry_ratio = 0.9\nretry_slack = 80\n",
+		RouterName(n), RouterAddress(n, 80), RouterAddress(n, 81), RouterAddress(n, 82), RouterAddress(n, 83), RouterAddress(n, 84),
+		KVAddress, RouterAddress(1, 83))
+	file := filepath.Join(rs.dir, RouterName(n)+".ini")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		rs.tb.Fatal(err)
+	}
+	set := &rpc.RouterSettings{}
+	if err := setting.Load(file, set); err != nil {
+		rs.tb.Fatal(err)
+	}
+	lo := event.Discard()
+	if rs.opt.Log {
+		lo = event.NewLog(os.Stderr, &rpc.LogSection{Level: "debug"}, RouterName(n))
+	}
+	da, err := router.New(set, rs.Net.Of(ho), lo)
+	if err != nil {
+		rs.tb.Fatal(err)
+	}
+	if err := da.Start(); err != nil {
+		rs.tb.Fatal(err)
+	}
+	rs.Routers[n] = da
+}
+
+// KillRouter ends a router at once: its connections break, nothing is finished.
+func (rs *RouterSite) KillRouter(n int) {
+	rs.Net.Kill(Host(RouterName(n)))
+	da := rs.Routers[n]
+	delete(rs.Routers, n)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	da.Close(ctx)
+}
+
+// Client gives an HTTP client of a caller.
+func (rs *RouterSite) Client() *http.Client { return rs.Net.Of("caller").FreshClient() }
+
+// Ready asks a router whether it is ready.
+func (rs *RouterSite) Ready(n int) bool {
+	rq, err := http.NewRequest(http.MethodGet, "http://"+RouterAddress(n, 81)+"/v1/ready", nil)
+	if err != nil {
+		rs.tb.Fatal(err)
+	}
+	res, err := rs.Client().Do(rq)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// Eventually waits until something holds, and fails the test when it does not
+// within a limit. It gives the time that passed.
+func (rs *RouterSite) Eventually(limit time.Duration, what string, holds func() bool) time.Duration {
+	rs.tb.Helper()
+	return eventually(rs.tb, limit, what, holds)
+}
+
+// Close ends the site.
+func (rs *RouterSite) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, da := range rs.Routers {
+		da.Close(ctx)
+	}
+	for _, sv := range rs.servers {
+		_ = sv.Close()
+	}
+	rs.group.Close()
+	rs.Net.closeAll()
+}
--- a/testsite/site.go
+++ b/testsite/site.go
@@ -300,10 +300,15 @@
 // not within a limit. It gives the time that passed.
 func (si *Site) Eventually(limit time.Duration, what string, holds func() bool) time.Duration {
 	si.tb.Helper()
+	return eventually(si.tb, limit, what, holds)
+}
+
+func eventually(tb testing.TB, limit time.Duration, what string, holds func() bool) time.Duration {
+	tb.Helper()
 	started := time.Now()
 	for !holds() {
 		if time.Since(started) > limit {
-			si.tb.Fatalf("not within %s: %s", limit, what)
+			tb.Fatalf("not within %s: %s", limit, what)
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
