Bound the lines that requests cause, and never block on the log

Change: Log.Request and Log.Trouble have a budget of lines a second by event, failures more than successes, and tell what was left out; lines go through a bounded queue that counts drops (metric tanager_log_lines_dropped).

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -94,7 +94,9 @@
 // run wires the daemon and serves until a signal comes.
 func (pr Program[S]) run(file string, se S) error {
 	var da Daemon
-	lo := event.NewLog(os.Stdout, se.GetLog(), se.GetVm().GetId())
+	lines := event.NewQueue(os.Stdout)
+	defer lines.Close()
+	lo := event.NewLog(lines, se.GetLog(), se.GetVm().GetId())
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(fx.Annotate(se)),
--- a/event/event.go
+++ b/event/event.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,6 +26,7 @@
 	SettingsReloaded     Number = 106
 	SettingsUnusable     Number = 107
 	SettingsKept         Number = 108
+	LinesLeftOut         Number = 109
 	PolicyApplied        Number = 200
 	PolicyRecordUnusable Number = 201
 	PolicyFromPeer       Number = 202
@@ -80,6 +82,7 @@
 	SettingsReloaded:     "settings read again and in force",
 	SettingsUnusable:     "settings file has findings; the settings in force are kept",
 	SettingsKept:         "settings file read again; this daemon takes changes at its next start",
+	LinesLeftOut:         "log lines left out",
 	PolicyApplied:        "policy revision in force",
 	PolicyRecordUnusable: "policy record cannot be used and counts as absent",
 	PolicyFromPeer:       "policy fetched from a peer",
@@ -142,7 +145,10 @@
 
 // Log writes numbered events.
 type Log struct {
-	lg *logrus.Entry
+	lg     *logrus.Entry
+	budget *budget
+	// queue is set when the lines go through one.
+	queue *Queue
 }
 
 // NewLog gives a log that writes to wr in the format and from the level set.
@@ -157,12 +163,21 @@
 	if le, err := logrus.ParseLevel(se.GetLevel()); err == nil {
 		lg.SetLevel(le)
 	}
-	return &Log{lg: lg.WithField("vm", vm)}
+	qu, _ := wr.(*Queue)
+	return &Log{lg: lg.WithField("vm", vm), budget: newBudget(), queue: qu}
 }
 
 // Discard gives a log that writes nothing.
 func Discard() *Log { return NewLog(io.Discard, nil, "") }
 
+// Dropped counts the lines that found no room in the queue.
+func (lo *Log) Dropped() int64 {
+	if lo.queue == nil {
+		return 0
+	}
+	return lo.queue.Dropped()
+}
+
 // Info writes an event in the ordinary course of things.
 func (lo *Log) Info(nu Number, fi Fields) { lo.write(logrus.InfoLevel, nu, nil, fi) }
 
@@ -172,6 +187,30 @@
 // Debug writes an event that is too frequent for the ordinary log.
 func (lo *Log) Debug(nu Number, err error, fi Fields) { lo.write(logrus.DebugLevel, nu, err, fi) }
 
+// Trouble writes an event of a request that went wrong. Its lines are bounded.
+func (lo *Log) Trouble(nu Number, err error, fi Fields) {
+	lo.bounded(logrus.WarnLevel, nu, err, fi, troubleLines)
+}
+
+// Request writes an event of a request in the ordinary course of things. Its
+// lines are bounded.
+func (lo *Log) Request(nu Number, fi Fields) {
+	lo.bounded(logrus.InfoLevel, nu, nil, fi, plainLines)
+}
+
+func (lo *Log) bounded(le logrus.Level, nu Number, err error, fi Fields, most int) {
+	if !lo.lg.Logger.IsLevelEnabled(le) {
+		return
+	}
+	ok, leftOut := lo.budget.take(time.Now(), nu, most)
+	for of, n := range leftOut {
+		lo.write(logrus.InfoLevel, LinesLeftOut, nil, Fields{"of_event": int(of), "left_out": n})
+	}
+	if ok {
+		lo.write(le, nu, err, fi)
+	}
+}
+
 func (lo *Log) write(le logrus.Level, nu Number, err error, fi Fields) {
 	en := lo.lg.WithField("event", int(nu)).WithFields(fi)
 	if err != nil {
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -33,3 +35,47 @@
 	qt.Assert(t, sb.String(), qt.Contains, "event=100")
 	qt.Assert(t, sb.String(), qt.Contains, "vm=vm-1")
 }
+
+// TestFloodOfRequestsIsBounded writes far more lines than the budget: failures
+// keep their part beside successes, and what is left out is told.
+func TestFloodOfRequestsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sb strings.Builder
+		lo := event.NewLog(&sb, nil, "vm-1")
+		for range 1000 {
+			lo.Request(event.RequestAnswered, nil)
+			lo.Trouble(event.RequestFailed, nil, nil)
+		}
+		time.Sleep(2 * time.Second)
+		lo.Request(event.RequestAnswered, nil)
+		text := sb.String()
+		qt.Assert(t, strings.Count(text, " event=412 "), qt.Equals, 13)
+		qt.Assert(t, strings.Count(text, " event=408 "), qt.Equals, 40)
+		qt.Assert(t, text, qt.Contains, "left_out=988 ")
+		qt.Assert(t, text, qt.Contains, "left_out=960 ")
+	})
+}
+
+// blocked is a writer that takes nothing until it is opened.
+type blocked struct{ open chan struct{} }
+
+func (bl blocked) Write(line []byte) (int, error) {
+	<-bl.open
+	return len(line), nil
+}
+
+func TestQueueNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bl := blocked{open: make(chan struct{})}
+		qu := event.NewQueue(bl)
+		started := time.Now()
+		for range 5000 {
+			_, err := qu.Write([]byte("line\n"))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Assert(t, time.Since(started) == 0, qt.IsTrue)
+		qt.Assert(t, qu.Dropped() >= 2900, qt.IsTrue)
+		close(bl.open)
+		qu.Close()
+	})
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -113,7 +113,7 @@
 		Deadline: ca.deadline, After: after, Urgency: ca.urgency,
 	}, time.Now())
 	ca.sends++
-	ro.log.Debug(event.RequestSent, nil, event.Fields{
+	ro.log.Request(event.RequestSent, event.Fields{
 		"request": rq.ID, "route": ca.route.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release, "model": ca.modelID(),
 		"send": ca.sends, "estimate_ms": at.expected().Milliseconds(), "pressure_ms": int64(float64(ca.pressure) * 1000),
 		"policy": ro.holder.Set().Revision,
@@ -267,7 +267,7 @@
 		ro.releases.observe(at.call.service.ID, at.endpoint, rollout.Outcome{Failed: true})
 	}
 	ro.metrics.Attempts.Add(ctx, 1, metric.With(metric.KeyOutcome, "failed", metric.KeyCause, causeOf(fa.err)))
-	ro.log.Debug(event.AttemptFailed, fa.err, event.Fields{
+	ro.log.Trouble(event.AttemptFailed, fa.err, event.Fields{
 		"request": at.call.request.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release, "not_run": fa.notRun,
 		"after_ms": time.Since(at.sentAt).Milliseconds(), "policy": ro.holder.Set().Revision,
 	})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -148,7 +148,7 @@
 	for ctx.Err() == nil && ca.route.Resumable && ro.mayRepeat(ctx, ca, &failure{err: cause}) {
 		next, fa := ro.attempt(ctx, ca, st.last)
 		if fa == nil && next.stream != nil {
-			ro.log.Info(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": st.last, "cause": cause.Error()})
+			ro.log.Request(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": st.last, "cause": cause.Error()})
 			return next
 		}
 		if fa == nil {
@@ -159,6 +159,6 @@
 			return nil
 		}
 	}
-	ro.log.Warn(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": st.last, "sends": ca.sends})
+	ro.log.Trouble(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": st.last, "sends": ca.sends})
 	return nil
 }
--- a/router/router.go
+++ b/router/router.go
@@ -239,6 +239,9 @@
 			return time.Since(da.holder.Evidence()).Seconds()
 		})
 	}
+	if err == nil {
+		err = me.Gauge("tanager_log_lines_dropped", "Log lines that found no room.", func() float64 { return float64(da.log.Dropped()) })
+	}
 	if err == nil {
 		err = me.GaugeBy("tanager_store_calls", "Calls to the store by kind.", "kind", func() map[string]float64 {
 			return map[string]float64{
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -220,7 +221,7 @@
 	if err := setting.Load(file, set); err != nil {
 		rs.tb.Fatal(err)
 	}
-	lo := event.Discard()
+	lo := event.NewLog(io.Discard, &rpc.LogSection{Level: "error"}, RouterName(n))
 	if rs.opt.Log {
 		lo = event.NewLog(os.Stderr, &rpc.LogSection{Level: "debug"}, RouterName(n))
 	}
