--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -27,6 +27,9 @@
 	overflowCost = Work(0.3)
 	// failureCost is what a certain failure costs, in seconds.
 	failureCost = 1.5
+	// farCost is what an endpoint in another failure domain costs, in seconds:
+	// the bytes on the way are paid for.
+	farCost = 0.03
 	// failureSmoothing and speedSmoothing weigh a new outcome.
 	failureSmoothing = 0.2
 	speedSmoothing   = 0.25
@@ -120,13 +123,16 @@
 	rng         *rand.Rand
 	nodes       map[policy.EndpointID]*node
 	sent        map[remembered]time.Time
+	domain      policy.FailureDomain
 	othersUntil time.Time
 	last        Ticket
 }
 
-// NewBalancer gives a balancer that knows nothing; seed drives its chances.
-func NewBalancer(seed uint64) *Balancer {
+// NewBalancer gives a balancer that knows nothing, for an entry in a failure
+// domain; seed drives its chances.
+func NewBalancer(seed uint64, domain policy.FailureDomain) *Balancer {
 	return &Balancer{
+		domain: domain,
 		rng:   rand.New(rand.NewPCG(seed, mix(seed))),
 		nodes: map[policy.EndpointID]*node{}, sent: map[remembered]time.Time{},
 	}
@@ -168,7 +174,11 @@
 // has been.
 func (ba *Balancer) score(now time.Time, en policy.Endpoint, jo Job, credit float64) float64 {
 	no := ba.node(en.ID)
-	return no.speed*float64(ba.wait(now, en, jo, credit)) + no.failing*failureCost + no.overdue(now)
+	score := no.speed*float64(ba.wait(now, en, jo, credit)) + no.failing*failureCost + no.overdue(now)
+	if policy.FailureDomain(en.FailureDomain) != ba.domain {
+		score += farCost
+	}
+	return score
 }
 
 // wait estimates the work that is done at an endpoint before a job's answer
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,7 +27,7 @@
 	streamType = "text/event-stream"
 	// patienceFactor times the target is how long a first event may take before
 	// another endpoint is tried, and plainPatience the same for whole answers.
-	patienceFactor = 0.6
+	patienceFactor = 0.75
 	plainPatience  = 2.0
 	// slowFactor times the expected time is never too long.
 	slowFactor = 4
@@ -264,7 +264,8 @@
 		return
 	}
 	if !fa.notRun {
-		ro.releases.observe(at.call.service.ID, at.endpoint, rollout.Outcome{Failed: true})
+		overdue := causeOf(fa.err) == string(endpoint.CauseSilent) && time.Now().Before(at.call.deadline)
+		ro.releases.observe(at.call.service.ID, at.endpoint, rollout.Outcome{Failed: !overdue, Overdue: overdue})
 	}
 	ro.metrics.Attempts.Add(ctx, 1, metric.With(metric.KeyOutcome, "failed", metric.KeyCause, causeOf(fa.err)))
 	ro.log.Trouble(event.AttemptFailed, fa.err, event.Fields{
--- a/relay/router.go
+++ b/relay/router.go
@@ -64,7 +64,7 @@
 func New(opt Options, pa Parts) *Router {
 	ro := &Router{
 		holder: pa.Holder, client: pa.Client, peers: pa.Peers, log: pa.Log, metrics: pa.Metrics,
-		balancer: placement.NewBalancer(uint64(time.Now().UnixNano())), paces: newPaces(),
+		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), pa.Peers.FailureDomain()), paces: newPaces(),
 	}
 	ro.opt.Store(&opt)
 	ro.routers.Store(1)
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -60,3 +60,33 @@
 	qt.Assert(t, rollout.Counts{Answers: 5, Failures: 5}.Worse(rollout.Counts{Answers: 500}), qt.IsFalse)
 	qt.Assert(t, rollout.Counts{Answers: 20, Failures: 6}.Worse(rollout.Counts{Answers: 500}), qt.IsTrue)
 }
+
+// TestLoadOnAGoodReleaseIsNoFailure replays the move of all requests to a good
+// release: its caches are cold, and one wait in twelve is given up, as with the
+// release in use under the same load. It was rolled back on versehall quiet-1.
+func TestLoadOnAGoodReleaseIsNoFailure(t *testing.T) {
+	var gu rollout.Guard
+	for i := range 400 {
+		gu.Stable(rollout.Outcome{FirstToken: 1 + float64(i%5)/2, Overdue: i%20 == 0})
+	}
+	for i := range 300 {
+		ou := rollout.Outcome{FirstToken: 1 + float64(i%5)/2}
+		if i%12 == 0 {
+			ou = rollout.Outcome{Overdue: true}
+		}
+		gu.Candidate(ou)
+	}
+	qt.Assert(t, gu.Verdict(), qt.Equals, "")
+	qt.Assert(t, gu.Failures, qt.Equals, int64(0))
+}
+
+func TestReleaseThatHangsIsBad(t *testing.T) {
+	var gu rollout.Guard
+	for range 100 {
+		gu.Stable(rollout.Outcome{FirstToken: 1})
+	}
+	for i := range 40 {
+		gu.Candidate(rollout.Outcome{FirstToken: 1, Overdue: i%3 == 0})
+	}
+	qt.Assert(t, gu.Verdict(), qt.Equals, "slow first token")
+}
--- a/rollout/test.go
+++ b/rollout/test.go
@@ -86,8 +86,12 @@
 // Outcome is what one answer shows at the entry.
 type Outcome struct {
 	Failed bool
-	// FirstToken is the seconds to the first token, 0 when unknown.
+	// FirstToken is the seconds to the first token, or their ratio to what was
+	// expected; 0 when unknown.
 	FirstToken float64
+	// Overdue tells that the wait for the first token was given up. Under load
+	// that happens to good versions too: it counts as slow, not as a failure.
+	Overdue bool
 }
 
 // Guard judges a candidate by what entries see at once: errors, silence and
@@ -105,10 +109,12 @@
 // Stable adds an outcome of the version in use.
 func (gu *Guard) Stable(ou Outcome) {
 	gu.baseFailures.Observe(loss(ou.Failed))
+	if ou.FirstToken > 0 || ou.Overdue {
+		gu.baseSlow.Observe(loss(gu.isSlow(ou)))
+	}
 	if ou.FirstToken <= 0 {
 		return
 	}
-	gu.baseSlow.Observe(loss(gu.isSlow(ou)))
 	const smoothing = 0.02
 	if gu.firstToken == 0 {
 		gu.firstToken = ou.FirstToken
@@ -123,13 +129,13 @@
 		gu.Failures++
 	}
 	gu.failures.Observe(loss(ou.Failed), gu.baseFailures.Accepted(failurePrior, failureMargin))
-	if ou.FirstToken > 0 && gu.firstToken > 0 {
+	if (ou.FirstToken > 0 || ou.Overdue) && gu.firstToken > 0 {
 		gu.slow.Observe(loss(gu.isSlow(ou)), gu.baseSlow.Accepted(slowPrior, slowMargin))
 	}
 }
 
 func (gu *Guard) isSlow(ou Outcome) bool {
-	return gu.firstToken > 0 && ou.FirstToken > slowFactor*gu.firstToken
+	return ou.Overdue || gu.firstToken > 0 && ou.FirstToken > slowFactor*gu.firstToken
 }
 
 // Verdict gives why the candidate is bad, "" while it is not.
