Keep sessions where they are while a release is on trial

Change: routers remember the release of each session, and tell each other the few that a trial would take; a trial begins 2.5 s after the order; a request finds the release in use when no endpoint on trial can take it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -90,15 +90,18 @@
 	key := paceKey{ca.service.ID, ca.modelID()}
 	whole, cached := ro.paces.expect(key, rq.promptTokens(), rq.sharedTokens())
 	jo := placement.Job{Start: rq.start(ca.modelID()), Work: whole, Cached: cached}
-	ens := ro.releases.endpoints(now, ca)
+	ens, instead := ro.releases.endpoints(now, ca)
 	ca.pressure = ro.balancer.Pressure(now, ens)
 	routers := int(ro.routers.Load())
-	pl, ok := ro.balancer.Choose(now, ens, jo, ca.tried, func(en policy.Endpoint, ru placement.Running) bool {
-		return ro.fleet.hasRoom(ca, en, ru, routers)
-	})
+	usable := func(en policy.Endpoint, ru placement.Running) bool { return ro.fleet.hasRoom(ca, en, ru, routers) }
+	pl, ok := ro.balancer.Choose(now, ens, jo, ca.tried, usable)
+	if !ok {
+		pl, ok = ro.balancer.Choose(now, instead, jo, ca.tried, usable)
+	}
 	if !ok {
 		return nil, &failure{err: eris.New("no endpoint may be used"), notRun: true, nowhere: true}
 	}
+	ro.releases.sent(now, ca, pl.Endpoint)
 	return &attempt{router: ro, call: ca, placed: pl, endpoint: pl.Endpoint, sentAt: now}, nil
 }
 
--- a/relay/release.go
+++ b/relay/release.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +22,10 @@
 //
 // mu guards trials. No other lock is taken while it is held.
 type releases struct {
-	router *Router
-	mu     sync.Mutex
-	trials map[policy.ServiceID]*trial
+	router   *Router
+	sessions *sessions
+	mu       sync.Mutex
+	trials   map[policy.ServiceID]*trial
 }
 
 // trial is a release under roll-out as this router sees it.
@@ -34,6 +36,9 @@
 	stable rollout.Counts
 	// bad is why the release is bad, "" while it is not known to be.
 	bad string
+	// here and elsewhere are the sessions settled on the release in use, as seen
+	// by this router and as told by the others.
+	here, elsewhere settled
 	// heardAnswers counts the other routers' answers of the new release.
 	heardAnswers int64
 	// seenAt is when this router learnt of the roll-out.
@@ -41,35 +46,81 @@
 }
 
 func newReleases(ro *Router) *releases {
-	return &releases{router: ro, trials: map[policy.ServiceID]*trial{}}
+	return &releases{router: ro, sessions: newSessions(), trials: map[policy.ServiceID]*trial{}}
 }
 
-// endpoints gives those that a call may be sent to.
-func (re *releases) endpoints(now time.Time, ca *call) []policy.Endpoint {
+// endpoints gives those that a call may be sent to, and those that may have it
+// when none of them can.
+func (re *releases) endpoints(now time.Time, ca *call) (ens, instead []policy.Endpoint) {
 	all := re.router.fleet.of(now, ca.service.ID)
 	ro, ok := re.router.holder.Set().ServiceRollout(ca.service.ID)
 	if !ok {
-		return all
+		return all, nil
 	}
 	current, target := byRelease(all, ro.ToVersion)
 	switch ro.State {
 	case rpc.RolloutState_DONE:
-		return target
+		return target, nil
 	case rpc.RolloutState_ABORTED:
-		return current
+		return current, nil
 	}
 	re.mu.Lock()
 	tr := re.get(now, ro)
 	share := tr.plan(ro).Share(now, re.router.options().Rollout.GetExposedShare(), tr.heardAnswers+tr.guard.Answers)
 	bad := tr.bad != ""
 	re.mu.Unlock()
-	// A request that failed on the new release goes on with the old one.
-	if bad || len(target) == 0 || len(ca.tried) > 0 && share < 1 || ca.request.draw(ro.ToVersion) >= share {
-		return current
+	if bad || len(target) == 0 || !re.tries(now, ca, ro, share) {
+		return current, nil
 	}
-	return target
+	return target, current
 }
 
+// tries tells whether a request goes to a release under roll-out: one of a
+// session that goes on stays where the session was, a new one goes by the
+// share. A request that failed on trial goes on with the release in use.
+func (re *releases) tries(now time.Time, ca *call, ro policy.Rollout, share float64) bool {
+	if share >= 1 {
+		return true
+	}
+	if len(ca.tried) > 0 {
+		return false
+	}
+	keep := re.sessionKeep()
+	if last, ok := re.sessions.release(now, ca.request.Session, keep); ok {
+		return string(last) == ro.ToVersion
+	}
+	if ca.request.draw(ro.ToVersion) >= share {
+		return false
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return !re.get(now, ro).elsewhere.has(hashSession(ca.request.Session), now.Add(-keep))
+}
+
+func (re *releases) sessionKeep() time.Duration {
+	return sessionFactor * re.router.options().Serving.GetSessionKeep().AsDuration()
+}
+
+// sent notes which release a request goes to.
+func (re *releases) sent(now time.Time, ca *call, en policy.Endpoint) {
+	id := ca.request.Session
+	if id == "" {
+		return
+	}
+	re.sessions.note(now, id, policy.ReleaseID(en.Release))
+	ro, ok := re.router.holder.Set().ServiceRollout(ca.service.ID)
+	if !ok || !ro.Active() || en.Release == ro.ToVersion || ca.request.draw(ro.ToVersion) >= re.router.options().Rollout.GetExposedShare() {
+		return
+	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.get(now, ro).here.note(now, hashSession(id))
+}
+
+// sessionFactor times the time between a session's requests is how long it is
+// remembered: that time runs from the end of the request before, which may last.
+const sessionFactor = 2
+
 func byRelease(ens []policy.Endpoint, release string) (others, of []policy.Endpoint) {
 	for _, en := range ens {
 		if en.Release == release {
@@ -85,7 +136,7 @@
 	id := policy.ServiceID(ro.Service)
 	tr, ok := re.trials[id]
 	if !ok || tr.target != policy.ReleaseID(ro.ToVersion) {
-		tr = &trial{target: policy.ReleaseID(ro.ToVersion), seenAt: now}
+		tr = &trial{target: policy.ReleaseID(ro.ToVersion), seenAt: now, here: settled{}, elsewhere: settled{}}
 		re.trials[id] = tr
 	}
 	return tr
@@ -135,15 +186,19 @@
 // refresh takes in what the other routers saw: one that found a release bad
 // stops it everywhere, and so do failures that are few at each router.
 func (re *releases) refresh() {
-	se := re.router.holder.Set()
+	se, now := re.router.holder.Set(), time.Now()
 	for _, ro := range se.Rollouts.List() {
 		if ro.Service == "" || !ro.Active() {
 			continue
 		}
 		heard := re.heard(ro)
 		re.mu.Lock()
-		tr := re.get(time.Now(), ro)
+		tr := re.get(now, ro)
 		tr.heardAnswers = heard.target.Answers
+		for _, ha := range heard.settled {
+			tr.elsewhere.note(now, ha)
+		}
+		tr.elsewhere.prune(now.Add(-re.sessionKeep()))
 		target := heard.target.Plus(rollout.Counts{Answers: tr.guard.Answers, Failures: tr.guard.Failures})
 		switch {
 		case heard.bad != "":
@@ -160,6 +215,7 @@
 	bad            string
 	target, stable rollout.Counts
 	stableInFlight int64
+	settled        []sessionHash
 }
 
 func (re *releases) heard(ro policy.Rollout) heardRelease {
@@ -178,6 +234,9 @@
 		out.stable = out.stable.Plus(rollout.Counts{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()})
 		if time.Since(it.WrittenAt) < inFlightLifetime {
 			out.stableInFlight += he.GetStableInFlight()
+			for _, ha := range he.GetStableSessions() {
+				out.settled = append(out.settled, sessionHash(ha))
+			}
 		}
 	}
 	return out
@@ -196,12 +255,18 @@
 		}
 		inFlight := re.stableInFlight(ro)
 		re.mu.Lock()
-		tr := re.get(time.Now(), ro)
+		now := time.Now()
+		tr := re.get(now, ro)
+		tr.here.prune(now.Add(-re.sessionKeep()))
 		he := &rpc.VersionHealth{
 			Version: ro.ToVersion, Answers: tr.guard.Answers, Failures: tr.guard.Failures,
 			StableAnswers: tr.stable.Answers, StableFailures: tr.stable.Failures,
 			Suspect: tr.bad != "", Reason: tr.bad, StableInFlight: inFlight,
 		}
+		for ha := range tr.here {
+			he.StableSessions = append(he.StableSessions, uint32(ha))
+		}
+		slices.Sort(he.StableSessions)
 		re.mu.Unlock()
 		re.router.peers.Publish(healthKey(ro.Service, string(re.router.peers.VM())), he)
 	}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -9,6 +9,9 @@
 	// trialShare of the time a release is tried on a share of the sessions that
 	// does not change, so that no session moves to and fro.
 	trialShare = 0.52
+	// trialDelay is how long a trial waits until every entry knows the sessions
+	// that go on with the release in use.
+	trialDelay = 2500 * time.Millisecond
 	// lastShare of the time is when the release in use is given up even though
 	// requests still run on it.
 	lastShare = 0.88
@@ -37,7 +40,10 @@
 // the trial. Time alone proves nothing: the trial lasts until enough answers
 // have been seen, also by routers that have all started anew.
 func (pl Plan) Share(now time.Time, exposed float64, answers int64) float64 {
-	if now.Before(pl.at(trialShare)) || answers < provingAnswers {
+	switch {
+	case now.Before(pl.StartedAt.Add(trialDelay)):
+		return 0
+	case now.Before(pl.at(trialShare)) || answers < provingAnswers:
 		return exposed
 	}
 	return 1
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -105,3 +105,40 @@
 		qt.Assert(t, runsOn(rs, "v2") < 50, qt.IsTrue, qt.Commentf("%d bad answers", runsOn(rs, "v2")))
 	})
 }
+
+// TestSessionsStayThroughATrial sends each session's requests round the
+// routers, before and during a trial: PINNED on versehall-grown quiet-1.
+func TestSessionsStayThroughATrial(t *testing.T) {
+	site(t, testsite.RouterOptions{Routers: 4, Engines: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+		last := map[string]string{}
+		moved, tried := 0, 0
+		ask1 := func(session string, n int) {
+			id := fmt.Sprintf("%s-%d", session, n)
+			do(rs, ask{router: 1 + n%4, id: id, path: testsite.EngineRoute, header: map[string]string{"Session": session}})
+			for _, ru := range runsOf(rs, id) {
+				release := "v1"
+				if ru.Header.Get("Expect-Instance")[len("i-scribes-1-"):] == "v2" {
+					release = "v2"
+					tried++
+				}
+				if last[session] != "" && last[session] != release {
+					moved++
+				}
+				last[session] = release
+			}
+		}
+		for round := range 24 {
+			if round == 2 {
+				rs.OrderRollout(testsite.EngineGroup, "v2", 200*time.Second)
+				rs.AddReplica(testsite.EngineGroup, 1, "v2")
+				rs.AddReplica(testsite.EngineGroup, 2, "v2")
+			}
+			for n := range 30 {
+				// Sessions start one after the other, and last four rounds.
+				ask1(fmt.Sprintf("s%d-%d", n, (round+n)/4), round)
+			}
+		}
+		qt.Assert(t, tried > 5, qt.IsTrue, qt.Commentf("%d runs on trial", tried))
+		qt.Assert(t, moved, qt.Equals, 0)
+	})
+}
