Pace the exchange by the group's size, and read the endpoints' own load

Ruled out: only some routers watching the store, the others learning from peers (evidence would then be older than a cut router may go unnoticed).

--- a/peer/group.go
+++ b/peer/group.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -96,6 +97,11 @@
 	client *http.Client
 	fence  int64
 
+	// size counts the daemons heard of, this one included.
+	size atomic.Int64
+	// behind takes the addresses of peers that have a newer policy.
+	behind chan string
+
 	mu       sync.Mutex
 	sequence int64
 	progress map[string]progress
@@ -118,7 +124,7 @@
 func NewGroup(opt Options, ho *configuration.Holder, ne network.Network, lo *event.Log) *Group {
 	opt.Self.Incarnation = ulid.Make().String()
 	return &Group{
-		opt: opt, board: NewBoard(), holder: ho, log: lo,
+		opt: opt, board: NewBoard(), holder: ho, log: lo, behind: make(chan string, 1),
 		client:   ne.Client(2),
 		fence:    time.Now().UnixMilli(),
 		progress: map[string]progress{},
@@ -159,24 +165,91 @@
 	gr.board.Put(key, ve, value, time.Now())
 }
 
+const (
+	// smallGroup daemons exchange at the interval set. Larger groups take longer
+	// in proportion, so that what each sends a second does not grow with them.
+	smallGroup = 24
+	// spreadFanout is how many peers a large group's daemon tells of a new policy
+	// set at once: nearly all then know within a few steps.
+	spreadFanout = 3
+)
+
 // Run exchanges with peers until ctx ends: each interval, and at once when a
 // new policy set comes into force.
 func (gr *Group) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := gr.holder.Changed()
-		tm := time.NewTimer(gr.opt.Interval)
+		tm := time.NewTimer(gr.Paced(gr.opt.Interval))
 		gr.announce()
 		gr.round(ctx)
 		gr.noteMembers()
+		gr.waitRound(ctx, changed, tm.C)
+		tm.Stop()
+	}
+}
+
+// waitRound waits for the next round. In a large group a new policy set is
+// told of by itself meanwhile, without the items of a round.
+func (gr *Group) waitRound(ctx context.Context, changed <-chan struct{}, due <-chan time.Time) {
+	for {
 		select {
 		case <-ctx.Done():
+			return
+		case <-due:
+			return
+		case address := <-gr.behind:
+			gr.tell(ctx, address)
 		case <-changed:
-		case <-tm.C:
+			if !gr.Large() {
+				return
+			}
+			changed = gr.holder.Changed()
+			gr.spread(ctx)
 		}
-		tm.Stop()
 	}
 }
 
+// Paced gives an interval as it is at the group's size.
+func (gr *Group) Paced(interval time.Duration) time.Duration {
+	return interval * time.Duration(max(smallGroup, gr.size.Load())) / smallGroup
+}
+
+// Large tells whether the group is too large for each daemon to know every
+// other one's work at each moment.
+func (gr *Group) Large() bool { return gr.size.Load() > smallGroup }
+
+// spread tells some peers of the policy in force.
+func (gr *Group) spread(ctx context.Context) {
+	wg := worker.NewGroup()
+	for _, mb := range gr.someMembers(spreadFanout) {
+		wg.Go(func(context.Context) { gr.tell(ctx, mb.PeerAddress) })
+	}
+	wg.Wait()
+}
+
+func (gr *Group) someMembers(n int) []Member {
+	mbs := gr.Members()
+	rand.Shuffle(len(mbs), func(i, j int) { mbs[i], mbs[j] = mbs[j], mbs[i] })
+	return mbs[:min(n, len(mbs))]
+}
+
+// tell exchanges nothing but policy revisions with a peer; the one behind
+// fetches what it lacks.
+func (gr *Group) tell(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, gr.exchangeTimeout())
+	defer cancel()
+	asked := time.Now()
+	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
+		From: gr.opt.Self, PolicyOnly: true,
+		PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(asked),
+	})
+	if err != nil {
+		gr.failedMeeting(ctx, address, err)
+		return
+	}
+	gr.learnPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+}
+
 // Announce publishes this daemon's state at once and meets some peers.
 func (gr *Group) Announce(ctx context.Context) {
 	gr.announce()
@@ -307,7 +380,7 @@
 	var out []Member
 	for _, it := range gr.board.Under(memberPrefix) {
 		mb := it.member
-		mb.FailedAt = it.WrittenAt.Add(gr.opt.FailedAfter)
+		mb.FailedAt = it.WrittenAt.Add(gr.Paced(gr.opt.FailedAfter))
 		if mb.Incarnation != gr.Incarnation() && mb.FailedAt.After(now) {
 			out = append(out, mb)
 		}
@@ -382,6 +455,7 @@
 	before := gr.known
 	gr.known = now
 	gr.mu.Unlock()
+	gr.size.Store(int64(len(now) + 1))
 	for key := range now {
 		if _, ok := before[key]; !ok {
 			gr.log.Info(event.MemberJoined, event.Fields{"member": key})
--- a/peer/server.go
+++ b/peer/server.go
@@ -64,6 +64,16 @@
 	if revision == gr.holder.Set().Revision {
 		gr.holder.Confirm(revision, now.Add(-time.Duration(rq.GetPolicyAgeMs())*time.Millisecond))
 	}
+	if revision > gr.holder.Set().Revision {
+		// A full channel means that a newer policy is being fetched already.
+		select {
+		case gr.behind <- rq.GetFrom().GetPeerAddress():
+		default:
+		}
+	}
+	if rq.GetPolicyOnly() {
+		return &rpc.ExchangeResponse{From: gr.opt.Self, PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(now)}, nil
+	}
 	seen := rq.GetSeenChange()
 	if rq.GetSeenIncarnation() != string(gr.Incarnation()) {
 		seen = 0
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -67,6 +67,10 @@
 	suspension
 	own    Load
 	others Load
+	// reported is what the endpoint said that it has, ownThen this entry's part.
+	reported      int
+	ownThen       int
+	reportedUntil time.Time
 	// pending are this entry's jobs whose answer has not begun.
 	pending map[Ticket]pending
 	// speed is the measured time against the expected.
@@ -133,8 +137,8 @@
 func NewBalancer(seed uint64, domain policy.FailureDomain) *Balancer {
 	return &Balancer{
 		domain: domain,
-		rng:   rand.New(rand.NewPCG(seed, mix(seed))),
-		nodes: map[policy.EndpointID]*node{}, sent: map[remembered]time.Time{},
+		rng:    rand.New(rand.NewPCG(seed, mix(seed))),
+		nodes:  map[policy.EndpointID]*node{}, sent: map[remembered]time.Time{},
 	}
 }
 
@@ -189,6 +193,8 @@
 	if now.Before(ba.othersUntil) {
 		load.Running += no.others.Running
 		load.Backlog += no.others.Backlog
+	} else if now.Before(no.reportedUntil) {
+		load.Running = max(load.Running, no.reported+no.own.Running-no.ownThen)
 	}
 	wait := load.Backlog + Work(load.Running)*runningCost
 	if over := load.Running + 1 - int(en.Slots); over > 0 {
@@ -278,6 +284,15 @@
 	return no.note(now, re, ba.rng.Float64())
 }
 
+// Report takes in the requests that an endpoint says it has. It counts while
+// the other entries tell nothing.
+func (ba *Balancer) Report(now time.Time, id policy.EndpointID, requests int) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	no := ba.node(id)
+	no.reported, no.ownThen, no.reportedUntil = requests, no.own.Running, now.Add(reportLifetime)
+}
+
 // Pressure gives the work that waits at the mean endpoint.
 func (ba *Balancer) Pressure(now time.Time, ens []policy.Endpoint) Work {
 	ba.mu.Lock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -91,7 +91,7 @@
 	whole, cached := ro.paces.expect(key, rq.promptTokens(), rq.sharedTokens())
 	jo := placement.Job{Start: rq.start(ca.modelID()), Work: whole, Cached: cached}
 	ens, instead := ro.releases.endpoints(now, ca)
-	ca.pressure = ro.balancer.Pressure(now, ens)
+	ca.pressure = ro.pressure(now, ens)
 	routers := int(ro.routers.Load())
 	usable := func(en policy.Endpoint, ru placement.Running) bool { return ro.fleet.hasRoom(ca, en, ru, routers) }
 	pl, ok := ro.balancer.Choose(now, ens, jo, ca.tried, usable)
@@ -105,6 +105,16 @@
 	return &attempt{router: ro, call: ca, placed: pl, endpoint: pl.Endpoint, sentAt: now}, nil
 }
 
+// pressure is the work that waits at the mean endpoint. Where the routers are
+// too many to tell each other, the others are taken to have as much as this one.
+func (ro *Router) pressure(now time.Time, ens []policy.Endpoint) placement.Work {
+	pr := ro.balancer.Pressure(now, ens)
+	if ro.peers.Large() {
+		pr *= placement.Work(ro.routers.Load())
+	}
+	return pr
+}
+
 // send makes the attempt.
 func (at *attempt) send(ctx context.Context, after EventID) (*answer, *failure) {
 	ro, ca, rq := at.router, at.call, at.call.request
@@ -134,6 +144,9 @@
 	}
 	an := &answer{attempt: at, status: source.Status, header: source.Header, source: source}
 	an.head = ro.options().Dialect.Head(source.Status, source.Header)
+	if an.head.Loaded {
+		ro.balancer.Report(time.Now(), at.endpoint.ID, an.head.Running+an.head.Waiting)
+	}
 	return an.read()
 }
 
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -33,6 +33,9 @@
 	Confidence float64
 	// Rated tells that there is a confidence.
 	Rated bool
+	// Running and Waiting are the requests at the endpoint, if Loaded.
+	Running, Waiting int
+	Loaded           bool
 }
 
 // Dialect says how endpoints are spoken to.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -15,6 +15,11 @@
 
 // Publish tells the other routers of this one's work.
 func (ro *Router) Publish() {
+	ro.releases.publish()
+	if ro.peers.Large() {
+		// The endpoints' own reports of their load are fresher then.
+		return
+	}
 	us := &rpc.Usage{}
 	for id, lo := range ro.balancer.Loads() {
 		us.Endpoints = append(us.Endpoints, &rpc.EndpointUsage{
@@ -22,7 +27,6 @@
 		})
 	}
 	ro.peers.Publish(loadPrefix+string(ro.peers.VM()), us)
-	ro.releases.publish()
 }
 
 // Refresh processes what the other routers told.
@@ -44,6 +48,8 @@
 		}
 	}
 	ro.routers.Store(int64(len(entries) + 1))
-	ro.balancer.SetOthers(now, others)
+	if !ro.peers.Large() {
+		ro.balancer.SetOthers(now, others)
+	}
 	ro.releases.refresh()
 }
--- a/relay/release.go
+++ b/relay/release.go
@@ -66,7 +66,7 @@
 	}
 	re.mu.Lock()
 	tr := re.get(now, ro)
-	share := tr.plan(ro).Share(now, re.router.options().Rollout.GetExposedShare(), tr.heardAnswers+tr.guard.Answers)
+	share := re.plan(ro, tr).Share(now, re.router.options().Rollout.GetExposedShare(), tr.heardAnswers+tr.guard.Answers)
 	bad := tr.bad != ""
 	re.mu.Unlock()
 	if bad || len(target) == 0 || !re.tries(now, ca, ro, share) {
@@ -86,7 +86,7 @@
 		return false
 	}
 	keep := re.sessionKeep()
-	if last, ok := re.sessions.release(now, ca.request.Session, keep); ok {
+	if last, ok := re.sessions.release(now, sessionKey{ca.service.ID, ca.request.Session}, keep); ok {
 		return string(last) == ro.ToVersion
 	}
 	if ca.request.draw(ro.ToVersion) >= share {
@@ -107,7 +107,7 @@
 	if id == "" {
 		return
 	}
-	re.sessions.note(now, id, policy.ReleaseID(en.Release))
+	re.sessions.note(now, sessionKey{ca.service.ID, id}, policy.ReleaseID(en.Release))
 	ro, ok := re.router.holder.Set().ServiceRollout(ca.service.ID)
 	if !ok || !ro.Active() || en.Release == ro.ToVersion || ca.request.draw(ro.ToVersion) >= re.router.options().Rollout.GetExposedShare() {
 		return
@@ -138,17 +138,38 @@
 	if !ok || tr.target != policy.ReleaseID(ro.ToVersion) {
 		tr = &trial{target: policy.ReleaseID(ro.ToVersion), seenAt: now, here: settled{}, elsewhere: settled{}}
 		re.trials[id] = tr
+		re.settle(now, ro, tr)
 	}
 	return tr
 }
 
+// settle notes the sessions that go on with the release in use as a trial begins.
+func (re *releases) settle(now time.Time, ro policy.Rollout, tr *trial) {
+	exposed := re.router.options().Rollout.GetExposedShare()
+	re.sessions.recent(policy.ServiceID(ro.Service), now.Add(-re.sessionKeep()), func(id SessionID, se seenSession) {
+		if se.release != tr.target && drawOf(ro.ToVersion, string(id)) < exposed {
+			tr.here.note(se.at, hashSession(id))
+		}
+	})
+}
+
+const (
+	// trialDelay is how long routers take to tell each other the sessions that
+	// go on with the release in use, in a small group.
+	trialDelay = 2500 * time.Millisecond
+	// longestDelay is the part of a roll-out's time that this may take.
+	longestDelay = 0.3
+)
+
 // plan gives the roll-out's times: from when it was taken up, or was seen here.
-func (tr *trial) plan(ro policy.Rollout) rollout.Plan {
+func (re *releases) plan(ro policy.Rollout, tr *trial) rollout.Plan {
 	started := tr.seenAt
 	if ro.StartedAtMs > 0 {
 		started = time.UnixMilli(ro.StartedAtMs)
 	}
-	return rollout.Plan{StartedAt: started, DeadlineAt: started.Add(time.Duration(ro.DurationMs) * time.Millisecond)}
+	lasts := time.Duration(ro.DurationMs) * time.Millisecond
+	delay := min(re.router.peers.Paced(trialDelay), time.Duration(longestDelay*float64(lasts)))
+	return rollout.Plan{StartedAt: started, TrialAt: started.Add(delay), DeadlineAt: started.Add(lasts)}
 }
 
 // observe takes in an answer, or a failure, of an endpoint.
@@ -292,7 +313,7 @@
 	defer ro.releases.mu.Unlock()
 	tr := ro.releases.get(now, rec)
 	pr := rollout.Progress{
-		Plan: tr.plan(rec), Started: rec.StartedAtMs > 0, Bad: tr.bad,
+		Plan: ro.releases.plan(rec, tr), Started: rec.StartedAtMs > 0, Bad: tr.bad,
 		Answers: heard.target.Answers + tr.guard.Answers, StableInFlight: heard.stableInFlight + inFlight,
 	}
 	if pr.Bad == "" {
--- a/relay/request.go
+++ b/relay/request.go
@@ -94,10 +94,13 @@
 // draw gives a number from 0 to 1 that is the same for all requests of a
 // session; salt makes draws for different ends independent.
 func (rq *Request) draw(salt string) float64 {
-	key := string(rq.Session)
-	if key == "" {
-		key = string(rq.ID)
+	if rq.Session == "" {
+		return drawOf(salt, string(rq.ID))
 	}
+	return drawOf(salt, string(rq.Session))
+}
+
+func drawOf(salt, key string) float64 {
 	const scale = 1 << 52
 	return float64(xxhash.Sum64String(salt+"\x00"+key)%scale) / scale
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -15,7 +15,13 @@
 // sessions remembers the release that each session ran on last, so that none
 // moves to and fro while a release is on trial.
 type sessions struct {
-	last *lru.Cache[SessionID, seenSession]
+	last *lru.Cache[sessionKey, seenSession]
+}
+
+// sessionKey names a session at a service: the releases of services differ.
+type sessionKey struct {
+	service policy.ServiceID
+	session SessionID
 }
 
 // seenSession is a session's last request here.
@@ -25,7 +31,7 @@
 }
 
 func newSessions() *sessions {
-	ca, err := lru.New[SessionID, seenSession](maxSessions)
+	ca, err := lru.New[sessionKey, seenSession](maxSessions)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
@@ -33,21 +39,28 @@
 }
 
 // note records where a session's request goes.
-func (ss *sessions) note(now time.Time, id SessionID, release policy.ReleaseID) {
-	if id != "" {
-		ss.last.Add(id, seenSession{release: release, at: now})
-	}
+func (ss *sessions) note(now time.Time, key sessionKey, release policy.ReleaseID) {
+	ss.last.Add(key, seenSession{release: release, at: now})
 }
 
 // release gives what a session that goes on ran on last; false for a new one.
-func (ss *sessions) release(now time.Time, id SessionID, keep time.Duration) (policy.ReleaseID, bool) {
-	se, ok := ss.last.Get(id)
-	if !ok || id == "" || now.Sub(se.at) > keep {
+func (ss *sessions) release(now time.Time, key sessionKey, keep time.Duration) (policy.ReleaseID, bool) {
+	se, ok := ss.last.Get(key)
+	if !ok || now.Sub(se.at) > keep {
 		return "", false
 	}
 	return se.release, true
 }
 
+// recent visits a service's sessions seen after a time.
+func (ss *sessions) recent(service policy.ServiceID, after time.Time, visit func(id SessionID, se seenSession)) {
+	for _, key := range ss.last.Keys() {
+		if se, ok := ss.last.Peek(key); ok && key.service == service && se.at.After(after) {
+			visit(key.session, se)
+		}
+	}
+}
+
 // sessionHash is the short name by which routers tell of sessions.
 type sessionHash uint32
 
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -9,9 +9,6 @@
 	// trialShare of the time a release is tried on a share of the sessions that
 	// does not change, so that no session moves to and fro.
 	trialShare = 0.52
-	// trialDelay is how long a trial waits until every entry knows the sessions
-	// that go on with the release in use.
-	trialDelay = 2500 * time.Millisecond
 	// lastShare of the time is when the release in use is given up even though
 	// requests still run on it.
 	lastShare = 0.88
@@ -27,7 +24,10 @@
 // Plan is the course of a roll-out in time: a trial on a small share, then all
 // requests, then the end of the release in use once nothing runs on it.
 type Plan struct {
-	StartedAt  time.Time
+	StartedAt time.Time
+	// TrialAt is when the trial begins: by then every entry knows the sessions
+	// that go on with the release in use.
+	TrialAt    time.Time
 	DeadlineAt time.Time
 }
 
@@ -41,7 +41,7 @@
 // have been seen, also by routers that have all started anew.
 func (pl Plan) Share(now time.Time, exposed float64, answers int64) float64 {
 	switch {
-	case now.Before(pl.StartedAt.Add(trialDelay)):
+	case now.Before(pl.TrialAt):
 		return 0
 	case now.Before(pl.at(trialShare)) || answers < provingAnswers:
 		return exposed
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -12,7 +12,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func plan() rollout.Plan {
-	return rollout.Plan{StartedAt: start, DeadlineAt: start.Add(24 * time.Second)}
+	return rollout.Plan{StartedAt: start, TrialAt: start.Add(2 * time.Second), DeadlineAt: start.Add(24 * time.Second)}
 }
 
 func at(seconds float64) time.Time {
--- a/router/router.go
+++ b/router/router.go
@@ -108,7 +108,9 @@
 // describe tells the other routers whether this one takes requests.
 func (da *Daemon) describe(me *rpc.Member) {
 	me.Draining = !da.relay.Ready()
-	me.InFlight = da.relay.InFlight()
+	if !da.peers.Large() {
+		me.InFlight = da.relay.InFlight()
+	}
 }
 
 // Start opens the listeners and starts the daemon's work.
@@ -133,7 +135,7 @@
 	da.group.Go(da.peers.Run)
 	da.group.Go(da.registry.Run)
 	da.group.Go(da.relay.Run)
-	da.group.Every(publishInterval, da.exchange)
+	da.group.Go(da.exchange)
 	da.group.Every(rolloutInterval, da.control)
 	da.group.Every(idleInterval, da.closeIdle)
 	da.log.Info(event.Started, event.Fields{"incarnation": da.peers.Incarnation(), "callers": ls.GetCallers()})
@@ -148,9 +150,15 @@
 	})
 }
 
-func (da *Daemon) exchange(context.Context) {
-	da.relay.Publish()
-	da.relay.Refresh()
+// exchange gives and takes the routers' word on their work until ctx ends.
+func (da *Daemon) exchange(ctx context.Context) {
+	for {
+		da.relay.Publish()
+		da.relay.Refresh()
+		if !worker.Sleep(ctx, da.peers.Paced(publishInterval)) {
+			return
+		}
+	}
 }
 
 func (da *Daemon) closeIdle(context.Context) {
