Replace a set whole where removals are not remembered

A complete read was compared with the set before a peer's older records were merged in, so that what they had too much was never removed; and a router that starts after a removal does not remember it, so that one which lags behind learns the new records from it and keeps the removed ones.

Ruled out: a revision that falls (it only rises, TestRevisionNeverFalls).

Change: a set knows from which revision on it remembers removals (Floor); a complete read replaces the set under the holder's lock; watched changes are translated under it (Holder.Follow); a peer that asks from before the floor gets all records, marked complete, and replaces its set with them. TestRemovalsReachThoseWhoMissedThem failed before.

Also: an endpoint in another failure domain costs 300 ms.

--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -47,13 +47,49 @@
 // Update brings changes into force that are complete from the holder's own
 // revision, or an earlier one, up to revision. Older changes have no effect.
 func (ho *Holder) Update(revision store.Revision, changes []policy.Stored) {
+	ho.change(func(old *policy.Set) *policy.Set {
+		if revision <= old.Revision {
+			return old
+		}
+		return old.With(revision, changes)
+	})
+}
+
+// Follow brings the changes into force that translate makes of the set. The
+// set does not change between the two: changes may depend on what it holds.
+func (ho *Holder) Follow(translate func(se *policy.Set) []policy.Stored) {
+	ho.change(func(old *policy.Set) *policy.Set {
+		changes := translate(old)
+		newest := store.Revision(0)
+		for _, st := range changes {
+			newest = max(newest, st.ModRevision)
+		}
+		if newest <= old.Revision {
+			return old
+		}
+		return old.With(newest, changes)
+	})
+}
+
+// Replace brings all records at a revision into force; what they lack is gone.
+func (ho *Holder) Replace(revision store.Revision, records []policy.Stored) {
+	ho.change(func(old *policy.Set) *policy.Set {
+		if revision <= old.Revision {
+			return old
+		}
+		return old.Replaced(revision, records)
+	})
+}
+
+// change brings the set into force that fn gives for the one in force.
+func (ho *Holder) change(fn func(old *policy.Set) *policy.Set) {
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	old := ho.set.Load()
-	if revision <= old.Revision {
+	next := fn(old)
+	if next == old {
 		return
 	}
-	next := old.With(revision, changes)
 	ho.set.Store(next)
 	close(ho.changed)
 	ho.changed = make(chan struct{})
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -40,9 +40,12 @@
 type Layout interface {
 	// Prefix is that of all keys to read and watch.
 	Prefix() store.Key
-	// Complete gives what a read of all keys changes in a set, and the revision
-	// up to which the set is then complete.
-	Complete(se *policy.Set, pa store.Page) ([]policy.Stored, store.Revision)
+	// Complete gives the records of a read of all keys, and the revision up to
+	// which they are complete.
+	Complete(pa store.Page) ([]policy.Stored, store.Revision)
+	// Removes tells whether records vanish from the store. Where they do, a
+	// complete read takes away what it lacks.
+	Removes() bool
 	// Changed gives what watched changes change in a set.
 	Changed(se *policy.Set, chs []store.Change) []policy.Stored
 }
@@ -50,8 +53,11 @@
 // Prefix implements Layout.
 func (ke Keys) Prefix() store.Key { return ke.Records() }
 
-// Complete implements Layout. Records are never removed, only marked deleted.
-func (ke Keys) Complete(_ *policy.Set, pa store.Page) ([]policy.Stored, store.Revision) {
+// Removes implements Layout. Records are never removed, only marked deleted.
+func (ke Keys) Removes() bool { return false }
+
+// Complete implements Layout.
+func (ke Keys) Complete(pa store.Page) ([]policy.Stored, store.Revision) {
 	var out []policy.Stored
 	newest := store.Revision(0)
 	for _, kv := range pa.KeyValues {
@@ -130,12 +136,16 @@
 		return 0
 	}
 	wa.noteAnswer()
-	changes, newest := wa.layout.Complete(wa.holder.Set(), pa)
+	records, newest := wa.layout.Complete(pa)
 	if newest < wa.holder.Set().Revision {
 		wa.log.Warn(event.StoreBehind, nil, event.Fields{"store": newest, "in_force": wa.holder.Set().Revision})
 		return 0
 	}
-	wa.holder.Update(newest, changes)
+	if wa.layout.Removes() {
+		wa.holder.Replace(newest, records)
+	} else {
+		wa.holder.Update(newest, records)
+	}
 	wa.holder.Confirm(newest, asked)
 	return pa.Revision + 1
 }
@@ -147,13 +157,8 @@
 	next := from
 	err := wa.store.Watch(ctx, wa.layout.Prefix(), from, func(no store.Notice) {
 		wa.noteAnswer()
-		changes := wa.layout.Changed(wa.holder.Set(), no.Changes)
-		newest := store.Revision(0)
-		for _, st := range changes {
-			newest = max(newest, st.ModRevision)
-		}
-		if len(changes) > 0 {
-			wa.holder.Update(newest, changes)
+		if len(no.Changes) > 0 {
+			wa.holder.Follow(func(se *policy.Set) []policy.Stored { return wa.layout.Changed(se, no.Changes) })
 		}
 		next = max(next, no.Revision+1)
 		wa.holder.Confirm(wa.holder.Set().Revision, time.Now())
--- a/peer/group.go
+++ b/peer/group.go
@@ -363,7 +363,11 @@
 		for _, en := range rs.GetEntries() {
 			changes = append(changes, policy.Stored{Key: en.GetKey(), Value: en.GetValue(), ModRevision: store.Revision(en.GetModRevision())})
 		}
-		gr.holder.Update(store.Revision(rs.GetRevision()), changes)
+		if rs.GetComplete() {
+			gr.holder.Replace(store.Revision(rs.GetRevision()), changes)
+		} else {
+			gr.holder.Update(store.Revision(rs.GetRevision()), changes)
+		}
 		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision()})
 	}
 	gr.holder.Confirm(revision, evidence)
--- a/peer/server.go
+++ b/peer/server.go
@@ -89,7 +89,17 @@
 func (se *Server) FetchPolicy(_ context.Context, rq *rpc.FetchPolicyRequest) (*rpc.FetchPolicyResponse, error) {
 	set := se.group.holder.Set()
 	rs := &rpc.FetchPolicyResponse{Revision: int64(set.Revision)}
-	for _, st := range set.After(store.Revision(rq.GetAfterRevision())) {
+	after := store.Revision(rq.GetAfterRevision())
+	changes := set.After(after)
+	if after < set.Floor {
+		// What was removed since then is not remembered here.
+		rs.Complete, changes = true, set.Live()
+	}
+	for _, st := range changes {
+		if !rs.GetComplete() && st.ModRevision > set.Revision {
+			// Read ahead of the set's revision: others must not take it for complete up to there.
+			continue
+		}
 		rs.Entries = append(rs.Entries, &rpc.PolicyEntry{Key: st.Key, Value: st.Value, ModRevision: int64(st.ModRevision)})
 	}
 	return rs, nil
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -29,7 +29,7 @@
 	failureCost = 1.5
 	// farCost is what an endpoint in another failure domain costs, in seconds:
 	// the bytes on the way are paid for.
-	farCost = 0.1
+	farCost = 0.3
 	// failureSmoothing and speedSmoothing weigh a new outcome.
 	failureSmoothing = 0.2
 	speedSmoothing   = 0.25
--- /dev/null
+++ b/policy/replaced_test.go
@@ -0,0 +1,34 @@
+package policy_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/store"
+)
+
+func rank(id string, order int, revision store.Revision) policy.Stored {
+	return policy.Stored{
+		Key: "rank/" + id, ModRevision: revision,
+		Value: fmt.Appendf(nil, `{"schema_version":2,"kind":"rank","id":%q,"spec":{"order":%d}}`, id, order),
+	}
+}
+
+// TestCompleteReadTakesAwayWhatItLacks keeps only what is newer than the read.
+func TestCompleteReadTakesAwayWhatItLacks(t *testing.T) {
+	se := policy.NewSet().With(20, []policy.Stored{rank("gone", 1, 5), rank("kept", 2, 6), rank("newer", 3, 19)})
+	next := se.Replaced(15, []policy.Stored{rank("kept", 2, 6), rank("newer", 4, 12), rank("added", 5, 14)})
+	qt.Assert(t, next.Revision, qt.Equals, store.Revision(15))
+	qt.Assert(t, next.Floor, qt.Equals, store.Revision(15))
+	_, ok := next.Ranks.ByID("gone")
+	qt.Assert(t, ok, qt.IsFalse)
+	for id, order := range map[policy.RankID]int64{"kept": 2, "newer": 3, "added": 5} {
+		ra, ok := next.Ranks.ByID(id)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, ra.Order, qt.Equals, order)
+	}
+	qt.Assert(t, next.Live(), qt.HasLen, 3)
+}
--- a/policy/set.go
+++ b/policy/set.go
@@ -13,7 +13,10 @@
 // of the stored records alone, so daemons at one revision agree.
 type Set struct {
 	Revision store.Revision
-	entries  map[string]entry
+	// Floor is the revision from which on removed records are remembered: what
+	// was removed before is not there at all.
+	Floor   store.Revision
+	entries map[string]entry
 
 	Organisations Table[OrganisationID, Organisation]
 	Operators     Table[OperatorID, Operator]
@@ -58,7 +61,7 @@
 // With gives the set after changes that brought it to a revision. Changes that
 // are not newer than what the set has are passed over.
 func (se *Set) With(revision store.Revision, changes []Stored) *Set {
-	next := &Set{Revision: max(se.Revision, revision), entries: make(map[string]entry, len(se.entries)+len(changes))}
+	next := &Set{Revision: max(se.Revision, revision), Floor: se.Floor, entries: make(map[string]entry, len(se.entries)+len(changes))}
 	for key, en := range se.entries {
 		next.entries[key] = en
 	}
@@ -73,6 +76,36 @@
 	return next
 }
 
+// Replaced gives the set as a complete read at a revision found it: records
+// that the read lacks are gone, unless they are newer.
+func (se *Set) Replaced(revision store.Revision, records []Stored) *Set {
+	next := &Set{Revision: revision, Floor: revision, entries: make(map[string]entry, len(records))}
+	for key, en := range se.entries {
+		if en.stored.ModRevision > revision {
+			next.entries[key] = en
+		}
+	}
+	for _, st := range records {
+		old, ok := se.entries[st.Key]
+		switch {
+		case ok && (old.stored.ModRevision > revision || bytes.Equal(old.stored.Value, st.Value)):
+			next.entries[st.Key] = old
+		default:
+			next.entries[st.Key] = parseEntry(st)
+		}
+	}
+	next.fill()
+	return next
+}
+
+// Live lists the records that are not deleted, as they lie in the store.
+func (se *Set) Live() []Stored {
+	return slices.DeleteFunc(se.After(0), func(st Stored) bool {
+		re := se.entries[st.Key].record.Record
+		return re != nil && re.GetDeleted()
+	})
+}
+
 // WithRecords gives the set as it would be with records written at the next
 // revision, to be validated before they are.
 func (se *Set) WithRecords(res []Record) *Set {
--- a/router/change_test.go
+++ b/router/change_test.go
@@ -173,3 +173,28 @@
 		qt.Assert(t, rs.Ready(1), qt.IsTrue)
 	})
 }
+
+// TestRemovalsReachThoseWhoMissedThem restarts one router after a route was
+// removed, so that it never knew the route; the other one, cut off the store
+// all the while, learns from it. CONFIG on versehall trouble-1: records of the
+// new version were in force beside a route that it had removed.
+func TestRemovalsReachThoseWhoMissedThem(t *testing.T) {
+	site(t, testsite.RouterOptions{Routers: 2, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		rs.KillRouter(1)
+		rs.Net.Cut(testsite.Host(testsite.RouterName(2)), testsite.KVAddress)
+		rs.Configure(func(co map[string]any) {
+			routes := co["routes"].([]any)
+			added := map[string]any{}
+			for name, value := range routes[1].(map[string]any) {
+				added[name] = value
+			}
+			added["name"], added["prefix"] = "r-new", "/new/"
+			co["routes"] = []any{routes[0], routes[1], added}
+		})
+		rs.StartRouter(1)
+		rs.Eventually(5*time.Second, "the cut router has the new route", func() bool {
+			return do(rs, ask{router: 2, id: "n", path: "/new/x"}).status == http.StatusOK
+		})
+		qt.Assert(t, do(rs, ask{router: 2, id: "a", path: testsite.SafeRoute}).status, qt.Equals, http.StatusNotFound)
+	})
+}
