--- a/setting/setting.go
+++ b/setting/setting.go
@@ -153,38 +153,30 @@
 	return ru
 }
 
-// common is what both daemons' settings have.
-type common interface {
-	GetVm() *rpc.VMSection
-	GetListen() *rpc.ListenSection
-	GetStore() *rpc.StoreSection
-	GetPlatform() *rpc.PlatformSection
-	GetPeers() *rpc.PeersSection
-	GetLog() *rpc.LogSection
-}
-
 // clashes finds values that are well formed but cannot stand, by themselves or
 // together. What is missing, or not well formed, has its finding already.
 func (rd reader) clashes(ms proto.Message) {
-	co, ok := ms.(common)
-	if !ok {
-		return
+	if se, ok := ms.(interface{ GetListen() *rpc.ListenSection }); ok {
+		rd.listeners(se.GetListen().ProtoReflect())
 	}
-	rd.listeners(co.GetListen())
-	rd.urls(co)
-	if ke := co.GetPeers().GetSharedKey(); ke != "" && len(ke) < minSharedKeyLength {
-		rd.add("peers", "shared_key", "shorter than %d characters", minSharedKeyLength)
+	if se, ok := ms.(interface {
+		GetListen() *rpc.RouterListenSection
+	}); ok {
+		rd.listeners(se.GetListen().ProtoReflect())
 	}
-	if fo := co.GetLog().GetFormat(); fo != "" && fo != "text" && fo != "json" {
-		rd.add("log", "format", "%q is neither text nor json", fo)
+	if se, ok := ms.(interface{ GetStore() *rpc.StoreSection }); ok {
+		for _, ur := range se.GetStore().GetUrls() {
+			rd.url("store", "urls", ur)
+		}
 	}
-	switch co.GetLog().GetLevel() {
-	case "", "debug", "info", "warning", "error":
-	default:
-		rd.add("log", "level", "%q is none of debug, info, warning, error", co.GetLog().GetLevel())
+	if se, ok := ms.(interface{ GetPlatform() *rpc.PlatformSection }); ok {
+		rd.platform(se.GetPlatform())
 	}
-	if co.GetPeers().GetFailedAfter() != nil && co.GetPeers().GetFailedAfter().AsDuration() < 2*co.GetPeers().GetInterval().AsDuration() {
-		rd.add("peers", "failed_after", "shorter than two exchange intervals")
+	if se, ok := ms.(interface{ GetPeers() *rpc.PeersSection }); ok {
+		rd.peers(se.GetPeers())
+	}
+	if se, ok := ms.(interface{ GetLog() *rpc.LogSection }); ok {
+		rd.log(se.GetLog())
 	}
 	es, ok := ms.(*rpc.EntrySettings)
 	if ok && es.GetServing().GetIsolatedAfter() != nil && es.GetServing().GetIsolatedAfter().AsDuration() <= es.GetPeers().GetFailedAfter().AsDuration() {
@@ -192,30 +184,51 @@
 	}
 }
 
-func (rd reader) listeners(ls *rpc.ListenSection) {
+func (rd reader) peers(ps *rpc.PeersSection) {
+	if ke := ps.GetSharedKey(); ke != "" && len(ke) < minSharedKeyLength {
+		rd.add("peers", "shared_key", "shorter than %d characters", minSharedKeyLength)
+	}
+	if ps.GetFailedAfter() != nil && ps.GetFailedAfter().AsDuration() < 2*ps.GetInterval().AsDuration() {
+		rd.add("peers", "failed_after", "shorter than two exchange intervals")
+	}
+}
+
+func (rd reader) log(ls *rpc.LogSection) {
+	if fo := ls.GetFormat(); fo != "" && fo != "text" && fo != "json" {
+		rd.add("log", "format", "%q is neither text nor json", fo)
+	}
+	switch ls.GetLevel() {
+	case "", "debug", "info", "warning", "error":
+	default:
+		rd.add("log", "level", "%q is none of debug, info, warning, error", ls.GetLevel())
+	}
+}
+
+// listeners finds addresses that are not IP:port, or that two listeners share.
+// An address that callers are told to use may be that of a listener.
+func (rd reader) listeners(ls protoreflect.Message) {
 	seen := map[string]string{}
-	for _, ad := range [...]struct{ key, text string }{
-		{"callers", ls.GetCallers()}, {"admin", ls.GetAdmin()}, {"peers", ls.GetPeers()},
-	} {
-		if ad.text == "" {
+	fds := ls.Descriptor().Fields()
+	for i := range fds.Len() {
+		key, text := string(fds.Get(i).Name()), ls.Get(fds.Get(i)).String()
+		if text == "" || key == publicAddressKey {
 			continue
 		}
-		host, _, err := net.SplitHostPort(ad.text)
+		host, _, err := net.SplitHostPort(text)
 		if err != nil || net.ParseIP(host) == nil {
-			rd.add("listen", ad.key, "%q is not IP:port", ad.text)
+			rd.add("listen", key, "%q is not IP:port", text)
 		}
-		if other, ok := seen[ad.text]; ok {
-			rd.add("listen", ad.key, "same address as %s", other)
+		if other, ok := seen[text]; ok {
+			rd.add("listen", key, "same address as %s", other)
 		}
-		seen[ad.text] = ad.key
+		seen[text] = key
 	}
 }
 
-func (rd reader) urls(co common) {
-	for _, ur := range co.GetStore().GetUrls() {
-		rd.url("store", "urls", ur)
-	}
-	pl := co.GetPlatform()
+// publicAddressKey is the key of section listen that names no listener.
+const publicAddressKey = "callers_public"
+
+func (rd reader) platform(pl *rpc.PlatformSection) {
 	for _, ur := range [...]struct{ key, text string }{
 		{"vm_list_url", pl.GetVmListUrl()}, {"rating_url", pl.GetRatingUrl()}, {"weights_url", pl.GetWeightsUrl()},
 	} {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -33,7 +33,7 @@
 func TestDocumentIsInStep(t *testing.T) {
 	text, err := os.ReadFile("../docs/SETTINGS.md")
 	qt.Assert(t, err, qt.IsNil)
-	for _, ms := range []proto.Message{&rpc.EntrySettings{}, &rpc.StewardSettings{}} {
+	for _, ms := range []proto.Message{&rpc.EntrySettings{}, &rpc.StewardSettings{}, &rpc.RouterSettings{}} {
 		qt.Assert(t, string(text), qt.Contains, strings.TrimRight(setting.Describe(ms), "\n"))
 	}
 }
