--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,6 +15,7 @@
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/rollout"
+	"tanagerpoint.example/tanager/worker"
 )
 
 const (
@@ -23,6 +24,9 @@
 	// callerWriteLimit is how long a caller may take to read an event.
 	callerWriteLimit = 10 * time.Second
 	readBuffer       = 4096
+	// resumePause lets the other endpoints of a crash show that they are gone
+	// too, before one of them is chosen.
+	resumePause = 40 * time.Millisecond
 )
 
 var errTorn = eris.New("stream ended within an event")
@@ -155,7 +159,7 @@
 	an.finish(placement.Failed)
 	ca.tried = append(ca.tried, an.endpoint.ID)
 	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
-	for ctx.Err() == nil && ca.route.Resumable && ro.mayRepeat(ctx, ca, &failure{err: cause}) {
+	for worker.Sleep(ctx, resumePause) && ca.route.Resumable && ro.mayRepeat(ctx, ca, &failure{err: cause}) {
 		next, fa := ro.attempt(ctx, ca, st.last)
 		if fa == nil && next.stream != nil {
 			ro.log.Request(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": st.last, "cause": cause.Error()})
