--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint generate modelcheck measure soak bench fuzz seefail
+.PHONY: build demo test lint generate modelcheck measure soak bench fuzz seefail soak-short
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,6 +27,10 @@
 soak:
 	go test -v -tags soak -count=1 -timeout 30m ./soak/ -args -seed $(SEED) -length $(LENGTH)
 
+# A short run of the routers' soak, for CI.
+soak-short:
+	go test -v -tags soak -count=1 -timeout 5m -run TestRouterSoak ./soak/ -args -seed $(SEED) -length 15s
+
 
 seefail:
 	./proof/seefail.sh
@@ -41,3 +45,5 @@
 	go test -run XXX -fuzz FuzzToken -fuzztime 10s ./session/
 	go test -run XXX -fuzz FuzzChat -fuzztime 10s ./entry/
 	go test -run XXX -fuzz FuzzExchange -fuzztime 10s ./peer/
+	go test -run XXX -fuzz FuzzChanged -fuzztime 10s ./platform/
+	go test -run XXX -fuzz FuzzDecode -fuzztime 10s ./platform/
