--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -97,12 +97,9 @@
 // Opened counts the watches opened so far.
 func (wa *Watcher) Opened() int64 { return wa.opened.Load() }
 
-// Answered gives when the store last answered, and Failed when it last did not.
+// Answered gives when the store last answered.
 func (wa *Watcher) Answered() time.Time { return time.Unix(0, wa.answered.Load()) }
 
-// Failed gives when a call to the store last failed.
-func (wa *Watcher) Failed() time.Time { return time.Unix(0, wa.failed.Load()) }
-
 func (wa *Watcher) noteAnswer() { wa.answered.Store(time.Now().UnixNano()) }
 
 func (wa *Watcher) noteFailure() {
--- a/peer/group.go
+++ b/peer/group.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -35,22 +34,6 @@
 	RoleRouter  = "router"
 )
 
-const memberPrefix = "member/"
-
-// Member is a daemon as the exchange knows it.
-type Member struct {
-	VM             vm.ID
-	Incarnation    Incarnation
-	Role           string
-	FailureDomain  policy.FailureDomain
-	PeerAddress    string
-	CallersAddress string
-	Draining       bool
-	InFlight       int64
-	// FailedAt is when it counts as failed, if it is not heard of again.
-	FailedAt time.Time
-}
-
 // Options say who a daemon is and whom it may meet.
 type Options struct {
 	Self        *rpc.Member
@@ -165,91 +148,6 @@
 	gr.board.Put(key, ve, value, time.Now())
 }
 
-const (
-	// smallGroup daemons exchange at the interval set. Larger groups take longer
-	// in proportion, so that what each sends a second does not grow with them.
-	smallGroup = 24
-	// spreadFanout is how many peers a large group's daemon tells of a new policy
-	// set at once: nearly all then know within a few steps.
-	spreadFanout = 3
-)
-
-// Run exchanges with peers until ctx ends: each interval, and at once when a
-// new policy set comes into force.
-func (gr *Group) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := gr.holder.Changed()
-		tm := time.NewTimer(gr.Paced(gr.opt.Interval))
-		gr.announce()
-		gr.round(ctx)
-		gr.noteMembers()
-		gr.waitRound(ctx, changed, tm.C)
-		tm.Stop()
-	}
-}
-
-// waitRound waits for the next round. In a large group a new policy set is
-// told of by itself meanwhile, without the items of a round.
-func (gr *Group) waitRound(ctx context.Context, changed <-chan struct{}, due <-chan time.Time) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-due:
-			return
-		case address := <-gr.behind:
-			gr.tell(ctx, address)
-		case <-changed:
-			if !gr.Large() {
-				return
-			}
-			changed = gr.holder.Changed()
-			gr.spread(ctx)
-		}
-	}
-}
-
-// Paced gives an interval as it is at the group's size.
-func (gr *Group) Paced(interval time.Duration) time.Duration {
-	return interval * time.Duration(max(smallGroup, gr.size.Load())) / smallGroup
-}
-
-// Large tells whether the group is too large for each daemon to know every
-// other one's work at each moment.
-func (gr *Group) Large() bool { return gr.size.Load() > smallGroup }
-
-// spread tells some peers of the policy in force.
-func (gr *Group) spread(ctx context.Context) {
-	wg := worker.NewGroup()
-	for _, mb := range gr.someMembers(spreadFanout) {
-		wg.Go(func(context.Context) { gr.tell(ctx, mb.PeerAddress) })
-	}
-	wg.Wait()
-}
-
-func (gr *Group) someMembers(n int) []Member {
-	mbs := gr.Members()
-	rand.Shuffle(len(mbs), func(i, j int) { mbs[i], mbs[j] = mbs[j], mbs[i] })
-	return mbs[:min(n, len(mbs))]
-}
-
-// tell exchanges nothing but policy revisions with a peer; the one behind
-// fetches what it lacks.
-func (gr *Group) tell(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, gr.exchangeTimeout())
-	defer cancel()
-	asked := time.Now()
-	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
-		From: gr.opt.Self, PolicyOnly: true,
-		PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(asked),
-	})
-	if err != nil {
-		gr.failedMeeting(ctx, address, err)
-		return
-	}
-	gr.learnPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
-}
-
 // Announce publishes this daemon's state at once and meets some peers.
 func (gr *Group) Announce(ctx context.Context) {
 	gr.announce()
@@ -350,128 +248,6 @@
 	}
 }
 
-// learnPolicy brings a peer's policy into force when it is newer, and takes
-// its evidence that the revision is the store's newest.
-func (gr *Group) learnPolicy(ctx context.Context, address string, revision store.Revision, evidence time.Time) {
-	mine := gr.holder.Set().Revision
-	if revision > mine {
-		rs, err := gr.Peer(address).FetchPolicy(ctx, &rpc.FetchPolicyRequest{AfterRevision: int64(mine)})
-		if err != nil {
-			return
-		}
-		var changes []policy.Stored
-		for _, en := range rs.GetEntries() {
-			changes = append(changes, policy.Stored{Key: en.GetKey(), Value: en.GetValue(), ModRevision: store.Revision(en.GetModRevision())})
-		}
-		if rs.GetComplete() {
-			gr.holder.Replace(store.Revision(rs.GetRevision()), changes)
-		} else {
-			gr.holder.Update(store.Revision(rs.GetRevision()), changes)
-		}
-		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision()})
-	}
-	gr.holder.Confirm(revision, evidence)
-}
-
-// policyAgeMS is how old the evidence for the policy in force is.
-func (gr *Group) policyAgeMS(now time.Time) int64 {
-	return now.Sub(gr.holder.Evidence()).Milliseconds()
-}
-
-// Members lists the other daemons that are heard of, of all roles.
-func (gr *Group) Members() []Member {
-	now := time.Now()
-	var out []Member
-	for _, it := range gr.board.Under(memberPrefix) {
-		mb := it.member
-		mb.FailedAt = it.WrittenAt.Add(gr.Paced(gr.opt.FailedAfter))
-		if mb.Incarnation != gr.Incarnation() && mb.FailedAt.After(now) {
-			out = append(out, mb)
-		}
-	}
-	return out
-}
-
-// Entries lists the other daemons heard of that serve callers as entries do.
-func (gr *Group) Entries() []Member {
-	return slices.DeleteFunc(gr.Members(), func(mb Member) bool { return mb.Role == RoleSteward })
-}
-
-// Preferred tells whether this daemon is among the first of its role to try
-// for a task, by highest random weight among the live ones.
-func (gr *Group) Preferred(task string, first int) bool {
-	weigh := func(id vm.ID) uint64 { return xxhash.Sum64String(string(id) + "\x00" + task) }
-	own, before := weigh(gr.VM()), 0
-	for _, mb := range gr.Members() {
-		if mb.Role == gr.opt.Self.GetRole() && mb.VM != gr.VM() && weigh(mb.VM) > own {
-			before++
-		}
-	}
-	return before < first
-}
-
-// Heard gives when a run of a daemon was last heard of, over any peer.
-func (gr *Group) Heard(in Incarnation) (time.Time, bool) {
-	for _, it := range gr.board.Under(memberPrefix) {
-		if it.member.Incarnation == in {
-			return it.WrittenAt, true
-		}
-	}
-	return time.Time{}, false
-}
-
-// ReachesMostEntries tells whether more than half of the entry VMs, this one
-// included, were met directly of late. listed counts the entry VMs of the list.
-func (gr *Group) ReachesMostEntries(listed int) bool {
-	now := time.Now()
-	reached := 1
-	gr.mu.Lock()
-	defer gr.mu.Unlock()
-	for _, it := range gr.board.Under(memberPrefix + RoleEntry + "/") {
-		at, ok := gr.reached[it.member.Incarnation]
-		if ok && now.Sub(at) < gr.opt.FailedAfter {
-			reached++
-		}
-	}
-	return 2*reached > listed
-}
-
-func decodeMember(value []byte) Member {
-	var ms rpc.Member
-	if proto.Unmarshal(value, &ms) != nil {
-		return Member{}
-	}
-	return Member{
-		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
-		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
-		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
-		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(),
-	}
-}
-
-// noteMembers logs who came and who failed.
-func (gr *Group) noteMembers() {
-	now := map[string]Member{}
-	for _, mb := range gr.Members() {
-		now[mb.Role+"/"+string(mb.VM)] = mb
-	}
-	gr.mu.Lock()
-	before := gr.known
-	gr.known = now
-	gr.mu.Unlock()
-	gr.size.Store(int64(len(now) + 1))
-	for key := range now {
-		if _, ok := before[key]; !ok {
-			gr.log.Info(event.MemberJoined, event.Fields{"member": key})
-		}
-	}
-	for key := range before {
-		if _, ok := now[key]; !ok {
-			gr.log.Warn(event.MemberFailed, nil, event.Fields{"member": key})
-		}
-	}
-}
-
 // Peer gives the service of the daemon at an address.
 func (gr *Group) Peer(address string) rpc.PeerService {
 	return rpc.NewPeerServiceProtobufClient("http://"+address, authorised{client: gr.client, key: gr.opt.SharedKey})
--- /dev/null
+++ b/peer/spread.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	// smallGroup daemons exchange at the interval set. Larger groups take longer
+	// in proportion, so that what each sends a second does not grow with them.
+	smallGroup = 24
+	// spreadFanout is how many peers a large group's daemon tells of a new policy
+	// set at once: nearly all then know within a few steps.
+	spreadFanout = 3
+)
+
+// Run exchanges with peers until ctx ends: each interval, and at once when a
+// new policy set comes into force.
+func (gr *Group) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := gr.holder.Changed()
+		tm := time.NewTimer(gr.Paced(gr.opt.Interval))
+		gr.announce()
+		gr.round(ctx)
+		gr.noteMembers()
+		gr.waitRound(ctx, changed, tm.C)
+		tm.Stop()
+	}
+}
+
+// waitRound waits for the next round. In a large group a new policy set is
+// told of by itself meanwhile, without the items of a round.
+func (gr *Group) waitRound(ctx context.Context, changed <-chan struct{}, due <-chan time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-due:
+			return
+		case address := <-gr.behind:
+			gr.tell(ctx, address)
+		case <-changed:
+			if !gr.Large() {
+				return
+			}
+			changed = gr.holder.Changed()
+			gr.spread(ctx)
+		}
+	}
+}
+
+// Paced gives an interval as it is at the group's size.
+func (gr *Group) Paced(interval time.Duration) time.Duration {
+	return interval * time.Duration(max(smallGroup, gr.size.Load())) / smallGroup
+}
+
+// Large tells whether the group is too large for each daemon to know every
+// other one's work at each moment.
+func (gr *Group) Large() bool { return gr.size.Load() > smallGroup }
+
+// spread tells some peers of the policy in force.
+func (gr *Group) spread(ctx context.Context) {
+	wg := worker.NewGroup()
+	for _, mb := range gr.someMembers(spreadFanout) {
+		wg.Go(func(context.Context) { gr.tell(ctx, mb.PeerAddress) })
+	}
+	wg.Wait()
+}
+
+func (gr *Group) someMembers(n int) []Member {
+	mbs := gr.Members()
+	rand.Shuffle(len(mbs), func(i, j int) { mbs[i], mbs[j] = mbs[j], mbs[i] })
+	return mbs[:min(n, len(mbs))]
+}
+
+// tell exchanges nothing but policy revisions with a peer; the one behind
+// fetches what it lacks.
+func (gr *Group) tell(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, gr.exchangeTimeout())
+	defer cancel()
+	asked := time.Now()
+	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
+		From: gr.opt.Self, PolicyOnly: true,
+		PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(asked),
+	})
+	if err != nil {
+		gr.failedMeeting(ctx, address, err)
+		return
+	}
+	gr.learnPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+}
+
+// learnPolicy brings a peer's policy into force when it is newer, and takes
+// its evidence that the revision is the store's newest.
+func (gr *Group) learnPolicy(ctx context.Context, address string, revision store.Revision, evidence time.Time) {
+	mine := gr.holder.Set().Revision
+	if revision > mine {
+		rs, err := gr.Peer(address).FetchPolicy(ctx, &rpc.FetchPolicyRequest{AfterRevision: int64(mine)})
+		if err != nil {
+			return
+		}
+		var changes []policy.Stored
+		for _, en := range rs.GetEntries() {
+			changes = append(changes, policy.Stored{Key: en.GetKey(), Value: en.GetValue(), ModRevision: store.Revision(en.GetModRevision())})
+		}
+		if rs.GetComplete() {
+			gr.holder.Replace(store.Revision(rs.GetRevision()), changes)
+		} else {
+			gr.holder.Update(store.Revision(rs.GetRevision()), changes)
+		}
+		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision()})
+	}
+	gr.holder.Confirm(revision, evidence)
+}
+
+// policyAgeMS is how old the evidence for the policy in force is.
+func (gr *Group) policyAgeMS(now time.Time) int64 {
+	return now.Sub(gr.holder.Evidence()).Milliseconds()
+}
--- a/policy/record.go
+++ b/policy/record.go
@@ -53,17 +53,26 @@
 	if err != nil {
 		return Record{}, eris.Wrap(err, "policy.NewRecord")
 	}
-	return newRecord(ki, id, "spec", json.RawMessage(text))
+	return newRecord(recordText{SchemaVersion: SchemaVersion, Kind: ki, ID: id, Spec: text})
 }
 
 // NewTombstone gives the record that stands in place of a deleted one.
 func NewTombstone(ki Kind, id string) (Record, error) {
-	return newRecord(ki, id, "deleted", json.RawMessage("true"))
+	return newRecord(recordText{SchemaVersion: SchemaVersion, Kind: ki, ID: id, Deleted: true})
 }
 
-func newRecord(ki Kind, id, field string, value json.RawMessage) (Record, error) {
-	// Marshal orders the fields, and takes out the spaces of protojson.
-	text, err := json.Marshal(map[string]any{"schema_version": SchemaVersion, "kind": ki, "id": id, field: value})
+// recordText is the text of a record that is made here.
+type recordText struct {
+	SchemaVersion int64           `json:"schema_version"`
+	Kind          Kind            `json:"kind"`
+	ID            string          `json:"id"`
+	Deleted       bool            `json:"deleted,omitempty"`
+	Spec          json.RawMessage `json:"spec,omitempty"`
+}
+
+func newRecord(rt recordText) (Record, error) {
+	// Marshal takes out the spaces of protojson, which differ from build to build.
+	text, err := json.Marshal(rt)
 	if err != nil {
 		return Record{}, eris.Wrap(err, "policy.newRecord")
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -38,10 +38,11 @@
 )
 
 var (
-	errOther   = eris.New("answer belongs to another request")
-	errEncoded = eris.New("answer is encoded, which nobody asked for")
-	errNotRun  = eris.New("endpoint did not run the request")
-	errStatus  = eris.New("endpoint answered with a failure")
+	errOther    = eris.New("answer belongs to another request")
+	errUnsigned = eris.New("answer does not come from the service")
+	errEncoded  = eris.New("answer is encoded, which nobody asked for")
+	errNotRun   = eris.New("endpoint did not run the request")
+	errStatus   = eris.New("endpoint answered with a failure")
 )
 
 // attempt is one sending of a request to one endpoint.
@@ -195,6 +196,9 @@
 	case an.head.NotRun:
 		an.source.Close()
 		return nil, &failure{err: errNotRun, notRun: true}
+	case !an.head.Signed && an.status < http.StatusMultipleChoices:
+		an.source.Close()
+		return nil, &failure{err: errUnsigned}
 	case an.header.Get("Content-Encoding") != "":
 		an.source.Close()
 		return nil, &failure{err: errEncoded}
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -27,7 +27,8 @@
 	Request RequestID
 	// NotRun tells that the endpoint did not run the request.
 	NotRun bool
-	// Signed tells that the service itself made the answer.
+	// Signed tells that the service itself made the answer. A dialect without
+	// signatures says so of every answer.
 	Signed bool
 	// Confidence is the model's opinion of its answer, from 0 to 100.
 	Confidence float64
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -201,7 +201,7 @@
 
 // TestSafeRequestGoesElsewhere has one replica of two fail in turn.
 func TestSafeRequestGoesElsewhere(t *testing.T) {
-	for name, fa := range map[string]standin.ReplicaFaults{"torn": {Torn: true}, "crossed": {Crossed: "other"}, "failing": {Status: 500}, "refusing": {NotRun: true}, "silent": {Silent: true}} {
+	for name, fa := range map[string]standin.ReplicaFaults{"torn": {Torn: true}, "crossed": {Crossed: "other"}, "failing": {Status: 500}, "refusing": {NotRun: true}, "silent": {Silent: true}, "unsigned": {Unsigned: true}} {
 		t.Run(name, func(t *testing.T) {
 			site(t, testsite.RouterOptions{Routers: 1, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
 				rs.Replicas[testsite.ReplicaID(testsite.PlainGroup, 1, "v1")].Set(fa)
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -32,6 +32,8 @@
 	Silent bool
 	// Crossed is the request id that its answers carry instead.
 	Crossed string
+	// Unsigned leaves out what marks an answer as the service's own.
+	Unsigned bool
 	// Torn breaks whole answers in the middle.
 	Torn bool
 }
@@ -139,7 +141,9 @@
 	if fa.Crossed != "" {
 		he.Set("Attempt-Id", fa.Crossed)
 	}
-	he.Set("Response-Signature", "signed-by-"+re.opt.ID)
+	if !fa.Unsigned {
+		he.Set("Response-Signature", "signed-by-"+re.opt.ID)
+	}
 	if co, ok := re.opt.Confidence[rq.Header.Get("Model")]; ok {
 		he.Set("Confidence", co)
 	}
