Call no request not run whose start was dropped

Cause: a request that the small model had begun, and that found no endpoint for the large one, was refused with 503, which promises that it has not run. Change: a dropped start counts as a run; the answer is 502. TestDroppedStartIsNotCalledNotRun failed before.

--- a/capacity/router_test.go
+++ b/capacity/router_test.go
@@ -1,7 +1,6 @@
 package capacity_test
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +35,7 @@
 			reads2, writes2 := rs.Store.Calls()
 			each := float64(after-before) / float64(routers) / idle.Seconds()
 			calls := float64(reads2-reads+writes2-writes) / float64(routers) / idle.Seconds()
-			t.Log(fmt.Sprintf("%d routers: %.1f KB/s and %.2f calls of the store a second each", routers, each/1000, calls))
+			t.Logf("%d routers: %.1f KB/s and %.2f calls of the store a second each", routers, each/1000, calls)
 			if routers <= largestInside && each > budgetBytes {
 				t.Errorf("%d routers send %.0f B/s each, over %d", routers, each, budgetBytes)
 			}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -21,7 +21,7 @@
 
 // fleet is the endpoints by service.
 //
-// mu guards all fields. No other lock is taken while it is held.
+// mu guards all fields. The balancer's and the holder's locks are taken after it.
 type fleet struct {
 	router *Router
 
--- a/relay/release.go
+++ b/relay/release.go
@@ -20,7 +20,7 @@
 // releases decides which release of a service a request runs on, and judges
 // the releases that are rolled out.
 //
-// mu guards trials. No other lock is taken while it is held.
+// mu guards trials. The sessions' own lock is taken after it.
 type releases struct {
 	router   *Router
 	sessions *sessions
--- a/relay/router.go
+++ b/relay/router.go
@@ -32,7 +32,7 @@
 }
 
 // Router serves the requests of routes. It is safe for concurrent use; each
-// part states its own lock, and no part is called while another's is held.
+// part states its own lock, and which others are taken after it.
 type Router struct {
 	opt      atomic.Pointer[Options]
 	holder   *configuration.Holder
--- a/relay/run.go
+++ b/relay/run.go
@@ -21,7 +21,7 @@
 		an, fa := ro.attempt(ctx, ca, ca.request.After)
 		if fa == nil && ro.larger(ca, an) {
 			an.drop()
-			ca.model = len(ca.models()) - 1
+			ca.model, ca.mayHaveRun = len(ca.models())-1, true
 			continue
 		}
 		if fa == nil {
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -284,3 +284,16 @@
 		}
 	})
 }
+
+// TestDroppedStartIsNotCalledNotRun has the small model begin, and the large
+// one refused everywhere: the request has run, and must not be refused as one
+// that has not.
+func TestDroppedStartIsNotCalledNotRun(t *testing.T) {
+	opt := standin.ReplicaOptions{Events: 3, Delay: 20 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "10"}}
+	site(t, testsite.RouterOptions{Routers: 1, Engines: 2, Engine: opt}, func(t *testing.T, rs *testsite.RouterSite) {
+		setAll(rs, standin.ReplicaFaults{NotRunModel: testsite.LargeModel})
+		an := do(rs, ask{id: "a", path: testsite.EngineRoute + "x"})
+		qt.Assert(t, len(runsOf(rs, "a")) > 0, qt.IsTrue)
+		qt.Assert(t, an.status, qt.Equals, http.StatusBadGateway)
+	})
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -26,6 +26,8 @@
 	Status int
 	// NotRun makes it refuse every request, truthfully.
 	NotRun bool
+	// NotRunModel makes it refuse so the requests for one model.
+	NotRunModel string
 	// CutAfter breaks streams after so many events, within the next one.
 	CutAfter int
 	// Silent makes it run requests and never answer.
@@ -97,7 +99,7 @@
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if fa.NotRun {
+	if fa.NotRun || fa.NotRunModel != "" && fa.NotRunModel == rq.Header.Get("Model") {
 		he.Set("Not-Executed", "1")
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
