Give the small model's answer where the large one has no room

A request refused by every endpoint for the large model, with attempts left, goes back to the small one instead of failing (test: TestDroppedStartIsNotCalledNotRun).

--- a/relay/router.go
+++ b/relay/router.go
@@ -126,8 +126,10 @@
 	mayHaveRun bool
 	// pressure is the work that waited at the mean endpoint at the last send.
 	pressure placement.Work
-	// model is the choice so far among the route's models.
-	model int
+	// model is the choice so far among the route's models; keepSmall ends the
+	// choosing.
+	model     int
+	keepSmall bool
 }
 
 // Serve answers a request.
--- a/relay/run.go
+++ b/relay/run.go
@@ -34,6 +34,10 @@
 		if fa.nowhere || !ro.mayRepeat(ctx, ca, fa) {
 			return ro.final(ctx, wr, ca, last)
 		}
+		if fa.notRun && ca.model > 0 {
+			// Refused for want of room: a weaker answer is better than none.
+			ca.model, ca.keepSmall = 0, true
+		}
 	}
 }
 
@@ -41,7 +45,7 @@
 // model.
 func (ro *Router) larger(ca *call, an *answer) bool {
 	models := ca.models()
-	if ca.model == len(models)-1 || !an.head.Rated || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
+	if ca.keepSmall || ca.model == len(models)-1 || !an.head.Rated || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
 		return false
 	}
 	key := paceKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
