Make fewer calls of the store in large groups

Change: the watch gathers changes for longer in large groups, 1.2 s at most; members are read each 30 s.

--- a/peer/registry.go
+++ b/peer/registry.go
@@ -17,8 +17,9 @@
 	// registryLease is how long an entry outlives its daemon.
 	registryLease = 10 * time.Second
 	registryRenew = registryLease / 3
-	// readEvery renewals the others' entries are read.
-	readEvery = 3
+	// readEvery renewals the others' entries are read: once the exchange knows
+	// some peers, the entries only help parts of a site that lost each other.
+	readEvery = 9
 )
 
 // Registry keeps this daemon's entry in the store, under a lease, and reads
--- a/router/router.go
+++ b/router/router.go
@@ -80,6 +80,7 @@
 	da.watcher = configuration.NewWatcher(da.layout, da.store, da.holder, lo)
 	opt := da.peerOptions()
 	da.peers = peer.NewGroup(opt, da.holder, ne, lo)
+	da.store.PaceBy(da.peers.Paced)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.client = endpoint.NewClient(ne, endpointProgress)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
