--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -92,7 +92,7 @@
 	whole, cached := ro.paces.expect(key, rq.promptTokens(), rq.sharedTokens())
 	jo := placement.Job{Start: rq.start(ca.modelID()), Work: whole, Cached: cached}
 	ens, instead := ro.releases.endpoints(now, ca)
-	ca.pressure = ro.pressure(now, ens)
+	ca.pressure = ro.pressure(now, ca.service.ID, ens)
 	routers := int(ro.routers.Load())
 	usable := func(en policy.Endpoint, ru placement.Running) bool { return ro.fleet.hasRoom(ca, en, ru, routers) }
 	pl, ok := ro.balancer.Choose(now, ens, jo, ca.tried, usable)
@@ -107,13 +107,14 @@
 }
 
 // pressure is the work that waits at the mean endpoint. Where the routers are
-// too many to tell each other, the others are taken to have as much as this one.
-func (ro *Router) pressure(now time.Time, ens []policy.Endpoint) placement.Work {
+// too many to tell each other, the others are taken to have as much as this one
+// has on average.
+func (ro *Router) pressure(now time.Time, id policy.ServiceID, ens []policy.Endpoint) placement.Work {
 	pr := ro.balancer.Pressure(now, ens)
-	if ro.peers.Large() {
-		pr *= placement.Work(ro.routers.Load())
+	if !ro.peers.Large() {
+		return pr
 	}
-	return pr
+	return ro.pressures.add(now, id, pr*placement.Work(ro.routers.Load()))
 }
 
 // send makes the attempt.
--- a/relay/router.go
+++ b/relay/router.go
@@ -43,10 +43,12 @@
 	balancer *placement.Balancer
 	fleet    *fleet
 	paces    *paces
-	budgets  *budgets
-	releases *releases
-	draining atomic.Bool
-	inFlight atomic.Int64
+	// pressures is used in large groups only.
+	pressures *pressures
+	budgets   *budgets
+	releases  *releases
+	draining  atomic.Bool
+	inFlight  atomic.Int64
 	// routers counts the routers heard of, this one included.
 	routers atomic.Int64
 }
@@ -64,7 +66,7 @@
 func New(opt Options, pa Parts) *Router {
 	ro := &Router{
 		holder: pa.Holder, client: pa.Client, peers: pa.Peers, log: pa.Log, metrics: pa.Metrics,
-		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), pa.Peers.FailureDomain()), paces: newPaces(),
+		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), pa.Peers.FailureDomain()), paces: newPaces(), pressures: newPressures(),
 	}
 	ro.opt.Store(&opt)
 	ro.routers.Store(1)
