Give up more doubtful answers of short prompts

Change: confidence below 85 is given up at an idle fleet, less 50 for each second of the large model's work: short prompts are cheap to start again.

--- a/cascade/step.go
+++ b/cascade/step.go
@@ -3,13 +3,13 @@
 const (
 	// escalateBelow is the confidence, from 0 to 100, below which an answer is
 	// given up at an idle fleet.
-	escalateBelow = 70
+	escalateBelow = 85
 	// leastConfidence is always low enough, while there is time.
 	leastConfidence = 12
 	// workWeight is the confidence that a second of work is worth, and
 	// pressureWeight that of a second that waits at every endpoint, for each
 	// second of work.
-	workWeight     = 10
+	workWeight     = 50
 	pressureWeight = 600
 	// waitWeight is the confidence that using up the whole time left is worth.
 	waitWeight = 20
