--- a/placement/placement.go
+++ b/placement/placement.go
@@ -2,7 +2,8 @@
 //
 // A request goes where its prompt's prefix is likely to be cached: prefixes
 // are spread over the endpoints by consistent hashing with bounded loads
-// (Mirrokni, Thorup and Zadimoghaddam, 2016). When the endpoints that the
+// (Mirrokni, Thorup and Zadimoghaddam, 2016), the more of them the more requests
+// ask for it. When the endpoints that the
 // prefix leads to are loaded, the least loaded of a few chosen at random gets
 // it (Mitzenmacher, 2001). Load is what the entries have in flight: daemons that
 // go by the same old reports would all choose alike.
@@ -24,16 +25,20 @@
 const (
 	// pointsPerEndpoint spreads each endpoint over the ring.
 	pointsPerEndpoint = 32
-	// maxRingSteps is how many endpoints a prefix is tried on.
-	maxRingSteps = 2
+	// minHomes is how many endpoints the rarest prefix is tried on.
+	minHomes = 2
+	// spareHomes is how many further endpoints a prefix is tried on for each that
+	// its requests alone would keep busy, so that it finds one with a free slot.
+	spareHomes = 3.0
 	// stepPenalty is the load that makes up for one step along the ring.
 	stepPenalty = 0.1
-	// maxAffinityLoad is the load, in slots, up to which a prefix decides.
-	maxAffinityLoad = 0.9
+	// maxAffinityLoad is the load, in slots, up to which a prefix decides. It is
+	// above 1 since ownWeight counts the entry's own requests several times.
+	maxAffinityLoad = 1.2
 	// ownWeight and othersWeight weigh this entry's requests in flight against
 	// what others reported of theirs. Its own count is exact, and stands as well for
 	// what entries in the same position have sent since their reports.
-	ownWeight    = 2.0
+	ownWeight    = 4.0
 	othersWeight = 0.75
 	// randomChoices is how many endpoints are compared by load.
 	randomChoices = 8
@@ -106,6 +111,7 @@
 	states map[policy.EndpointID]*State
 	// othersUntil is until when the other entries' reports are valid.
 	othersUntil time.Time
+	popularity  popularity
 }
 
 // State is what is known of one endpoint.
@@ -154,15 +160,17 @@
 }
 
 // byPrefix walks the ring from a prefix to the least loaded of the first few
-// endpoints, of which the earlier ones are preferred; -1 when all are loaded.
+// endpoints, of which the earlier ones are preferred; -1 when all are loaded. A
+// prefix that many ask for is tried on more of them.
 func (tr *Tracker) byPrefix(now time.Time, po *Pool, pr Prefix, may Usable) int {
 	if pr == 0 || len(po.points) == 0 {
 		return -1
 	}
+	limit := minHomes + int(spareHomes*tr.popularity.note(pr)*float64(len(po.Endpoints)))
 	first := sort.Search(len(po.points), func(i int) bool { return po.points[i].hash >= uint64(pr) })
-	seen := make([]int, 0, maxRingSteps)
+	seen := make([]int, 0, minHomes)
 	best, bestScore := -1, math.Inf(1)
-	for step := 0; step < len(po.points) && len(seen) < maxRingSteps; step++ {
+	for step := 0; step < len(po.points) && len(seen) < limit; step++ {
 		i := po.points[(first+step)%len(po.points)].index
 		if slices.Contains(seen, i) {
 			continue
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -40,6 +40,43 @@
 	qt.Assert(t, other.ID, qt.Not(qt.Equals), first.ID)
 }
 
+// TestPopularPrefixGetsMoreHomes replays a prompt that an eighth of all
+// requests share: two endpoints would queue for it while the others idle.
+func TestPopularPrefixGetsMoreHomes(t *testing.T) {
+	tr, po := placement.NewTracker(1), pool(8)
+	tr.SetOthers(start, nil)
+	popular := placement.HashPrefix("o", "v", []byte("popular"))
+	rare := placement.HashPrefix("o", "v", []byte("rare"))
+	for i := range 200 {
+		pr := placement.HashPrefix("o", "v", fmt.Append(nil, i))
+		if i%8 == 0 {
+			pr = popular
+		}
+		en, ok := tr.Choose(start, po, pr, nil, all)
+		qt.Assert(t, ok, qt.IsTrue)
+		tr.Done(start, en.ID, placement.Succeeded)
+	}
+	qt.Assert(t, homesOf(t, tr, po, rare), qt.Equals, 2)
+	qt.Assert(t, homesOf(t, tr, po, popular), qt.Equals, 3)
+}
+
+// homesOf gives how many endpoints a prefix's requests go to, of those that
+// stay and fill one slot each.
+func homesOf(t *testing.T, tr *placement.Tracker, po *placement.Pool, pr placement.Prefix) int {
+	got := map[policy.EndpointID]int{}
+	for range 3 {
+		en, ok := tr.Choose(start, po, pr, nil, all)
+		qt.Assert(t, ok, qt.IsTrue)
+		got[en.ID]++
+	}
+	for id, n := range got {
+		for range n {
+			tr.Done(start, id, placement.Succeeded)
+		}
+	}
+	return len(got)
+}
+
 func TestFailingEndpointIsSuspendedAndProbed(t *testing.T) {
 	tr, po := placement.NewTracker(1), pool(1)
 	for range 2 {
