Send side by side to a site that a replica leaves: the test sees its fault each time

Cause: TestLeavingReplicaGetsNothingMore sent one request after the other; the balancer kept all on the endpoint that stays, and the seeded fault 'lapse grace without end' passed in some runs.

Change: six requests at once, with endpoints that take 20 ms.

--- a/router/change_test.go
+++ b/router/change_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,7 +98,8 @@
 		"removed":  func(rs *testsite.RouterSite) { rs.Unregister(testsite.PlainGroup, 1, "v1") },
 	} {
 		t.Run(name, func(t *testing.T) {
-			site(t, testsite.RouterOptions{Routers: 2, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+			busy := standin.ReplicaOptions{Delay: 20 * time.Millisecond}
+			site(t, testsite.RouterOptions{Routers: 2, Plains: 2, Plain: busy}, func(t *testing.T, rs *testsite.RouterSite) {
 				ho := testsite.Host(testsite.RouterName(2))
 				rs.Net.Cut(ho, testsite.KVAddress)
 				time.Sleep(4 * time.Second)
@@ -106,8 +108,7 @@
 				leave(rs)
 				left := time.Now()
 				for n := 0; time.Since(left) < 4*time.Second; n++ {
-					qt.Assert(t, do(rs, ask{router: 2, id: fmt.Sprint(n), path: testsite.SafeRoute}).status, qt.Equals, http.StatusOK)
-					time.Sleep(20 * time.Millisecond)
+					sideBySide(t, rs, fmt.Sprint(n))
 				}
 				for _, ru := range rs.Replicas[testsite.ReplicaID(testsite.PlainGroup, 1, "v1")].Runs() {
 					qt.Assert(t, ru.At.Before(left.Add(inForce)), qt.IsTrue, qt.Commentf("%s after it left", ru.At.Sub(left)))
@@ -117,6 +118,24 @@
 	}
 }
 
+// sideBySide sends safe requests to the second router at the same time, so many
+// that every endpoint it knows gets some.
+func sideBySide(t *testing.T, rs *testsite.RouterSite, round string) {
+	t.Helper()
+	const requests = 6
+	var wg sync.WaitGroup
+	var statuses [requests]int
+	for n := range requests {
+		wg.Go(func() {
+			statuses[n] = do(rs, ask{router: 2, id: fmt.Sprint(round, "-", n), path: testsite.SafeRoute}).status
+		})
+	}
+	wg.Wait()
+	for _, status := range statuses {
+		qt.Assert(t, status, qt.Equals, http.StatusOK)
+	}
+}
+
 // TestLapsedEntriesCountForAWhile has all entries run out while the store is
 // down, and one come back.
 func TestLapsedEntriesCountForAWhile(t *testing.T) {
