--- a/peer/group.go
+++ b/peer/group.go
@@ -91,6 +91,9 @@
 	// reached holds when each member was last met directly.
 	reached map[Incarnation]time.Time
 	known   map[string]Member
+	// current is the policy in force at the last round, settled at the one before.
+	current store.Revision
+	settled store.Revision
 }
 
 // progress is what an exchange with one address has come to.
@@ -170,6 +173,7 @@
 
 // round meets the peers of one interval at the same time.
 func (gr *Group) round(ctx context.Context) {
+	gr.settle()
 	wg := worker.NewGroup()
 	for _, ad := range gr.pick() {
 		wg.Go(func(context.Context) { gr.meet(ctx, ad) })
@@ -233,6 +237,7 @@
 	}
 	gr.reached[Incarnation(rs.GetFrom().GetIncarnation())] = asked
 	gr.mu.Unlock()
+	gr.offerPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()))
 	gr.learnPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -87,22 +87,19 @@
 
 // FetchPolicy implements rpc.PeerService.
 func (se *Server) FetchPolicy(_ context.Context, rq *rpc.FetchPolicyRequest) (*rpc.FetchPolicyResponse, error) {
-	set := se.group.holder.Set()
-	rs := &rpc.FetchPolicyResponse{Revision: int64(set.Revision)}
-	after := store.Revision(rq.GetAfterRevision())
-	changes := set.After(after)
-	if after < set.Floor {
-		// What was removed since then is not remembered here.
-		rs.Complete, changes = true, set.Live()
-	}
-	for _, st := range changes {
-		if !rs.GetComplete() && st.ModRevision > set.Revision {
-			// Read ahead of the set's revision: others must not take it for complete up to there.
-			continue
-		}
-		rs.Entries = append(rs.Entries, &rpc.PolicyEntry{Key: st.Key, Value: st.Value, ModRevision: int64(st.ModRevision)})
+	return se.group.policyAfter(store.Revision(rq.GetAfterRevision())), nil
+}
+
+// OfferPolicy implements rpc.PeerService. What goes on from a revision that this
+// daemon has not reached, as after a restart, is of no use to it.
+func (se *Server) OfferPolicy(_ context.Context, rq *rpc.OfferPolicyRequest) (*rpc.OfferPolicyResponse, error) {
+	gr, rs := se.group, rq.GetPolicy()
+	mine := int64(gr.holder.Set().Revision)
+	if rs.GetRevision() > mine && (rs.GetComplete() || rq.GetAfterRevision() <= mine) {
+		gr.take(rs)
+		gr.log.Info(event.PolicyFromPeer, event.Fields{"revision": rs.GetRevision(), "offered": true})
 	}
-	return rs, nil
+	return &rpc.OfferPolicyResponse{}, nil
 }
 
 // HoldBills implements rpc.PeerService.
--- a/peer/spread.go
+++ b/peer/spread.go
@@ -5,10 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"tanagerpoint.example/tanager/event"
-	"tanagerpoint.example/tanager/policy"
-	"tanagerpoint.example/tanager/rpc"
-	"tanagerpoint.example/tanager/store"
 	"tanagerpoint.example/tanager/worker"
 )
 
@@ -79,48 +75,3 @@
 	rand.Shuffle(len(mbs), func(i, j int) { mbs[i], mbs[j] = mbs[j], mbs[i] })
 	return mbs[:min(n, len(mbs))]
 }
-
-// tell exchanges nothing but policy revisions with a peer; the one behind
-// fetches what it lacks.
-func (gr *Group) tell(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, gr.exchangeTimeout())
-	defer cancel()
-	asked := time.Now()
-	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
-		From: gr.opt.Self, PolicyOnly: true,
-		PolicyRevision: int64(gr.holder.Set().Revision), PolicyAgeMs: gr.policyAgeMS(asked),
-	})
-	if err != nil {
-		gr.failedMeeting(ctx, address, err)
-		return
-	}
-	gr.learnPolicy(ctx, address, store.Revision(rs.GetPolicyRevision()), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
-}
-
-// learnPolicy brings a peer's policy into force when it is newer, and takes
-// its evidence that the revision is the store's newest.
-func (gr *Group) learnPolicy(ctx context.Context, address string, revision store.Revision, evidence time.Time) {
-	mine := gr.holder.Set().Revision
-	if revision > mine {
-		rs, err := gr.Peer(address).FetchPolicy(ctx, &rpc.FetchPolicyRequest{AfterRevision: int64(mine)})
-		if err != nil {
-			return
-		}
-		var changes []policy.Stored
-		for _, en := range rs.GetEntries() {
-			changes = append(changes, policy.Stored{Key: en.GetKey(), Value: en.GetValue(), ModRevision: store.Revision(en.GetModRevision())})
-		}
-		if rs.GetComplete() {
-			gr.holder.Replace(store.Revision(rs.GetRevision()), changes)
-		} else {
-			gr.holder.Update(store.Revision(rs.GetRevision()), changes)
-		}
-		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision()})
-	}
-	gr.holder.Confirm(revision, evidence)
-}
-
-// policyAgeMS is how old the evidence for the policy in force is.
-func (gr *Group) policyAgeMS(now time.Time) int64 {
-	return now.Sub(gr.holder.Evidence()).Milliseconds()
-}
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -252,15 +252,16 @@
 	})
 }
 
-// TestCallerThatLeavesEndsTheRun cancels in mid-stream.
+// TestCallerThatLeavesEndsTheRun cancels in mid-stream, long before the next
+// event would tell that nobody reads any more.
 func TestCallerThatLeavesEndsTheRun(t *testing.T) {
-	opt := standin.ReplicaOptions{Events: 100, Gap: 100 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "90"}}
+	opt := standin.ReplicaOptions{Events: 100, Gap: 900 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "90"}}
 	site(t, testsite.RouterOptions{Routers: 1, Engines: 1, Engine: opt}, func(t *testing.T, rs *testsite.RouterSite) {
 		ctx, cancel := context.WithTimeout(t.Context(), 550*time.Millisecond)
 		defer cancel()
 		an := do(rs, ask{id: "a", path: testsite.EngineRoute + "x", ctx: ctx})
 		qt.Assert(t, an.err, qt.IsNotNil)
-		rs.Eventually(500*time.Millisecond, "the run ends", func() bool { return runsOf(rs, "a")[0].Left })
+		rs.Eventually(200*time.Millisecond, "the run ends", func() bool { return runsOf(rs, "a")[0].Left })
 		time.Sleep(time.Second)
 		qt.Assert(t, runsOf(rs, "a"), qt.HasLen, 1)
 	})
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -4,6 +4,8 @@
 package standin
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -25,6 +27,12 @@
 	DelayMS int64 `json:"delay_ms"`
 	// LoseAnswers is how many next writes are carried out without an answer.
 	LoseAnswers int `json:"lose_answers"`
+	// LateWrites is how many next writes break at once and are carried out
+	// LateMS later, when nobody waits for them any more.
+	LateWrites int   `json:"late_writes"`
+	LateMS     int64 `json:"late_ms"`
+	// LateAbout is what the late writes contain, such as a key; "" for all.
+	LateAbout string `json:"late_about"`
 	// FailModel is an engine's model whose requests fail.
 	FailModel string `json:"fail_model"`
 	// CutAfter breaks the next streams after so many events; 0 never.
@@ -43,7 +51,8 @@
 type Switch struct {
 	mu     sync.Mutex
 	faults Faults
-	// losable tells which requests LoseAnswers is for; nil: every POST.
+	// losable tells which requests LoseAnswers and LateWrites are for; nil: every
+	// POST.
 	losable func(rq *http.Request) bool
 }
 
@@ -97,10 +106,28 @@
 			ha.ServeHTTP(httptest.NewRecorder(), rq)
 			panic(http.ErrAbortHandler)
 		}
+		if sw.isWrite(rq) && fa.LateWrites > 0 && contains(rq, fa.LateAbout) && sw.take(func(fa *Faults) *int { return &fa.LateWrites }) {
+			runLate(ha, rq, time.Duration(fa.LateMS)*time.Millisecond)
+			panic(http.ErrAbortHandler)
+		}
 		ha.ServeHTTP(wr, rq)
 	})
 }
 
+// contains tells whether a request's body contains a text; the body can be read
+// again afterwards.
+func contains(rq *http.Request, text string) bool {
+	body, err := io.ReadAll(rq.Body)
+	rq.Body = io.NopCloser(bytes.NewReader(body))
+	return err == nil && bytes.Contains(body, []byte(text))
+}
+
+// runLate carries a request out after a while; its sender hears nothing.
+func runLate(ha http.Handler, rq *http.Request, late time.Duration) {
+	later := rq.Clone(context.WithoutCancel(rq.Context()))
+	time.AfterFunc(late, func() { ha.ServeHTTP(httptest.NewRecorder(), later) })
+}
+
 func (sw *Switch) isWrite(rq *http.Request) bool {
 	if sw.losable != nil {
 		return sw.losable(rq)
