Gather changes in the watcher; in a large group a few routers ask soon

Change: configuration.Watcher gathers, for as long as the router says: 0.4 s in a small group and for ten routers of a large one, 2.2 s for the others, who hear of changes from peers at once.

--- a/capacity/router_test.go
+++ b/capacity/router_test.go
@@ -1,10 +1,14 @@
 package capacity_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/router"
 	"tanagerpoint.example/tanager/testsite"
 )
 
@@ -42,3 +46,42 @@
 		})
 	}
 }
+
+// TestChangesInALargeGroup has changes come four times a second. A router asks
+// the store well less than once a second, and each is soon in force everywhere.
+func TestChangesInALargeGroup(t *testing.T) {
+	const (
+		routers  = 32
+		changes  = 40
+		interval = 250 * time.Millisecond
+		// callsEach is half of the calls a second that routers would make which all
+		// ask again 0.4 s after a change.
+		callsEach = 1.25
+		inForce   = 2 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		rs := testsite.NewRouterSite(t, testsite.RouterOptions{Routers: routers, Plains: 1})
+		defer rs.Close()
+		time.Sleep(10 * time.Second)
+		reads, _ := rs.Store.Calls()
+		for n := range changes {
+			rs.Register(testsite.PlainGroup, 1, fmt.Sprint("v", n), "ready")
+			time.Sleep(interval)
+		}
+		reads2, _ := rs.Store.Calls()
+		each := float64(reads2-reads) / routers / (changes * interval).Seconds()
+		t.Logf("%.2f calls of the store a second and router", each)
+		qt.Check(t, each < callsEach, qt.IsTrue)
+		rs.Register(testsite.PlainGroup, 2, "v1", "ready")
+		newest := rs.Store.Revision()
+		took := rs.Eventually(inForce, "the last change is in force everywhere", func() bool {
+			for n := 1; n <= routers; n++ {
+				if int64(rs.Routers[n].Dump().(router.State).PolicyRevision) < newest {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("in force everywhere after %s", took)
+	})
+}
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -82,6 +82,8 @@
 	store  store.Store
 	holder *Holder
 	log    *event.Log
+	// gather gives how long to wait for further changes after some came.
+	gather func() time.Duration
 	opened atomic.Int64
 	// answered is when the store last answered, failed when it last did not,
 	// in Unix nanoseconds.
@@ -91,9 +93,14 @@
 
 // NewWatcher gives a watcher; Run starts it.
 func NewWatcher(la Layout, st store.Store, ho *Holder, lo *event.Log) *Watcher {
-	return &Watcher{layout: la, store: st, holder: ho, log: lo}
+	return &Watcher{layout: la, store: st, holder: ho, log: lo, gather: func() time.Duration { return 0 }}
 }
 
+// GatherBy lets changes that come together come in one answer, where the store
+// takes a call for each: after changes the watch rests for the time given. It
+// is called before Run.
+func (wa *Watcher) GatherBy(gather func() time.Duration) { wa.gather = gather }
+
 // Opened counts the watches opened so far.
 func (wa *Watcher) Opened() int64 { return wa.opened.Load() }
 
@@ -159,6 +166,9 @@
 		}
 		next = max(next, no.Revision+1)
 		wa.holder.Confirm(wa.holder.Set().Revision, time.Now())
+		if rest := wa.gather(); rest > 0 && len(no.Changes) > 0 {
+			worker.Sleep(ctx, rest)
+		}
 	})
 	if ctx.Err() != nil {
 		return next
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,13 @@
 	publishInterval   = 400 * time.Millisecond
 	rolloutInterval   = 300 * time.Millisecond
 	idleInterval      = time.Second
+	// taskWatch names the choice of firstWatchers.
+	taskWatch = "watch"
+	// firstWatchers is more than may be expected to fail at the same time.
+	firstWatchers = 10
+	gatherWait    = 400 * time.Millisecond
+	// longGather keeps a router that reaches no peer within 3 s of the store.
+	longGather = 2200 * time.Millisecond
 	// endpointProgress bounds the silence of endpoints where a route sets nothing.
 	endpointProgress = 2 * time.Second
 	// listenAfterDrain is how long new requests are still taken once a graceful
@@ -80,7 +87,7 @@
 	da.watcher = configuration.NewWatcher(da.layout, da.store, da.holder, lo)
 	opt := da.peerOptions()
 	da.peers = peer.NewGroup(opt, da.holder, ne, lo)
-	da.store.PaceBy(da.peers.Paced)
+	da.watcher.GatherBy(da.gather)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.client = endpoint.NewClient(ne, endpointProgress)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
@@ -151,6 +158,16 @@
 	})
 }
 
+// gather is how long changes of the policy are gathered before the store is
+// asked for more. In a large group the first few by weight ask soon and tell
+// the others, who ask seldom.
+func (da *Daemon) gather() time.Duration {
+	if da.peers.Large() && !da.peers.Preferred(taskWatch, firstWatchers) {
+		return longGather
+	}
+	return gatherWait
+}
+
 // exchange gives and takes the routers' word on their work until ctx ends.
 func (da *Daemon) exchange(ctx context.Context) {
 	for {
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -114,6 +114,9 @@
 		http.Error(wr, "after and wait_ms are whole numbers", http.StatusBadRequest)
 		return
 	}
+	st.mu.Lock()
+	st.reads++
+	st.mu.Unlock()
 	until := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer until.Stop()
 	for {
--- a/standin/store.go
+++ b/standin/store.go
@@ -58,6 +58,13 @@
 	return st.reads, st.writes
 }
 
+// Revision gives the revision of the last change.
+func (st *Store) Revision() int64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.revision
+}
+
 // Handler serves the API.
 func (st *Store) Handler() http.Handler {
 	mu := http.NewServeMux()
