Give the test site's configuration a type

Cause: tests changed the configuration through nested map[string]any, so that a wrong name was seen at run time only, if at all.

Change: testsite.Configuration and its parts, in the shape of the platform's page; tests change its fields.

--- a/router/change_test.go
+++ b/router/change_test.go
@@ -19,9 +19,9 @@
 
 func TestConfigurationComesIntoForceEverywhere(t *testing.T) {
 	site(t, testsite.RouterOptions{Routers: 3, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
-		rs.Configure(func(co map[string]any) {
-			co["routes"] = co["routes"].([]any)[:2]
-			co["tenants"] = []any{map[string]any{"name": "new", "api_keys": []any{"new-key"}}}
+		rs.Configure(func(co *testsite.Configuration) {
+			co.Routes = co.Routes[:2]
+			newKeyOnly(co)
 		})
 		time.Sleep(inForce)
 		for n := 1; n <= 3; n++ {
@@ -38,9 +38,7 @@
 	site(t, testsite.RouterOptions{Routers: 3, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
 		rs.Net.Cut(testsite.Host(testsite.RouterName(2)), testsite.KVAddress)
 		time.Sleep(time.Second)
-		rs.Configure(func(co map[string]any) {
-			co["tenants"] = []any{map[string]any{"name": "new", "api_keys": []any{"new-key"}}}
-		})
+		rs.Configure(newKeyOnly)
 		rs.Register(testsite.PlainGroup, 1, "v1", "draining")
 		time.Sleep(inForce)
 		qt.Assert(t, do(rs, ask{router: 2, id: "a", path: testsite.SafeRoute}).status, qt.Equals, http.StatusUnauthorized)
@@ -68,7 +66,7 @@
 func TestSilentWatchIsOpenedAnew(t *testing.T) {
 	site(t, testsite.RouterOptions{Routers: 1, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
 		rs.Net.Silence(testsite.Host(testsite.RouterName(1)), testsite.KVAddress)
-		rs.Configure(func(co map[string]any) { co["tenants"] = []any{} })
+		rs.Configure(func(co *testsite.Configuration) { co.Tenants = nil })
 		rs.Eventually(3*time.Second, "the change is in force", func() bool {
 			return do(rs, ask{id: "x", path: testsite.SafeRoute, key: "any"}).status == http.StatusOK
 		})
@@ -201,14 +199,10 @@
 	site(t, testsite.RouterOptions{Routers: 2, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
 		rs.KillRouter(1)
 		rs.Net.Cut(testsite.Host(testsite.RouterName(2)), testsite.KVAddress)
-		rs.Configure(func(co map[string]any) {
-			routes := co["routes"].([]any)
-			added := map[string]any{}
-			for name, value := range routes[1].(map[string]any) {
-				added[name] = value
-			}
-			added["name"], added["prefix"] = "r-new", "/new/"
-			co["routes"] = []any{routes[0], routes[1], added}
+		rs.Configure(func(co *testsite.Configuration) {
+			added := co.Routes[1]
+			added.Name, added.Prefix = "r-new", "/new/"
+			co.Routes[2] = added
 		})
 		rs.StartRouter(1)
 		rs.Eventually(5*time.Second, "the cut router has the new route", func() bool {
--- a/router/recovery_test.go
+++ b/router/recovery_test.go
@@ -16,8 +16,9 @@
 // store answers.
 const back = 3 * time.Second
 
-func newKeyOnly(co map[string]any) {
-	co["tenants"] = []any{map[string]any{"name": "new", "api_keys": []any{"new-key"}}}
+// newKeyOnly leaves one tenant, with another key.
+func newKeyOnly(co *testsite.Configuration) {
+	co.Tenants = []testsite.TenantConfiguration{{Name: "new", APIKeys: []string{"new-key"}}}
 }
 
 func restartAll(rs *testsite.RouterSite, routers int) {
--- /dev/null
+++ b/testsite/configuration.go
@@ -0,0 +1,77 @@
+package testsite
+
+// Configuration is the operator's configuration of a test site, as the users'
+// platform has it.
+type Configuration struct {
+	Version  int64                  `json:"version"`
+	Routes   []RouteConfiguration   `json:"routes"`
+	Services []ServiceConfiguration `json:"services"`
+	Limits   LimitsConfiguration    `json:"limits"`
+	Tenants  []TenantConfiguration  `json:"tenants"`
+}
+
+// RouteConfiguration is one route.
+type RouteConfiguration struct {
+	Name            string   `json:"name"`
+	Host            string   `json:"host"`
+	Prefix          string   `json:"prefix"`
+	Kind            string   `json:"kind"`
+	TimeoutMS       int64    `json:"timeout_ms"`
+	TargetLatencyMS int64    `json:"target_latency_ms"`
+	Priority        int64    `json:"priority"`
+	Sizes           []string `json:"sizes,omitempty"`
+	Service         string   `json:"service"`
+	MaxAttempts     int64    `json:"max_attempts"`
+	SessionAffinity bool     `json:"session_affinity,omitempty"`
+	StreamResume    bool     `json:"stream_resume,omitempty"`
+	TargetGapMS     int64    `json:"target_gap_ms,omitempty"`
+}
+
+// ServiceConfiguration is one service; Engine is nil for plain ones.
+type ServiceConfiguration struct {
+	Name           string               `json:"name"`
+	HealthPath     string               `json:"health_path"`
+	MaxConnections int64                `json:"max_connections"`
+	Engine         *EngineConfiguration `json:"engine,omitempty"`
+}
+
+// EngineConfiguration is the size of a service's model replicas.
+type EngineConfiguration struct {
+	Slots    int64 `json:"slots"`
+	KVTokens int64 `json:"kv_tokens"`
+}
+
+// LimitsConfiguration bounds requests and connections.
+type LimitsConfiguration struct {
+	MaxHeaderBytes  int64 `json:"max_header_bytes"`
+	MaxBodyBytes    int64 `json:"max_body_bytes"`
+	HeaderTimeoutMS int64 `json:"header_timeout_ms"`
+	IdleTimeoutMS   int64 `json:"idle_timeout_ms"`
+}
+
+// TenantConfiguration is one tenant and its keys.
+type TenantConfiguration struct {
+	Name    string   `json:"name"`
+	APIKeys []string `json:"api_keys"`
+}
+
+// firstConfiguration gives the configuration that a site starts with.
+func firstConfiguration() *Configuration {
+	return &Configuration{
+		Routes: []RouteConfiguration{
+			{
+				Name: "r-notes", Host: RouteHost, Prefix: EngineRoute, Kind: "streaming", TimeoutMS: 20_000, TargetLatencyMS: 1000,
+				Sizes: []string{SmallModel, LargeModel}, Service: EngineGroup, MaxAttempts: 3,
+				SessionAffinity: true, StreamResume: true, TargetGapMS: 800,
+			},
+			{Name: "r-loans", Host: RouteHost, Prefix: UnsafeRoute, Kind: "unsafe", TimeoutMS: 800, TargetLatencyMS: 150, Priority: 2, Service: PlainGroup, MaxAttempts: 3},
+			{Name: "r-places", Host: RouteHost, Prefix: SafeRoute, Kind: "safe", TimeoutMS: 800, TargetLatencyMS: 150, Priority: 2, Service: PlainGroup, MaxAttempts: 2},
+		},
+		Services: []ServiceConfiguration{
+			{Name: EngineGroup, HealthPath: "/health", MaxConnections: 370, Engine: &EngineConfiguration{Slots: 8, KVTokens: 484_470}},
+			{Name: PlainGroup, HealthPath: "/health", MaxConnections: 110},
+		},
+		Limits:  LimitsConfiguration{MaxHeaderBytes: 16_384, MaxBodyBytes: 65_536, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15_000},
+		Tenants: []TenantConfiguration{{Name: Tenant, APIKeys: []string{CallerKey}}},
+	}
+}
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -156,21 +156,10 @@
 }
 
 // Configure writes the operator's configuration, after change has changed it.
-func (rs *RouterSite) Configure(change func(co map[string]any)) {
+func (rs *RouterSite) Configure(change func(co *Configuration)) {
 	rs.version++
-	text := fmt.Sprintf(`{"version":%d,"routes":[
-		{"name":"r-notes","host":%[2]q,"prefix":%[3]q,"kind":"streaming","timeout_ms":20000,"target_latency_ms":1000,"priority":0,
-		 "sizes":["small","large"],"service":"scribes","max_attempts":3,"session_affinity":true,"stream_resume":true,"target_gap_ms":800},
-		{"name":"r-loans","host":%[2]q,"prefix":%[4]q,"kind":"unsafe","timeout_ms":800,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":3},
-		{"name":"r-places","host":%[2]q,"prefix":%[5]q,"kind":"safe","timeout_ms":800,"target_latency_ms":150,"priority":2,"service":"desk","max_attempts":2}],
-		"services":[{"name":"scribes","health_path":"/health","max_connections":370,"engine":{"slots":8,"kv_tokens":484470}},
-		 {"name":"desk","health_path":"/health","max_connections":110}],
-		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-		"tenants":[{"name":%[6]q,"api_keys":[%[7]q]}]}`, rs.version, RouteHost, EngineRoute, UnsafeRoute, SafeRoute, Tenant, CallerKey)
-	var co map[string]any
-	if err := json.Unmarshal([]byte(text), &co); err != nil {
-		rs.tb.Fatal(err)
-	}
+	co := firstConfiguration()
+	co.Version = rs.version
 	if change != nil {
 		change(co)
 	}
