--- a/peer/group.go
+++ b/peer/group.go
@@ -70,8 +70,8 @@
 
 // Group is this daemon's part in the exchange.
 //
-// mu guards progress, reached, known and sequence. It is taken before the
-// board's and the holder's locks, never after.
+// mu guards progress, reached, known, sequence, current and settled. It is taken
+// before the board's and the holder's locks, never after.
 type Group struct {
 	opt    Options
 	board  *Board
--- a/peer/policy.go
+++ b/peer/policy.go
@@ -43,8 +43,8 @@
 	gr.holder.Confirm(revision, evidence)
 }
 
-// offerPolicy brings the policy in force to a peer that had time to fetch it
-// and has not: it may be unable to reach anyone itself.
+// offerPolicy brings the policy in force to a peer at an older revision that had
+// time to fetch it and has not: it may be unable to reach anyone itself.
 func (gr *Group) offerPolicy(ctx context.Context, address string, revision store.Revision) {
 	gr.mu.Lock()
 	settled := gr.settled
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// pointsPerEndpoint spreads each endpoint over the ring.
-	pointsPerEndpoint = 32
 	// minHomes is how many endpoints the rarest prefix is tried on.
 	minHomes = 2
 	// spareHomes is how many further endpoints a prefix is tried on for each that
@@ -64,44 +62,6 @@
 	return Prefix(di.Sum64())
 }
 
-// Pool is the endpoints that serve one version or service. It is immutable.
-type Pool struct {
-	Endpoints []policy.Endpoint
-	points    []point
-}
-
-type point struct {
-	hash  uint64
-	index int
-}
-
-// NewPool gives a pool of endpoints.
-func NewPool(ens []policy.Endpoint) *Pool {
-	po := &Pool{Endpoints: ens}
-	for i, en := range ens {
-		ha := xxhash.Sum64String(string(en.ID))
-		for range pointsPerEndpoint {
-			po.points = append(po.points, point{hash: ha, index: i})
-			ha = mix(ha)
-		}
-	}
-	slices.SortFunc(po.points, func(a, b point) int {
-		if a.hash < b.hash {
-			return -1
-		}
-		return 1
-	})
-	return po
-}
-
-// mix is the finaliser of SplitMix64 (Steele, Lea and Flood, 2014).
-func mix(ha uint64) uint64 {
-	ha += 0x9e3779b97f4a7c15
-	ha = (ha ^ ha>>30) * 0xbf58476d1ce4e5b9
-	ha = (ha ^ ha>>27) * 0x94d049bb133111eb
-	return ha ^ ha>>31
-}
-
 // Tracker keeps what this entry knows of each endpoint.
 //
 // mu guards the fields below it. No other lock is taken while it is held.
--- a/router/router.go
+++ b/router/router.go
@@ -37,7 +37,9 @@
 	idleInterval      = time.Second
 	// taskWatch names the choice of firstWatchers.
 	taskWatch = "watch"
-	// firstWatchers is more than may be expected to fail at the same time.
+	// firstWatchers is how many ask soon. When all of them go at once the others
+	// learn of a change by their own watch, longGather later at most, until the
+	// choice falls on other routers.
 	firstWatchers = 10
 	gatherWait    = 400 * time.Millisecond
 	// longGather keeps a router that reaches no peer within 3 s of the store.
