Revert the long gathering in large groups: it broke PINNED on both grown sites

Trace: the roll-out is ordered at 2 s and the trial begins a session's time, 8.5 s, later. A router notes the sessions that it settles on the release in use only once it knows of the roll-out; one that hears of it 2 s late has said nothing of those 2 s, and their sessions go to the new release elsewhere.

--- a/router/router.go
+++ b/router/router.go
@@ -35,15 +35,10 @@
 	publishInterval   = 400 * time.Millisecond
 	rolloutInterval   = 300 * time.Millisecond
 	idleInterval      = time.Second
-	// taskWatch names the choice of firstWatchers.
-	taskWatch = "watch"
-	// firstWatchers is how many ask soon. When all of them go at once the others
-	// learn of a change by their own watch, longGather later at most, until the
-	// choice falls on other routers.
-	firstWatchers = 10
+	// gatherWait lets changes that come together come in one answer of the store:
+	// each is paid for. longestGather bounds it in large groups.
 	gatherWait    = 400 * time.Millisecond
-	// longGather keeps a router that reaches no peer within 3 s of the store.
-	longGather = 2200 * time.Millisecond
+	longestGather = 1200 * time.Millisecond
 	// endpointProgress bounds the silence of endpoints where a route sets nothing.
 	endpointProgress = 2 * time.Second
 	// listenAfterDrain is how long new requests are still taken once a graceful
@@ -161,13 +156,9 @@
 }
 
 // gather is how long changes of the policy are gathered before the store is
-// asked for more. In a large group the first few by weight ask soon and tell
-// the others, who ask seldom.
+// asked for more.
 func (da *Daemon) gather() time.Duration {
-	if da.peers.Large() && !da.peers.Preferred(taskWatch, firstWatchers) {
-		return longGather
-	}
-	return gatherWait
+	return min(da.peers.Paced(gatherWait), longestGather)
 }
 
 // exchange gives and takes the routers' word on their work until ctx ends.
