--- a/relay/release.go
+++ b/relay/release.go
@@ -66,7 +66,8 @@
 	}
 	re.mu.Lock()
 	tr := re.get(now, ro)
-	share := re.plan(ro, tr).Share(now, re.router.options().Rollout.GetExposedShare(), tr.heardAnswers+tr.guard.Answers)
+	exposed := rollout.Exposed(re.router.options().Rollout.GetExposedShare(), len(current))
+	share := re.plan(ro, tr).Share(now, exposed, tr.heardAnswers+tr.guard.Answers)
 	bad := tr.bad != ""
 	re.mu.Unlock()
 	if bad || len(target) == 0 || !re.tries(now, ca, ro, share) {
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -49,6 +49,22 @@
 	return 1
 }
 
+// fewEndpoints is how many endpoints of the release in use serve so little that
+// a trial needs its whole share of them.
+const fewEndpoints = 12
+
+// Exposed gives the share of the sessions that a trial takes, from the most that
+// it may take and the endpoints of the release in use. Where many serve, a
+// smaller share brings answers enough, and fewer sessions are on their way
+// between routers that have not heard of them yet. It goes by powers of two,
+// so that routers with slightly different counts agree.
+func Exposed(most float64, endpoints int) float64 {
+	for n := endpoints; n >= 2*fewEndpoints; n /= 2 {
+		most /= 2
+	}
+	return most
+}
+
 // Action is what is due in a roll-out.
 type Action int
 
