Ask once in the test site whether all routers are ready

Cause: recovery tests spelled out the loop that NewRouterSite has already, and TestRouterSlopes added up the bytes sent twice.

Change: RouterSite.AllReady serves both; sent adds up the bytes. Tests only; no assertion, bound or wait is changed.

--- a/capacity/router_test.go
+++ b/capacity/router_test.go
@@ -26,18 +26,11 @@
 			rs := testsite.NewRouterSite(t, testsite.RouterOptions{Routers: routers, Engines: 2, Plains: 1})
 			defer rs.Close()
 			time.Sleep(10 * time.Second)
-			before, reads, writes := int64(0), int64(0), int64(0)
-			for n := 1; n <= routers; n++ {
-				before += rs.Net.Written(testsite.Host(testsite.RouterName(n)))
-			}
-			reads, writes = rs.Store.Calls()
+			before := sent(rs, routers)
+			reads, writes := rs.Store.Calls()
 			time.Sleep(idle)
-			after := int64(0)
-			for n := 1; n <= routers; n++ {
-				after += rs.Net.Written(testsite.Host(testsite.RouterName(n)))
-			}
 			reads2, writes2 := rs.Store.Calls()
-			each := float64(after-before) / float64(routers) / idle.Seconds()
+			each := float64(sent(rs, routers)-before) / float64(routers) / idle.Seconds()
 			calls := float64(reads2-reads+writes2-writes) / float64(routers) / idle.Seconds()
 			t.Logf("%d routers: %.1f KB/s and %.2f calls of the store a second each", routers, each/1000, calls)
 			if routers <= largestInside && each > budgetBytes {
@@ -47,6 +40,15 @@
 	}
 }
 
+// sent adds up the bytes that the routers have sent so far.
+func sent(rs *testsite.RouterSite, routers int) int64 {
+	sum := int64(0)
+	for n := 1; n <= routers; n++ {
+		sum += rs.Net.Written(testsite.Host(testsite.RouterName(n)))
+	}
+	return sum
+}
+
 // TestChangesInALargeGroup has changes come four times a second. The routers'
 // calls of the store stay within its budget at the two-year size, and the last
 // change is soon in force everywhere.
--- a/router/recovery_test.go
+++ b/router/recovery_test.go
@@ -41,7 +41,7 @@
 			return do(rs, ask{id: "first", path: testsite.SafeRoute, key: "new-key"}).status == http.StatusOK
 		})
 		restartAll(rs, routers)
-		rs.Eventually(back, "all serve again", func() bool { return rs.Ready(1) && rs.Ready(2) && rs.Ready(3) })
+		rs.Eventually(back, "all serve again", rs.AllReady)
 		for n := 1; n <= routers; n++ {
 			qt.Assert(t, do(rs, ask{router: n, id: fmt.Sprint("new", n), path: testsite.SafeRoute, key: "new-key"}).status, qt.Equals, http.StatusOK)
 			qt.Assert(t, do(rs, ask{router: n, id: fmt.Sprint("old", n), path: testsite.SafeRoute}).status, qt.Equals, http.StatusUnauthorized)
@@ -64,7 +64,7 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 		rs.Store.Set(standin.Faults{})
-		rs.Eventually(back, "all serve again", func() bool { return rs.Ready(1) && rs.Ready(2) && rs.Ready(3) })
+		rs.Eventually(back, "all serve again", rs.AllReady)
 		for n := 1; n <= routers; n++ {
 			qt.Assert(t, do(rs, ask{router: n, id: fmt.Sprint("back", n), path: testsite.SafeRoute}).status, qt.Equals, http.StatusOK)
 		}
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -93,14 +93,7 @@
 		rs.StartRouter(n)
 	}
 	if !opt.Unconfigured {
-		rs.Eventually(5*time.Second, "every router is ready", func() bool {
-			for n := 1; n <= opt.Routers; n++ {
-				if !rs.Ready(n) {
-					return false
-				}
-			}
-			return true
-		})
+		rs.Eventually(5*time.Second, "every router is ready", rs.AllReady)
 	}
 	return rs
 }
@@ -251,6 +244,16 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// AllReady asks whether every router that the site began with is ready.
+func (rs *RouterSite) AllReady() bool {
+	for n := 1; n <= rs.opt.Routers; n++ {
+		if !rs.Ready(n) {
+			return false
+		}
+	}
+	return true
+}
+
 // Eventually waits until something holds, and fails the test when it does not
 // within a limit. It gives the time that passed.
 func (rs *RouterSite) Eventually(limit time.Duration, what string, holds func() bool) time.Duration {
