Log why a release was selected, and when a router changes its share

PINNED could not be traced: 411 named neither the session nor the reason, and no line said when a router ended a roll-out's trial. 411 now has session and selected; 414 (and tanager_session_moves) tell of a session that continues on another release; 415 of a router's change of the candidate's share, with the answers it knew of. No decision changes.

--- a/event/event.go
+++ b/event/event.go
@@ -55,6 +55,8 @@
 	RequestSent          Number = 411
 	RequestAnswered      Number = 412
 	CascadeEscalated     Number = 413
+	SessionMoved         Number = 414
+	ReleaseShareChanged  Number = 415
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -111,6 +113,8 @@
 	RequestSent:          "request sent to an endpoint",
 	RequestAnswered:      "request answered",
 	CascadeEscalated:     "cascade dropped a smaller model's answer to use the largest model",
+	SessionMoved:         "session continues on another release",
+	ReleaseShareChanged:  "this router changed the share of requests that a release gets",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -35,6 +35,8 @@
 	InTime     metric.Int64Counter
 	Worth      metric.Float64Counter
 	Orders     metric.Int64Counter
+	// SessionMoves counts by KeyCause, the reason for which a release was selected.
+	SessionMoves metric.Int64Counter
 }
 
 // The keys of the instruments' attributes.
@@ -83,6 +85,7 @@
 	counter(&me.CostMicro, "tanager_cost_micro_credits", "Cost of answers by version, in micro-credits.")
 	counter(&me.InTime, "tanager_first_tokens", "First tokens by rank, and whether they came within the rank's target.")
 	counter(&me.Orders, "tanager_orders", "Orders to endpoints by outcome.")
+	counter(&me.SessionMoves, "tanager_session_moves", "Sessions that continued on another release, by reason.")
 	histogram(&me.Latency, "tanager_latency", "Time from arrival to the answer's end.")
 	histogram(&me.FirstToken, "tanager_first_token", "Time from arrival to the first token.")
 	histogram(&me.QueueWait, "tanager_queue_wait", "Time in the queue.")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -56,6 +56,7 @@
 	call      *call
 	placement placement.Assignment
 	endpoint  policy.Endpoint
+	selected  selectionReason
 	sentAt    time.Time
 	// finished reports whether the result has been recorded.
 	finished bool
@@ -100,19 +101,20 @@
 	key := latencyKey{ca.service.ID, ca.modelID()}
 	work, cached := ro.latencies.estimate(key, rq.promptTokens(), rq.prefixTokens())
 	jo := placement.Job{Prefix: rq.prefix(ca.modelID()), Work: work, CacheSaving: cached}
-	ens, fallback := ro.releases.endpointsFor(now, ca)
-	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, ens)
+	se := ro.releases.selectRelease(now, ca)
+	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, se.endpoints)
 	routers := int(ro.routers.Load())
 	usable := func(en policy.Endpoint, ru placement.Running) bool { return ro.fleet.hasCapacity(ca, en, ru, routers) }
-	pl, ok := ro.balancer.Choose(now, ens, jo, ca.failedEndpoints, usable)
+	pl, ok := ro.balancer.Choose(now, se.endpoints, jo, ca.failedEndpoints, usable)
 	if !ok {
-		pl, ok = ro.balancer.Choose(now, fallback, jo, ca.failedEndpoints, usable)
+		se.reason = reasonNoCapacity
+		pl, ok = ro.balancer.Choose(now, se.fallback, jo, ca.failedEndpoints, usable)
 	}
 	if !ok {
 		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, noEndpoint: true}
 	}
-	ro.releases.recordSend(now, ca, pl.Endpoint)
-	return &attempt{router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, sentAt: now}, nil
+	ro.releases.recordSend(now, ca, pl.Endpoint, se.reason)
+	return &attempt{router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, sentAt: now}, nil
 }
 
 // meanBacklog returns the mean work queued at an endpoint by all routers. In a
@@ -138,7 +140,8 @@
 	}, time.Now())
 	ca.sends++
 	ro.log.InfoLimited(event.RequestSent, event.Fields{
-		"request": rq.ID, "route": ca.route.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release, "model": ca.modelID(),
+		"request": rq.ID, "session": rq.Session, "route": ca.route.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release,
+		"selected": at.selected, "model": ca.modelID(),
 		"send": ca.sends, "estimate_ms": at.estimatedWait().Milliseconds(), "pressure_ms": int64(float64(ca.meanBacklog) * 1000),
 		"policy": ro.holder.Set().Revision,
 	})
--- a/relay/release.go
+++ b/relay/release.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -8,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
@@ -44,60 +46,113 @@
 	peerAnswers int64
 	// firstSeenAt is when this router first saw the roll-out.
 	firstSeenAt time.Time
+	// loggedShare is the candidate's share that was logged last.
+	loggedShare float64
 }
 
 func newReleaseSelector(ro *Router) *releaseSelector {
 	return &releaseSelector{router: ro, sessions: newSessions(), states: map[policy.ServiceID]*rolloutState{}}
 }
 
-// endpointsFor returns the endpoints of the release selected for a call, and
-// those of the release in use as a fallback if none of the former has capacity.
-func (rs *releaseSelector) endpointsFor(now time.Time, ca *call) (ens, fallback []policy.Endpoint) {
+// selectionReason says why a release was selected for a request. Logs and metrics
+// show it.
+type selectionReason string
+
+const (
+	// reasonNoRollout: the service has no roll-out, or it has ended.
+	reasonNoRollout selectionReason = "no_rollout"
+	// reasonRejected: the candidate was rejected or has no endpoints.
+	reasonRejected selectionReason = "rejected"
+	// reasonPromoted: every request goes to the candidate.
+	reasonPromoted selectionReason = "promoted"
+	// reasonAssigned: the session's hash assigns it.
+	reasonAssigned selectionReason = "assigned"
+	// reasonKept: the session has run on this release before.
+	reasonKept selectionReason = "kept"
+	// reasonRetry: an attempt of the request has failed.
+	reasonRetry selectionReason = "retry"
+	// reasonNoCapacity: no endpoint of the selected release had capacity.
+	reasonNoCapacity selectionReason = "no_capacity"
+)
+
+// selection is the release selected for a request: its endpoints, and those of the
+// release in use as a fallback if none of the former has capacity.
+type selection struct {
+	endpoints, fallback []policy.Endpoint
+	reason              selectionReason
+}
+
+// selectRelease selects the release for a call.
+func (rs *releaseSelector) selectRelease(now time.Time, ca *call) selection {
 	all := rs.router.fleet.forService(now, ca.service.ID)
 	ro, ok := rs.router.holder.Set().ServiceRollout(ca.service.ID)
 	if !ok {
-		return all, nil
+		return selection{endpoints: all, reason: reasonNoRollout}
 	}
 	stable, candidate := splitByRelease(all, ro.ToVersion)
 	switch ro.State {
 	case rpc.RolloutState_DONE:
-		return candidate, nil
+		return selection{endpoints: candidate, reason: reasonNoRollout}
 	case rpc.RolloutState_ABORTED:
-		return stable, nil
+		return selection{endpoints: stable, reason: reasonNoRollout}
 	}
 	rs.mu.Lock()
 	st := rs.stateOf(now, ro)
 	exposed := rollout.TrialShare(rs.router.options().Rollout.GetExposedShare(), len(stable))
 	share := rs.plan(ro, st).Share(now, exposed, st.peerAnswers+st.health.Answers)
+	if st.rejectionReason != "" {
+		share = 0
+	}
+	rs.logShare(ro, st, share, len(stable))
 	rejected := st.rejectionReason != ""
 	rs.mu.Unlock()
-	if rejected || len(candidate) == 0 || !rs.usesCandidate(now, ca, ro, share) {
-		return stable, nil
+	if rejected || len(candidate) == 0 {
+		return selection{endpoints: stable, reason: reasonRejected}
 	}
-	return candidate, stable
+	uses, reason := rs.usesCandidate(now, ca, ro, share)
+	if !uses {
+		return selection{endpoints: stable, reason: reason}
+	}
+	return selection{endpoints: candidate, fallback: stable, reason: reason}
 }
 
-// usesCandidate reports whether a request goes to the candidate. At a share of 1
-// every request does. Below that, a running session stays on its release and new
+// logShare logs a change of the share of requests that the candidate gets from this
+// router. The caller holds mu.
+func (rs *releaseSelector) logShare(ro policy.Rollout, st *rolloutState, share float64, endpoints int) {
+	if st.loggedShare == share {
+		return
+	}
+	st.loggedShare = share
+	rs.router.log.Info(event.ReleaseShareChanged, event.Fields{
+		"service": ro.Service, "release": ro.ToVersion, "share": share, "answers": st.peerAnswers + st.health.Answers,
+		"endpoints": endpoints, "policy": rs.router.holder.Set().Revision,
+	})
+}
+
+// usesCandidate reports whether a request goes to the candidate, and why. At a share
+// of 1 every request does. Below that, a running session stays on its release and new
 // sessions are assigned by the share, but a request that has failed at any
 // endpoint is retried on the release in use.
-func (rs *releaseSelector) usesCandidate(now time.Time, ca *call, ro policy.Rollout, share float64) bool {
+func (rs *releaseSelector) usesCandidate(now time.Time, ca *call, ro policy.Rollout, share float64) (bool, selectionReason) {
 	if share >= 1 {
-		return true
+		return true, reasonPromoted
 	}
 	if len(ca.failedEndpoints) > 0 {
-		return false
+		return false, reasonRetry
 	}
 	retention := rs.sessionRetention()
 	if last, ok := rs.sessions.release(now, sessionKey{ca.service.ID, ca.request.Session}, retention); ok {
-		return string(last) == ro.ToVersion
+		return string(last) == ro.ToVersion, reasonKept
 	}
 	if ca.request.sessionFraction(ro.ToVersion) >= share {
-		return false
+		return false, reasonAssigned
 	}
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
-	return !rs.stateOf(now, ro).settledElsewhere.seenSince(hashSession(ca.request.Session), now.Add(-retention))
+	if rs.stateOf(now, ro).settledElsewhere.seenSince(hashSession(ca.request.Session), now.Add(-retention)) {
+		return false, reasonKept
+	}
+	return true, reasonAssigned
 }
 
 // sessionRetention returns how long a session is remembered after it was last seen.
@@ -108,12 +163,16 @@
 // recordSend records the release that a session's request is sent to. If that is
 // the release in use and the session's hash may assign it to the candidate during
 // the trial, it records for the other routers that the session is settled.
-func (rs *releaseSelector) recordSend(now time.Time, ca *call, en policy.Endpoint) {
+func (rs *releaseSelector) recordSend(now time.Time, ca *call, en policy.Endpoint, reason selectionReason) {
 	id := ca.request.Session
 	if id == "" {
 		return
 	}
-	rs.sessions.record(now, sessionKey{ca.service.ID, id}, policy.ReleaseID(en.Release))
+	key := sessionKey{ca.service.ID, id}
+	if last, ok := rs.sessions.release(now, key, rs.sessionRetention()); ok && string(last) != en.Release {
+		rs.logMove(ca, last, en, reason)
+	}
+	rs.sessions.record(now, key, policy.ReleaseID(en.Release))
 	ro, ok := rs.router.holder.Set().ServiceRollout(ca.service.ID)
 	if !ok || !ro.Active() || en.Release == ro.ToVersion || ca.request.sessionFraction(ro.ToVersion) >= rs.router.options().Rollout.GetExposedShare() {
 		return
@@ -123,6 +182,14 @@
 	rs.stateOf(now, ro).settledHere.record(now, hashSession(id))
 }
 
+// logMove logs and counts a session that continues on another release.
+func (rs *releaseSelector) logMove(ca *call, from policy.ReleaseID, en policy.Endpoint, reason selectionReason) {
+	rs.router.metrics.SessionMoves.Add(context.Background(), 1, metric.With(metric.KeyCause, string(reason)))
+	rs.router.log.InfoLimited(event.SessionMoved, event.Fields{
+		"request": ca.request.ID, "session": ca.request.Session, "service": en.Service, "from": from, "to": en.Release, "reason": reason,
+	})
+}
+
 // retentionFactor is the multiple of the setting session_keep for which a session
 // is remembered. session_keep runs from the end of a session's previous request,
 // but the router remembers when it was sent, and it may itself take long.
