Advance a roll-out by the store's state of it, not by a late policy

In a large group a router's policy shows a change after up to 1.2 s; until then it took the action for still due, every 300 ms.

Cause: an action was chosen by the router's policy and committed under the lease without a look at what is already in the store. Now the holder of the lease reads the roll-out's three keys, chooses the action by these, and commits on condition that they are unchanged; a router whose action is done waits 3 s before it looks again. Ruled out: the lease itself (it was held one after the other, as it should be).

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -3,6 +3,10 @@
 import (
 	"math"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"tanagerpoint.example/tanager/rpc"
 )
 
 const (
@@ -117,6 +121,28 @@
 	return ActionNone
 }
 
+// Apply returns a roll-out's specification after an action, and why the action was due.
+// It returns nil if the action changes nothing.
+func (pr Progress) Apply(ac Action, spec *rpc.Rollout) (next *rpc.Rollout, why string) {
+	if ac == ActionNone {
+		return nil, ""
+	}
+	next = proto.CloneOf(spec)
+	next.StartedAtMs = pr.StartedAt.UnixMilli()
+	switch ac {
+	case ActionAbort:
+		next.State, why = rpc.RolloutState_ABORTED, pr.RejectionReason
+		if why == "" {
+			why = "not proved before the deadline"
+		}
+	case ActionComplete:
+		next.State, why = rpc.RolloutState_DONE, "proved"
+	default:
+		next.State, why = rpc.RolloutState_RUNNING, "started"
+	}
+	return next, why
+}
+
 // readyToComplete reports whether the candidate has enough answers to replace the
 // release in use. After the deadline it still may, in case no router could record
 // the completion earlier because the store did not answer.
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/lease"
 	"tanagerpoint.example/tanager/policy"
@@ -19,6 +21,9 @@
 	// preferredRouters is how many routers attempt a due action at once; the
 	// others attempt it only when it is overdue, see shouldAttempt.
 	preferredRouters = 2
+	// repeatDelay is how long a router waits for its policy to show the result of an
+	// action before it looks at the store again.
+	repeatDelay = 3 * time.Second
 )
 
 // advanceRollouts carries out the actions that are due in roll-outs. It holds
@@ -29,22 +34,30 @@
 		if ro.Service == "" || !ro.Active() || da.relay.Draining() {
 			continue
 		}
-		pr := da.relay.RolloutProgress(now, ro)
-		ac := pr.Next(now)
+		ac := da.relay.RolloutProgress(now, ro).Next(now)
 		if ac == rollout.ActionNone {
 			delete(da.dueSince, ro.ID)
 			continue
 		}
-		if !da.shouldAttempt(now, ro.ID) {
+		done := doneAction{ro.ID, ac}
+		if now.Before(da.repeatAt[done]) || !da.shouldAttempt(now, ro.ID) {
 			continue
 		}
 		if ho, ok := da.acquire(ctx, lease.Task(rolloutTaskPrefix+ro.Service)); ok {
-			da.execute(ctx, ho, ro, pr, ac)
+			if da.advance(ctx, ho, ro) {
+				da.repeatAt[done] = time.Now().Add(repeatDelay)
+			}
 			da.leases.Close(ctx)
 		}
 	}
 }
 
+// doneAction is an action of a roll-out whose result the store has.
+type doneAction struct {
+	rollout policy.RolloutID
+	action  rollout.Action
+}
+
 // shouldAttempt reports whether this router attempts a roll-out's due action.
 // The preferred routers attempt it at once. The others do so once the action has
 // been due for half the lease's time to live, because the preferred ones may be
@@ -72,45 +85,74 @@
 	return da.leases.Holds(ta)
 }
 
-// execute records the state that an action leads to.
-func (da *Daemon) execute(ctx context.Context, ho lease.Hold, ro policy.Rollout, pr rollout.Progress, ac rollout.Action) {
-	switch ac {
-	case rollout.ActionStart:
-		da.recordState(ctx, ho, ro, rpc.RolloutState_RUNNING, pr.StartedAt, "started")
-	case rollout.ActionAbort:
-		why := pr.RejectionReason
-		if why == "" {
-			why = "not proved before the deadline"
+// advance carries out the action that is due in a roll-out by the store's own state of
+// it: this router's policy may be behind the store, and another router may have acted
+// already. It reports whether the store has the action's result. Errors are logged, and
+// the action is attempted again while it is due.
+func (da *Daemon) advance(ctx context.Context, ho lease.Hold, ro policy.Rollout) bool {
+	current, compares, err := da.readRollout(ctx, ro)
+	if err != nil {
+		da.log.Warn(event.StoreUnreachable, err, event.Fields{"task": ho.Task})
+		return false
+	}
+	if current.ToVersion != ro.ToVersion || !current.Active() {
+		return true
+	}
+	now := time.Now()
+	pr := da.relay.RolloutProgress(now, current)
+	next, why := pr.Apply(pr.Next(now), current.Rollout)
+	if next == nil {
+		return true
+	}
+	fe := ho.Fence()
+	compares = append(compares, store.Compare{Key: fe.Key, ModRevision: fe.Token})
+	return da.record(ctx, ho, next, compares, why)
+}
+
+// readRollout reads a roll-out from the store. The compares hold as long as it is
+// unchanged there.
+func (da *Daemon) readRollout(ctx context.Context, ro policy.Rollout) (policy.Rollout, []store.Compare, error) {
+	var kvs []store.KeyValue
+	var compares []store.Compare
+	for _, key := range da.layout.RolloutKeys(ro.Service) {
+		rr, err := da.store.Get(ctx, key)
+		if err != nil {
+			return policy.Rollout{}, nil, eris.Wrap(err, "Daemon.readRollout")
 		}
-		da.recordState(ctx, ho, ro, rpc.RolloutState_ABORTED, pr.StartedAt, why)
-	case rollout.ActionComplete:
-		da.recordState(ctx, ho, ro, rpc.RolloutState_DONE, pr.StartedAt, "proved")
+		co := store.Compare{Key: key}
+		if len(rr.KeyValues) > 0 {
+			co.ModRevision = rr.KeyValues[0].ModRevision
+		}
+		kvs, compares = append(kvs, rr.KeyValues...), append(compares, co)
 	}
+	spec, err := da.layout.Rollout(kvs)
+	return policy.Rollout{ID: ro.ID, Rollout: spec}, compares, err
 }
 
-// recordState commits a roll-out's state on condition that the task's fencing
-// token is still in force, so that a write that the store applies late cannot
-// overwrite a later state. Errors are logged, and the action is attempted again
-// while it is due.
-func (da *Daemon) recordState(ctx context.Context, ho lease.Hold, ro policy.Rollout, state rpc.RolloutState, startedAt time.Time, why string) {
-	co, err := da.layout.RolloutCommit(ro, state, startedAt)
+// record commits a roll-out's new state if the compares hold. One of them is that the
+// task's fencing token is still in force, so that a write that the store applies late
+// cannot overwrite a later state. It reports whether the store answered.
+func (da *Daemon) record(ctx context.Context, ho lease.Hold, next *rpc.Rollout, compares []store.Compare, why string) bool {
+	co, err := da.layout.RolloutCommit(next)
+	var ou store.Outcome
 	if err == nil {
-		fe := ho.Fence()
-		co.Compares = append(co.Compares, store.Compare{Key: fe.Key, ModRevision: fe.Token})
-		var ou store.Outcome
+		co.Compares = compares
 		ou, err = da.store.Apply(ctx, co)
-		if err == nil && !ou.Applied {
-			da.log.Warn(event.ChangeFenced, nil, event.Fields{"task": ho.Task, "fencing_token": ho.Token})
-			return
-		}
 	}
 	if err != nil {
-		da.log.Warn(event.StoreUnreachable, err, event.Fields{"task": ho.Task, "state": state.String()})
-		return
+		da.log.Warn(event.StoreUnreachable, err, event.Fields{"task": ho.Task, "state": next.GetState().String()})
+		return false
+	}
+	if !ou.Applied {
+		da.log.Warn(event.ChangeFenced, nil, event.Fields{"task": ho.Task, "fencing_token": ho.Token})
+		return true
 	}
 	nu := event.RolloutMoved
-	if state == rpc.RolloutState_ABORTED {
+	if next.GetState() == rpc.RolloutState_ABORTED {
 		nu = event.RolloutAborted
 	}
-	da.log.Info(nu, event.Fields{"service": ro.Service, "release": ro.ToVersion, "state": state.String(), "why": why, "fencing_token": ho.Token})
+	da.log.Info(nu, event.Fields{
+		"service": next.GetService(), "release": next.GetToVersion(), "state": next.GetState().String(), "why": why, "fencing_token": ho.Token,
+	})
+	return true
 }
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -152,3 +152,15 @@
 		qt.Assert(t, moved, qt.Equals, 0)
 	})
 }
+
+// TestRolloutStartIsRecordedOnce has so many routers that a change reaches their
+// policies late. Two routers acted on policies without the start, by turns, and each
+// replaced the start that the other one had recorded.
+func TestRolloutStartIsRecordedOnce(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 40, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+		rs.OrderRollout(testsite.PlainService, "v2", rolloutLimit)
+		addRelease(rs, standin.ReplicaFaults{})
+		time.Sleep(rolloutLimit / 3)
+		qt.Assert(t, rs.Store.Writes("tanager/rollout/"+testsite.PlainService), qt.Equals, 1)
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,9 @@
 	// dueSince is when this router first saw that a roll-out has an action due.
 	// Only the goroutine of advanceRollouts uses it.
 	dueSince map[policy.RolloutID]time.Time
+	// repeatAt is when this router attempts again an action whose result the store
+	// has. Only the goroutine of advanceRollouts uses it.
+	repeatAt map[doneAction]time.Time
 	callers  *http.Server
 	servers  []*http.Server
 }
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "router.New")
 	}
-	da := &Daemon{settings: rs, network: ne, log: lo, metrics: me, group: worker.NewGroup(), idle: newIdleConnections(), dueSince: map[policy.RolloutID]time.Time{}}
+	da := &Daemon{settings: rs, network: ne, log: lo, metrics: me, group: worker.NewGroup(), idle: newIdleConnections(), dueSince: map[policy.RolloutID]time.Time{}, repeatAt: map[doneAction]time.Time{}}
 	prefix := store.Key(rs.GetStore().GetPrefix())
 	da.store = platform.NewStore(store.OptionsOf(rs.GetStore(), ne.Dial))
 	da.layout = platform.NewLayout(lo)
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -22,6 +22,11 @@
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
+// item returns the pair in the form of the API of the users' platform.
+func (pa storedPair) item(key string) kvItem {
+	return kvItem{Key: key, Value: pa.kv.Value, Revision: pa.kv.ModRevision, Created: pa.kv.CreateRevision, Lease: pa.lease}
+}
+
 // kvResponse is the body of a response: Items for a range or a refused
 // transaction, Events for a watch.
 type kvResponse struct {
@@ -53,6 +58,7 @@
 // same pairs as Handler.
 func (st *Store) KVHandler() http.Handler {
 	mu := http.NewServeMux()
+	mu.HandleFunc("GET /v1/kv-key", st.handleKVKey)
 	mu.HandleFunc("GET /v1/kv-range", st.handleKVRange)
 	mu.HandleFunc("GET /v1/kv-watch", st.handleKVWatch)
 	mu.HandleFunc("POST /v1/kv-txn", st.handleKVTxn)
@@ -85,6 +91,19 @@
 	return st.pairs[key].kv.Value
 }
 
+// Writes returns how often a key was written or deleted since the last call of Compact.
+func (st *Store) Writes(key string) int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	writes := 0
+	for _, ev := range st.events {
+		if string(ev.Kv.Key) == key {
+			writes++
+		}
+	}
+	return writes
+}
+
 // Compact drops the history of events. A watch through KVHandler that continues from
 // an earlier revision, also one that waits already, gets status 410 (Gone). A watch
 // through Handler is not told of it.
@@ -96,6 +115,25 @@
 	st.changed = make(chan struct{})
 }
 
+// handleKVKey responds with the pair of the key in the query, or with status 404.
+func (st *Store) handleKVKey(wr http.ResponseWriter, rq *http.Request) {
+	key := rq.URL.Query().Get("key")
+	st.mu.Lock()
+	st.reads++
+	st.revokeExpired()
+	pa, ok := st.pairs[key]
+	revision := st.revision
+	st.mu.Unlock()
+	if !ok {
+		wr.WriteHeader(http.StatusNotFound)
+		return
+	}
+	writeJSON(wr, struct {
+		kvItem
+		StoreRevision int64 `json:"store_revision"`
+	}{pa.item(key), revision})
+}
+
 // handleKVRange responds with the pairs whose keys begin with prefix and come after
 // the key after, in the order of the keys. MorePages is true if more than kvPageSize
 // match.
@@ -107,7 +145,7 @@
 	re := kvResponse{StoreRevision: st.revision, Items: []kvItem{}}
 	for key, pa := range st.pairs {
 		if strings.HasPrefix(key, qu.Get("prefix")) && key > qu.Get("after") {
-			re.Items = append(re.Items, kvItem{Key: key, Value: pa.kv.Value, Revision: pa.kv.ModRevision, Created: pa.kv.CreateRevision, Lease: pa.lease})
+			re.Items = append(re.Items, pa.item(key))
 		}
 	}
 	st.mu.Unlock()
@@ -215,7 +253,7 @@
 	re := kvResponse{Items: []kvItem{}}
 	for _, ex := range tx.Expect {
 		pa := st.pairs[ex.Key]
-		re.Items = append(re.Items, kvItem{Key: ex.Key, Value: pa.kv.Value, Revision: pa.kv.ModRevision, Created: pa.kv.CreateRevision, Lease: pa.lease})
+		re.Items = append(re.Items, pa.item(ex.Key))
 	}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(http.StatusPreconditionFailed)
