Decide the end of a roll-out's trial once, ahead of time, in the store

Cause: each of 80 routers ended the trial by itself, when the exchange had brought it the 30th answer of the release: 3.9 to 6 s apart. Until all had, a session went to the new release at one router and back at the next. Class: a decision that all routers must share, taken by each from what it happens to know. Ruled out: lack of capacity (no case), retries (1 of 18, of a session moved like the others).

Now the trial's end is an action of its own: one router records in the store, 2.5 s ahead, from when every request goes to the new release, and all follow that time.

--- a/relay/release.go
+++ b/relay/release.go
@@ -99,7 +99,7 @@
 	rs.mu.Lock()
 	st := rs.stateOf(now, ro)
 	exposed := rollout.TrialShare(rs.router.options().Rollout.GetExposedShare(), len(stable))
-	share := rs.plan(ro, st).Share(now, exposed, st.peerAnswers+st.health.Answers)
+	share := rs.plan(ro, st).Share(now, exposed)
 	if st.rejectionReason != "" {
 		share = 0
 	}
@@ -248,7 +248,11 @@
 	}
 	duration := time.Duration(ro.DurationMs) * time.Millisecond
 	delay := min(rs.router.peers.ScaleInterval(trialDelay), time.Duration(maxTrialDelayShare*float64(duration)))
-	return rollout.Plan{StartedAt: started, TrialAt: started.Add(delay), DeadlineAt: started.Add(duration)}
+	pl := rollout.Plan{StartedAt: started, TrialAt: started.Add(delay), DeadlineAt: started.Add(duration)}
+	if ro.PromotedAtMs > 0 {
+		pl.PromotedAt = time.UnixMilli(ro.PromotedAtMs)
+	}
+	return pl
 }
 
 // observe adds the outcome of an attempt at an endpoint.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -14,12 +14,16 @@
 	// at the earliest. The candidate's share of the sessions stays constant during
 	// the trial, so that no session switches between releases.
 	trialEnd = 0.52
+	// promotionDelay is the time from the decision that ends the trial until every
+	// request goes to the candidate. It is enough for every router to learn of the
+	// decision, so that they all act on it at the same moment.
+	promotionDelay = 2500 * time.Millisecond
 	// forcedEnd is the fraction of the duration after which the roll-out may
 	// complete although requests still run on the release in use.
 	forcedEnd = 0.88
-	// sufficientAnswers is the number of the candidate's answers from which the
-	// trial may end and the roll-out may complete. Between forcedEnd and the
-	// deadline, minAnswers are enough to complete.
+	// sufficientAnswers is the number of the candidate's answers from which it may be
+	// promoted and the roll-out may complete. Between forcedEnd and the deadline,
+	// minAnswers are enough.
 	sufficientAnswers = 30
 	minAnswers        = 5
 	// minFailures is the number of failures, and minDeviations the number of
@@ -31,13 +35,17 @@
 
 // Plan is the schedule of a roll-out. The candidate first gets no sessions, then
 // a small share of them during the trial, then all requests. The roll-out
-// completes once no request runs on the release in use.
+// completes once no request runs on the release in use. All routers follow the same
+// plan: when the trial ends is decided once, ahead of time, and recorded in the store.
 type Plan struct {
 	StartedAt time.Time
 	// TrialAt is the start of the trial. It is late enough for every router to
 	// know the sessions that stay on the release in use.
 	TrialAt    time.Time
 	DeadlineAt time.Time
+	// PromotedAt is when the trial ends and every request goes to the candidate; zero
+	// if that has not been decided.
+	PromotedAt time.Time
 }
 
 // timeAt returns the time at a fraction of the roll-out's duration.
@@ -46,20 +54,23 @@
 }
 
 // Share returns the share of sessions, from 0 to 1, that the candidate gets.
-// exposed is the share during the trial; answers is the number of the candidate's
-// answers at all routers. The trial lasts until there are enough answers, however
-// long that takes: elapsed time does not show that a release is good, and after a
-// restart of all routers there are no answers yet.
-func (pl Plan) Share(now time.Time, exposed float64, answers int64) float64 {
+// exposed is the share during the trial. The trial lasts until the candidate is
+// promoted, however long that takes: elapsed time does not show that a release is good.
+func (pl Plan) Share(now time.Time, exposed float64) float64 {
 	switch {
 	case now.Before(pl.TrialAt):
 		return 0
-	case now.Before(pl.timeAt(trialEnd)) || answers < sufficientAnswers:
+	case !pl.promoted(now):
 		return exposed
 	}
 	return 1
 }
 
+// promoted reports whether every request goes to the candidate.
+func (pl Plan) promoted(now time.Time) bool {
+	return !pl.PromotedAt.IsZero() && !now.Before(pl.PromotedAt)
+}
+
 // fullTrialEndpoints is the number of endpoints that produce enough answers for
 // a trial at the full share. The share is halved from twice this number on.
 const fullTrialEndpoints = 12
@@ -85,6 +96,9 @@
 	ActionNone Action = iota
 	// ActionStart records the start time.
 	ActionStart
+	// ActionPromote records when the trial ends and every request goes to the
+	// candidate.
+	ActionPromote
 	// ActionAbort ends the roll-out and keeps the release in use.
 	ActionAbort
 	// ActionComplete ends the roll-out and stops the release in use.
@@ -111,6 +125,8 @@
 		return ActionAbort
 	case !pr.Started:
 		return ActionStart
+	case pr.readyToPromote(now):
+		return ActionPromote
 	case pr.readyToComplete(now):
 		return ActionComplete
 	case now.After(pr.DeadlineAt):
@@ -123,7 +139,7 @@
 
 // Apply returns a roll-out's specification after an action, and why the action was due.
 // It returns nil if the action changes nothing.
-func (pr Progress) Apply(ac Action, spec *rpc.Rollout) (next *rpc.Rollout, why string) {
+func (pr Progress) Apply(now time.Time, ac Action, spec *rpc.Rollout) (next *rpc.Rollout, why string) {
 	if ac == ActionNone {
 		return nil, ""
 	}
@@ -135,6 +151,8 @@
 		if why == "" {
 			why = "not proved before the deadline"
 		}
+	case ActionPromote:
+		next.PromotedAtMs, why = pr.promotionTime(now).UnixMilli(), "promoted"
 	case ActionComplete:
 		next.State, why = rpc.RolloutState_DONE, "proved"
 	default:
@@ -143,6 +161,32 @@
 	return next, why
 }
 
+// readyToPromote reports whether the end of the trial is to be decided: the candidate
+// has enough answers, and the trial may end as soon as all routers know.
+func (pr Progress) readyToPromote(now time.Time) bool {
+	if !pr.PromotedAt.IsZero() || now.After(pr.DeadlineAt) {
+		return false
+	}
+	if now.Add(promotionDelay).Before(pr.timeAt(trialEnd)) {
+		return false
+	}
+	if now.Add(promotionDelay).After(pr.timeAt(forcedEnd)) {
+		return pr.Answers >= minAnswers
+	}
+	return pr.Answers >= sufficientAnswers
+}
+
+// promotionTime returns when every request is to go to the candidate if that is
+// decided now: not before the earliest end of the trial, and late enough for all
+// routers to know. Shortly before the deadline only half of the time left is used.
+func (pr Progress) promotionTime(now time.Time) time.Time {
+	at := now.Add(min(promotionDelay, pr.DeadlineAt.Sub(now)/2))
+	if earliest := pr.timeAt(trialEnd); at.Before(earliest) {
+		return earliest
+	}
+	return at
+}
+
 // readyToComplete reports whether the candidate has enough answers to replace the
 // release in use. After the deadline it still may, in case no router could record
 // the completion earlier because the store did not answer.
@@ -151,14 +195,14 @@
 	// before the trial ended only after the routers' next exchange.
 	const exchangeDelay = 1500 * time.Millisecond
 	switch {
-	case now.Before(pr.timeAt(trialEnd).Add(exchangeDelay)):
-		return false
 	case now.After(pr.DeadlineAt):
 		return pr.Answers >= sufficientAnswers
+	case !pr.promoted(now):
+		return false
 	case now.After(pr.timeAt(forcedEnd)):
 		return pr.Answers >= minAnswers
 	default:
-		return pr.Answers >= sufficientAnswers && pr.StableInFlight == 0
+		return pr.Answers >= sufficientAnswers && pr.StableInFlight == 0 && !now.Before(pr.PromotedAt.Add(exchangeDelay))
 	}
 }
 
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -100,7 +100,7 @@
 	}
 	now := time.Now()
 	pr := da.relay.RolloutProgress(now, current)
-	next, why := pr.Apply(pr.Next(now), current.Rollout)
+	next, why := pr.Apply(now, pr.Next(now), current.Rollout)
 	if next == nil {
 		return true
 	}
