Pin sessions at two routers while a release is on trial

Cause: which sessions run on the release in use was known to a router from its own requests and from lists in the exchange, which reach 80 routers after seconds. Class: as with the end of the trial, a decision that all routers must share, taken by each from what it happens to know.

Until the half of the roll-out a session of the trial's share is now pinned by its first request, at any router, to two routers chosen by its hash (the entries' session.Pins): the first pin wins. A router that learns of a start pins the sessions that it has served. After the half the hash alone decides, the same at every router. The share is recorded with the start, since it depended on how many endpoints a router saw.

--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -112,7 +112,7 @@
 // stores the pin, and the heap that a pin takes.
 func BenchmarkPin(b *testing.B) {
 	gr, _ := newGroup("a")
-	pi := session.NewPins(gr)
+	pi := session.NewPins(gr, session.EntryPinTTL)
 	before := liveHeap()
 	n := 0
 	b.ReportAllocs()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -127,7 +127,7 @@
 	da.tracker = placement.NewTracker(uint64(time.Now().UnixNano()))
 	da.pools = newPools(da)
 	da.budget = retry.NewBudget(da.settings.GetServing().GetRetryBudget())
-	da.pins = session.NewPins(da.peers)
+	da.pins = session.NewPins(da.peers, session.EntryPinTTL)
 	da.signer = session.NewSigner(da.settings.GetPeers().GetSharedKey())
 	da.cascades = newCascades(da.peers)
 	da.rollouts = newRollouts(da.peers, da.holder, da.log)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -80,7 +80,7 @@
 // or, for a stream, its first event has arrived. after is the last event that the
 // caller has received.
 func (ro *Router) attempt(ctx context.Context, ca *call, after EventID) (*answer, *failure) {
-	at, fa := ro.chooseEndpoint(ca)
+	at, fa := ro.chooseEndpoint(ctx, ca)
 	if fa != nil {
 		return nil, fa
 	}
@@ -96,12 +96,12 @@
 
 // chooseEndpoint chooses an endpoint for a call and counts the request there. It
 // returns a failure if none may get the request.
-func (ro *Router) chooseEndpoint(ca *call) (*attempt, *failure) {
+func (ro *Router) chooseEndpoint(ctx context.Context, ca *call) (*attempt, *failure) {
+	se := ro.releases.selectRelease(ctx, ca)
 	rq, now := ca.request, time.Now()
 	key := latencyKey{ca.service.ID, ca.modelID()}
 	work, cached := ro.latencies.estimate(key, rq.promptTokens(), rq.prefixTokens())
 	jo := placement.Job{Prefix: rq.prefix(ca.modelID()), Work: work, CacheSaving: cached}
-	se := ro.releases.selectRelease(now, ca)
 	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, se.endpoints)
 	routers := int(ro.routers.Load())
 	usable := func(en policy.Endpoint, ru placement.Running) bool { return ro.fleet.hasCapacity(ca, en, ru, routers) }
--- a/relay/router.go
+++ b/relay/router.go
@@ -14,6 +14,7 @@
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/session"
 )
 
 const (
@@ -39,6 +40,7 @@
 	holder    *configuration.Holder
 	client    *endpoint.Client
 	peers     *peer.Group
+	pins      *session.Pins
 	log       *event.Log
 	metrics   *metric.Metrics
 	balancer  *placement.Balancer
@@ -59,6 +61,7 @@
 	Holder  *configuration.Holder
 	Client  *endpoint.Client
 	Peers   *peer.Group
+	Pins    *session.Pins
 	Log     *event.Log
 	Metrics *metric.Metrics
 }
@@ -66,7 +69,7 @@
 // New returns a Router.
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
-		holder: de.Holder, client: de.Client, peers: de.Peers, log: de.Log, metrics: de.Metrics,
+		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, log: de.Log, metrics: de.Metrics,
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
@@ -100,6 +103,19 @@
 	}
 }
 
+// PinSessions pins the sessions that this router serves when it learns of a roll-out,
+// until ctx is cancelled.
+func (ro *Router) PinSessions(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := ro.holder.Changed()
+		ro.releases.pinRunning(ctx)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // InFlight returns the number of requests being served.
 func (ro *Router) InFlight() int64 { return ro.inFlight.Load() }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -1,19 +1,28 @@
 package relay
 
 import (
+	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/session"
 )
 
-// maxSessions is the maximum number of sessions that a router remembers.
-const maxSessions = 16384
+const (
+	// maxSessions is the maximum number of sessions that a router remembers.
+	maxSessions = 16384
+	// PinTTL is how long the routers keep the pin of a session that is not used. It is
+	// longer than a request and the pause after it.
+	PinTTL = time.Minute
+	// retentionFactor is the multiple of the setting session_keep for which a session
+	// is remembered. session_keep runs from the end of a session's previous request,
+	// but the router remembers when it was sent, and it may itself take long.
+	retentionFactor = 4
+)
 
-// sessions remembers the last release of each session, so that no session switches
-// between releases during a trial.
+// sessions remembers the last release of each session that this router has served.
 type sessions struct {
 	last *lru.Cache[sessionKey, lastRequest]
 }
@@ -54,36 +63,61 @@
 	return lr.release, true
 }
 
-// forEachSince calls visit for each session of a service seen after a time.
-func (ss *sessions) forEachSince(service policy.ServiceID, after time.Time, visit func(id SessionID, lr lastRequest)) {
+// since returns the sessions of a service that had a request after a time.
+func (ss *sessions) since(service policy.ServiceID, after time.Time) []SessionID {
+	var out []SessionID
 	for _, key := range ss.last.Keys() {
 		if lr, ok := ss.last.Peek(key); ok && key.service == service && lr.at.After(after) {
-			visit(key.session, lr)
+			out = append(out, key.session)
 		}
 	}
+	return out
 }
 
-// sessionHash is a hash of a session's id, by which routers exchange sessions.
-type sessionHash uint32
-
-func hashSession(id SessionID) sessionHash { return sessionHash(xxhash.Sum64String(string(id))) }
+// sessionRetention returns how long a session is remembered after it was last seen.
+func (rs *releaseSelector) sessionRetention() time.Duration {
+	return retentionFactor * rs.router.options().Serving.GetSessionKeep().AsDuration()
+}
 
-// settledSessions holds sessions that stay on the release in use although their
-// hash would assign them to the candidate during the trial. For each it holds the
-// time at which it was last seen by this router or published by another one.
-type settledSessions map[sessionHash]time.Time
+// releaseInUse is the version to which the pin of a session is set that stays on the
+// release in use.
+const releaseInUse policy.VersionID = "in_use"
 
-// record records that a session was seen.
-func (st settledSessions) record(now time.Time, ha sessionHash) { st[ha] = now }
+// pinKey returns the key under which the routers pin a session during a roll-out.
+func pinKey(ro policy.Rollout, id SessionID) session.Key {
+	return session.Key("release\x00" + ro.Service + "\x00" + ro.ToVersion + "\x00" + string(id))
+}
 
-// seenSince reports whether a session was seen after a time.
-func (st settledSessions) seenSince(ha sessionHash, after time.Time) bool { return st[ha].After(after) }
+// pin returns whether a session runs on the candidate. That is decided by its first
+// request during the roll-out at any router, for which toCandidate is proposed.
+func (rs *releaseSelector) pin(ctx context.Context, ro policy.Rollout, id SessionID, toCandidate bool) bool {
+	proposed := releaseInUse
+	if toCandidate {
+		proposed = policy.VersionID(ro.ToVersion)
+	}
+	return rs.router.pins.Version(ctx, pinKey(ro, id), proposed, "") != releaseInUse
+}
 
-// prune removes the sessions not seen after a time.
-func (st settledSessions) prune(after time.Time) {
-	for ha, at := range st {
-		if !at.After(after) {
-			delete(st, ha)
+// pinRunning pins the sessions that this router served before it knew of a roll-out's
+// start, once for each roll-out.
+func (rs *releaseSelector) pinRunning(ctx context.Context) {
+	now := time.Now()
+	for _, ro := range rs.router.holder.Set().Rollouts.List() {
+		if ro.Service == "" || !ro.Active() || ro.StartedAtMs == 0 {
+			continue
+		}
+		rs.mu.Lock()
+		st := rs.stateOf(now, ro)
+		keeps := rs.plan(ro, st).KeepsSessions(now) && !st.runningPinned
+		st.runningPinned = true
+		rs.mu.Unlock()
+		if !keeps {
+			continue
+		}
+		for _, id := range rs.sessions.since(policy.ServiceID(ro.Service), now.Add(-rs.sessionRetention())) {
+			if ctx.Err() == nil && hashFraction(ro.ToVersion, string(id)) < ro.TrialShare {
+				rs.pin(ctx, ro, id, false)
+			}
 		}
 	}
 }
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -11,8 +11,7 @@
 
 const (
 	// trialEnd is the fraction of the roll-out's duration at which the trial ends
-	// at the earliest. The candidate's share of the sessions stays constant during
-	// the trial, so that no session switches between releases.
+	// at the earliest.
 	trialEnd = 0.52
 	// promotionDelay is the time from the decision that ends the trial until every
 	// request goes to the candidate. It is enough for every router to learn of the
@@ -43,6 +42,9 @@
 	// know the sessions that stay on the release in use.
 	TrialAt    time.Time
 	DeadlineAt time.Time
+	// TrialShare is the share of sessions that the candidate gets during the trial. It
+	// stays the same, so that no session switches between releases.
+	TrialShare float64
 	// PromotedAt is when the trial ends and every request goes to the candidate; zero
 	// if that has not been decided.
 	PromotedAt time.Time
@@ -53,19 +55,23 @@
 	return pl.StartedAt.Add(time.Duration(fraction * float64(pl.DeadlineAt.Sub(pl.StartedAt))))
 }
 
-// Share returns the share of sessions, from 0 to 1, that the candidate gets.
-// exposed is the share during the trial. The trial lasts until the candidate is
+// Share returns the share of sessions, from 0 to 1, that the candidate gets. The trial lasts until the candidate is
 // promoted, however long that takes: elapsed time does not show that a release is good.
-func (pl Plan) Share(now time.Time, exposed float64) float64 {
+func (pl Plan) Share(now time.Time) float64 {
 	switch {
 	case now.Before(pl.TrialAt):
 		return 0
 	case !pl.promoted(now):
-		return exposed
+		return pl.TrialShare
 	}
 	return 1
 }
 
+// KeepsSessions reports whether a session that runs on the release in use must stay
+// there. That is so during the first half of the roll-out; after it, the trial may take
+// any session of its share.
+func (pl Plan) KeepsSessions(now time.Time) bool { return now.Before(pl.timeAt(trialEnd)) }
+
 // promoted reports whether every request goes to the candidate.
 func (pl Plan) promoted(now time.Time) bool {
 	return !pl.PromotedAt.IsZero() && !now.Before(pl.PromotedAt)
@@ -77,10 +83,8 @@
 
 // TrialShare returns the share of sessions for a trial, given the maximum share
 // and the number of endpoints of the release in use. With many endpoints a
-// smaller share yields enough answers, and fewer sessions reach a router that has
-// not yet learned which release they run on. The share changes only in steps, by
-// half for each doubling of the endpoints, so that routers with slightly different
-// counts use the same share.
+// smaller share yields enough answers, and fewer requests meet a bad release. The share
+// is halved for each doubling of the endpoints.
 func TrialShare(maxShare float64, endpoints int) float64 {
 	for n := endpoints; n >= 2*fullTrialEndpoints; n /= 2 {
 		maxShare /= 2
@@ -144,7 +148,7 @@
 		return nil, ""
 	}
 	next = proto.CloneOf(spec)
-	next.StartedAtMs = pr.StartedAt.UnixMilli()
+	next.StartedAtMs, next.TrialShare = pr.StartedAt.UnixMilli(), pr.TrialShare
 	switch ac {
 	case ActionAbort:
 		next.State, why = rpc.RolloutState_ABORTED, pr.RejectionReason
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -13,7 +13,7 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func plan() rollout.Plan {
-	return rollout.Plan{StartedAt: start, TrialAt: start.Add(2 * time.Second), DeadlineAt: start.Add(24 * time.Second)}
+	return rollout.Plan{StartedAt: start, TrialAt: start.Add(2 * time.Second), TrialShare: 0.1, DeadlineAt: start.Add(24 * time.Second)}
 }
 
 func at(seconds float64) time.Time {
@@ -22,16 +22,16 @@
 
 func TestShareRisesOnlyAfterTrial(t *testing.T) {
 	pl := plan()
-	qt.Assert(t, pl.Share(at(1), 0.1), qt.Equals, 0.0)
-	qt.Assert(t, pl.Share(at(3), 0.1), qt.Equals, 0.1)
-	qt.Assert(t, pl.Share(at(12), 0.1), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(1)), qt.Equals, 0.0)
+	qt.Assert(t, pl.Share(at(3)), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(12)), qt.Equals, 0.1)
 	// Elapsed time alone must not end the trial.
-	qt.Assert(t, pl.Share(at(13), 0.1), qt.Equals, 0.1)
-	qt.Assert(t, pl.Share(at(23), 0.1), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(13)), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(23)), qt.Equals, 0.1)
 	pl.PromotedAt = at(14)
-	qt.Assert(t, pl.Share(at(1), 0.1), qt.Equals, 0.0)
-	qt.Assert(t, pl.Share(at(13.99), 0.1), qt.Equals, 0.1)
-	qt.Assert(t, pl.Share(at(14), 0.1), qt.Equals, 1.0)
+	qt.Assert(t, pl.Share(at(1)), qt.Equals, 0.0)
+	qt.Assert(t, pl.Share(at(13.99)), qt.Equals, 0.1)
+	qt.Assert(t, pl.Share(at(14)), qt.Equals, 1.0)
 }
 
 // TestPromotionIsAnnouncedAhead checks when all requests are to go to the candidate,
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/relay"
 	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/session"
 	"tanagerpoint.example/tanager/store"
 	"tanagerpoint.example/tanager/vm"
 	"tanagerpoint.example/tanager/worker"
@@ -36,12 +37,14 @@
 	publishInterval   = 400 * time.Millisecond
 	rolloutInterval   = 300 * time.Millisecond
 	idleInterval      = time.Second
+	// pinReplicationInterval is how often pins are sent to routers that have become
+	// their holders.
+	pinReplicationInterval = time.Second
 	// minBatchDelay is how long the watch pauses after an answer with changes, so
 	// that changes made close together arrive in one answer of the store: each
 	// call to the store is paid for. In a large group the pause grows with the
-	// number of routers, up to maxBatchDelay. A pause of 2.2 s was too long: a
-	// router that learned of a roll-out that late had not told its peers which
-	// sessions use the current release, and those were moved to the new one.
+	// number of routers, up to maxBatchDelay: every router must know of a roll-out's
+	// start before the trial, and of the trial's end before it is in force.
 	minBatchDelay = 400 * time.Millisecond
 	maxBatchDelay = 1200 * time.Millisecond
 	// endpointProgressTimeout is how long an endpoint may send nothing during an
@@ -67,6 +70,7 @@
 	watcher  *configuration.Watcher
 	peers    *peer.Group
 	registry *peer.Registry
+	pins     *session.Pins
 	client   *endpoint.Client
 	relay    *relay.Router
 	leases   *lease.Manager
@@ -97,11 +101,12 @@
 	da.peers = peer.NewGroup(opt, da.holder, ne, lo)
 	da.watcher.SetBatchDelay(da.batchDelay)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
+	da.pins = session.NewPins(da.peers, relay.PinTTL)
 	da.client = endpoint.NewClient(ne, endpointProgressTimeout)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
-		relay.Dependencies{Holder: da.holder, Client: da.client, Peers: da.peers, Log: lo, Metrics: me},
+		relay.Dependencies{Holder: da.holder, Client: da.client, Peers: da.peers, Pins: da.pins, Log: lo, Metrics: me},
 	)
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
@@ -139,7 +144,7 @@
 		address string
 		handler http.Handler
 	}{
-		{ls.GetPeers(), peer.NewServer(da.peers, nil, nil).Handler()},
+		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).Handler()},
 		{ls.GetAdmin(), admin.NewRouter(da.holder, da.metrics, da.Dump, nil)},
 		{ls.GetReadiness(), platform.NewReadinessHandler(da.relay.Ready)},
 		{ls.GetDirectory(), platform.NewDirectoryHandler(da.addresses, da.settings.GetServing().GetAddressKeep().AsDuration)},
@@ -155,6 +160,8 @@
 	da.group.Go(da.peers.Run)
 	da.group.Go(da.registry.Run)
 	da.group.Go(da.relay.Run)
+	da.group.Go(da.relay.PinSessions)
+	da.group.Go(func(ctx context.Context) { da.pins.Run(ctx, pinReplicationInterval) })
 	da.group.Go(da.exchange)
 	da.group.Every(rolloutInterval, da.advanceRollouts)
 	da.group.Every(idleInterval, da.closeIdle)
--- a/router/session_release_test.go
+++ b/router/session_release_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -24,8 +25,9 @@
 type sessionLoad struct {
 	site    *testsite.RouterSite
 	routers int
-	// callers is the number of sessions at a time, requests their length, and pause
-	// the time between an answer and the next request.
+	// callers is the number of sessions at a time, requests their length (the first one
+	// of each caller is shorter), and pause the time between an answer and the next
+	// request.
 	callers, requests int
 	pause             time.Duration
 
@@ -52,39 +54,46 @@
 		gr.Go(func(ctx context.Context) {
 			rng := rand.New(rand.NewPCG(uint64(caller), 1))
 			worker.Sleep(ctx, time.Duration(rng.Int64N(int64(sl.pause)+1)))
+			requests := 1 + rng.IntN(sl.requests)
 			for n := 0; ctx.Err() == nil; n++ {
-				sl.runSession(ctx, rng, started, fmt.Sprintf("s%d-%d-%d", started.UnixNano(), caller, n))
+				sl.runSession(ctx, rng, started, fmt.Sprintf("s%d-%d-%d", started.UnixNano(), caller, n), requests)
+				requests = sl.requests
 			}
 		})
 	}
 	return gr.Close
 }
 
-func (sl *sessionLoad) runSession(ctx context.Context, rng *rand.Rand, started time.Time, session string) {
+func (sl *sessionLoad) runSession(ctx context.Context, rng *rand.Rand, started time.Time, session string, requests int) {
 	last := ""
-	for n := range sl.requests {
+	for n := range requests {
 		an := do(sl.site, request{
 			router: 1 + rng.IntN(sl.routers), id: fmt.Sprintf("%s-%d", session, n), path: testsite.EngineRoute,
 			header: map[string]string{"Session": session},
 		})
+		if an.err == nil && an.status == http.StatusOK {
+			last = sl.record(time.Since(started), session, last, an)
+		}
 		if !worker.Sleep(ctx, sl.pause) {
 			return
 		}
-		if an.err != nil || an.status != 200 {
-			continue
-		}
-		signature := an.header.Get("Response-Signature")
-		release := signature[strings.LastIndex(signature, "-")+1:]
-		sl.mu.Lock()
-		sl.runs[release]++
-		if last != "" && last != release {
-			sl.moves = append(sl.moves, sessionMove{time.Since(started), last, release, session})
-		}
-		sl.mu.Unlock()
-		last = release
 	}
 }
 
+// record records an answer and returns the release that it came from. last is the
+// release of the session's answer before it.
+func (sl *sessionLoad) record(at time.Duration, session, last string, an response) string {
+	signature := an.header.Get("Response-Signature")
+	release := signature[strings.LastIndex(signature, "-")+1:]
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	sl.runs[release]++
+	if last != "" && last != release {
+		sl.moves = append(sl.moves, sessionMove{at, last, release, session})
+	}
+	return release
+}
+
 // movesFrom returns the moves from a release within a time since the start.
 func (sl *sessionLoad) movesFrom(release string, until time.Duration) []sessionMove {
 	sl.mu.Lock()
@@ -150,19 +159,23 @@
 
 // TestSessionsDoNotMoveAsTrialBegins has more routers than can hear of each other's
 // sessions before the trial begins. A router that had not heard of a session on the
-// release in use took it for a new one, and moved it to the candidate.
+// release in use took it for a new one, and moved it to the candidate. With the longer
+// pause, sessions have no request between the start of the roll-out and the trial.
 func TestSessionsDoNotMoveAsTrialBegins(t *testing.T) {
 	const routers = 60
-	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 4}, func(t *testing.T, rs *testsite.RouterSite) {
-		sl := &sessionLoad{site: rs, routers: routers, callers: 200, requests: 4, pause: 1500 * time.Millisecond}
-		stop := sl.start()
-		time.Sleep(3 * time.Second)
-		ordered := time.Now()
-		rs.OrderRollout(testsite.EngineService, "v2", rolloutLimit)
-		addEngines(rs, 4)
-		time.Sleep(rolloutLimit / 2)
-		stop()
-		qt.Assert(t, sl.runs["v2"] > 10, qt.IsTrue, qt.Commentf("%v by %s", sl.runs, time.Since(ordered)))
-		qt.Assert(t, len(sl.moves) <= maxMoves, qt.IsTrue, qt.Commentf("%d sessions moved: %v", len(sl.moves), sl.moves))
-	})
+	for _, pause := range []time.Duration{1500 * time.Millisecond, 4500 * time.Millisecond} {
+		t.Run(fmt.Sprint("pause ", pause), func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: routers, Engines: 8}, func(t *testing.T, rs *testsite.RouterSite) {
+				sl := &sessionLoad{site: rs, routers: routers, callers: 400, requests: 4, pause: pause}
+				stop := sl.start()
+				time.Sleep(6 * time.Second)
+				rs.OrderRollout(testsite.EngineService, "v2", rolloutLimit)
+				addEngines(rs, 8)
+				time.Sleep(rolloutLimit / 2)
+				stop()
+				qt.Assert(t, sl.runs["v2"] > maxMoves, qt.IsTrue, qt.Commentf("%v", sl.runs))
+				qt.Assert(t, len(sl.moves) <= maxMoves, qt.IsTrue, qt.Commentf("%d sessions moved: %v", len(sl.moves), sl.moves))
+			})
+		})
+	}
 }
--- a/session/pin.go
+++ b/session/pin.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,17 +18,20 @@
 )
 
 const (
-	// pinTTL is how long a pin is kept after it was last renewed.
-	pinTTL = 30 * time.Minute
+	// EntryPinTTL is how long an entry keeps a pin after it was last renewed.
+	EntryPinTTL = 30 * time.Minute
 	// holdersPerPin is the number of entries that store each pin.
 	holdersPerPin = 2
 	// maxPins is the largest number of pins in the table of one entry.
 	maxPins = 200_000
-	// pinTimeout is the timeout of a call to another holder of a pin.
-	pinTimeout = 300 * time.Millisecond
-	// renewInterval is the time after its last renewal at which a pin that is used
-	// again is renewed at its holders.
-	renewInterval = pinTTL / 4
+	// pinTimeout is the timeout of a call to a holder of a pin. copyTimeout is that of a
+	// holder's calls to another one, two of which must end before the holder's own
+	// caller gives up.
+	pinTimeout  = 300 * time.Millisecond
+	copyTimeout = 100 * time.Millisecond
+	// renewalsPerTTL is how many times in its time to live a pin that is used is renewed
+	// at its holders.
+	renewalsPerTTL = 4
 )
 
 // Key identifies a session within the site.
@@ -53,16 +57,18 @@
 //
 // mu guards pins and lastEntries; no call to a peer is made while it is held.
 type Pins struct {
-	group       *peer.Group
+	group *peer.Group
+	// ttl is how long a pin is kept after it was last renewed.
+	ttl         time.Duration
 	mu          sync.Mutex
 	pins        map[Key]pin
-	lastEntries []peer.Incarnation
+	lastEntries []pinHolder
 }
 
-// NewPins returns an empty table; Run keeps the pins on their holders when
-// entries join or leave.
-func NewPins(gr *peer.Group) *Pins {
-	return &Pins{group: gr, pins: map[Key]pin{}}
+// NewPins returns an empty table whose pins are kept for ttl after they were last
+// renewed. Run keeps the pins on their holders when entries join or leave.
+func NewPins(gr *peer.Group, ttl time.Duration) *Pins {
+	return &Pins{group: gr, ttl: ttl, pins: map[Key]pin{}}
 }
 
 // Len returns the number of pins in the table, cached ones included.
@@ -74,20 +80,30 @@
 
 // pinHolder is an entry that stores a pin; address is empty for this entry.
 type pinHolder struct {
-	vm      vm.ID
-	domain  policy.FailureDomain
-	address string
+	vm          vm.ID
+	incarnation peer.Incarnation
+	domain      policy.FailureDomain
+	address     string
 }
 
-// holdersOf returns the live entries that hold a session's pin, chosen by
+// entries returns the live entries, this one included.
+func (pi *Pins) entries() []pinHolder {
+	out := []pinHolder{{vm: pi.group.VM(), incarnation: pi.group.Incarnation(), domain: pi.group.FailureDomain()}}
+	for _, mb := range pi.group.Entries() {
+		out = append(out, pinHolder{vm: mb.VM, incarnation: mb.Incarnation, domain: mb.FailureDomain, address: mb.PeerAddress})
+	}
+	return out
+}
+
+// holdersOf returns the live entries that hold a session's pin.
+func (pi *Pins) holdersOf(key Key) []pinHolder { return selectHolders(pi.entries(), key) }
+
+// selectHolders returns those of the entries that hold a session's pin, chosen by
 // rendezvous hashing (highest random weight; Thaler and Ravishankar, 1998). If
 // the site has several failure domains, the second holder is in another one than
 // the first.
-func (pi *Pins) holdersOf(key Key) []pinHolder {
-	all := []pinHolder{{vm: pi.group.VM(), domain: pi.group.FailureDomain()}}
-	for _, mb := range pi.group.Entries() {
-		all = append(all, pinHolder{vm: mb.VM, domain: mb.FailureDomain, address: mb.PeerAddress})
-	}
+func selectHolders(entries []pinHolder, key Key) []pinHolder {
+	all := slices.Clone(entries)
 	slices.SortFunc(all, func(a, b pinHolder) int {
 		return cmp.Compare(weight(b.vm, key), weight(a.vm, key))
 	})
@@ -113,7 +129,7 @@
 	}
 	rq := &rpc.PinRequest{
 		Session: string(key), Version: string(proposed), Replaces: string(replaced),
-		ExpiresAtMs: now.Add(pinTTL).UnixMilli(),
+		ExpiresAtMs: now.Add(pi.ttl).UnixMilli(),
 	}
 	for _, ho := range pi.holdersOf(key) {
 		rs, err := pi.requestPin(ctx, ho, rq)
@@ -130,7 +146,11 @@
 	if ho.address == "" {
 		return pi.Pin(ctx, rq)
 	}
-	ctx, cancel := context.WithTimeout(ctx, pinTimeout)
+	timeout := pinTimeout
+	if rq.GetCopy() {
+		timeout = copyTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return pi.group.Peer(ho.address).Pin(ctx, rq)
 }
@@ -159,10 +179,13 @@
 
 // storeCopy stores a pin sent by another holder unless this entry has one to a
 // version other than replaced, and returns the resulting version. With an empty
-// version it stores nothing and returns the version in this entry's table, which
-// may have expired, or "" if there is none.
+// version it stores nothing and returns the version that this entry's table has, or ""
+// if it has none.
 func (pi *Pins) storeCopy(key Key, version, replaced policy.VersionID, now time.Time) *rpc.PinResponse {
 	pn, known := pi.get(key, now)
+	if version == "" && !known {
+		return &rpc.PinResponse{}
+	}
 	if version == "" {
 		return &rpc.PinResponse{Version: string(pn.version)}
 	}
@@ -191,16 +214,22 @@
 // sendCopies sends a pin to its holders other than this entry. It ignores errors.
 func (pi *Pins) sendCopies(ctx context.Context, key Key, version, replaced policy.VersionID, expiresAtMS int64) {
 	for _, ho := range pi.holdersOf(key) {
-		if ho.address == "" {
-			continue
-		}
-		_, _ = pi.requestPin(ctx, ho, &rpc.PinRequest{
-			Session: string(key), Version: string(version), Copy: true,
-			Replaces: string(replaced), ExpiresAtMs: expiresAtMS,
-		})
+		pi.sendCopy(ctx, ho, key, version, replaced, expiresAtMS)
 	}
 }
 
+// sendCopy sends a pin to another holder. It ignores errors, and does nothing if the
+// holder is this entry.
+func (pi *Pins) sendCopy(ctx context.Context, ho pinHolder, key Key, version, replaced policy.VersionID, expiresAtMS int64) {
+	if ho.address == "" {
+		return
+	}
+	_, _ = pi.requestPin(ctx, ho, &rpc.PinRequest{
+		Session: string(key), Version: string(version), Copy: true,
+		Replaces: string(replaced), ExpiresAtMs: expiresAtMS,
+	})
+}
+
 // get returns a session's pin, and reports whether there is one that has not
 // expired.
 func (pi *Pins) get(key Key, now time.Time) (pin, bool) {
@@ -233,7 +262,7 @@
 	if _, ok := pi.pins[key]; !ok && len(pi.pins) >= maxPins {
 		pi.evictPins(now)
 	}
-	pi.pins[key] = pin{version: version, expiresAt: now.Add(pinTTL), renewAt: now.Add(renewInterval)}
+	pi.pins[key] = pin{version: version, expiresAt: now.Add(pi.ttl), renewAt: now.Add(pi.ttl / renewalsPerTTL)}
 }
 
 // evictPins removes the expired pins. If that leaves less than a sixteenth of
@@ -254,41 +283,48 @@
 }
 
 // Run checks at each interval whether entries have joined, left or restarted. If
-// so, it sends the pins to their holders, some of which may be new. It blocks until
-// ctx is done.
+// so, it sends the pins to those holders that are new. It blocks until ctx is done.
 func (pi *Pins) Run(ctx context.Context, interval time.Duration) {
 	for worker.Sleep(ctx, interval) {
-		if pi.entriesChanged() {
-			pi.replicatePins(ctx)
+		before, now := pi.updateEntries()
+		if !slices.Equal(before, now) {
+			pi.replicatePins(ctx, before, now)
 		}
 	}
 }
 
-func (pi *Pins) entriesChanged() bool {
-	var current []peer.Incarnation
-	for _, mb := range pi.group.Entries() {
-		current = append(current, mb.Incarnation)
-	}
-	slices.Sort(current)
+// updateEntries records the live entries, and returns those recorded before and now,
+// sorted by VM.
+func (pi *Pins) updateEntries() (before, now []pinHolder) {
+	now = pi.entries()
+	slices.SortFunc(now, func(a, b pinHolder) int { return cmp.Compare(a.vm, b.vm) })
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
-	changed := !slices.Equal(pi.lastEntries, current)
-	pi.lastEntries = current
-	return changed
+	before, pi.lastEntries = pi.lastEntries, now
+	return before, now
 }
 
-// replicatePins sends every pin in the table, cached ones included, to its holders.
-func (pi *Pins) replicatePins(ctx context.Context) {
-	pi.mu.Lock()
-	held := make(map[Key]pin, len(pi.pins))
-	for key, pn := range pi.pins {
-		held[key] = pn
-	}
-	pi.mu.Unlock()
-	for key, pn := range held {
-		if ctx.Err() != nil {
-			return
+// replicatePins sends each pin in the table, cached ones included, to its holders among
+// the entries now that were not its holders before.
+func (pi *Pins) replicatePins(ctx context.Context, before, now []pinHolder) {
+	for key, pn := range pi.livePins() {
+		old := selectHolders(before, key)
+		for _, ho := range selectHolders(now, key) {
+			if ctx.Err() != nil {
+				return
+			}
+			if !slices.Contains(old, ho) {
+				pi.sendCopy(ctx, ho, key, pn.version, "", pn.expiresAt.UnixMilli())
+			}
 		}
-		pi.sendCopies(ctx, key, pn.version, "", pn.expiresAt.UnixMilli())
 	}
 }
+
+// livePins returns a copy of the pins that have not expired, and deletes the others.
+func (pi *Pins) livePins() map[Key]pin {
+	now := time.Now()
+	pi.mu.Lock()
+	defer pi.mu.Unlock()
+	maps.DeleteFunc(pi.pins, func(_ Key, pn pin) bool { return now.After(pn.expiresAt) })
+	return maps.Clone(pi.pins)
+}
