Bound the head of an answer: bytes without end fill a VM's memory

Cause: no bound of our own on an answer's head. It is 64 KB now, as for the heads that callers send.

--- a/network/network.go
+++ b/network/network.go
@@ -20,6 +20,10 @@
 // device on the path, such as a firewall or NAT, may have dropped its state.
 const idleConnTimeout = 3 * time.Second
 
+// maxResponseHeaderBytes bounds the head of an answer: an endpoint in trouble may send
+// one without end.
+const maxResponseHeaderBytes = 64 << 10
+
 // Network holds the functions with which a daemon opens its listeners and
 // connections.
 type Network struct {
@@ -78,6 +82,8 @@
 		MaxIdleConnsPerHost: idle,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
@@ -89,6 +95,8 @@
 		DialContext:        ne.Dial,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
