--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -164,3 +164,23 @@
 		qt.Assert(t, rs.Store.Writes("tanager/rollout/"+testsite.PlainService), qt.Equals, 1)
 	})
 }
+
+// TestSlowReleaseIsRolledBackInLargeGroup has half of the endpoints of a release answer
+// eight times slower, and so many routers that each sees few answers of the trial. The
+// roll-out is short, as on the day deploy/days/hasty.toml.
+func TestSlowReleaseIsRolledBackInLargeGroup(t *testing.T) {
+	const routers, engines, limit = 40, 6, 15 * time.Second
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines}, func(t *testing.T, rs *testsite.RouterSite) {
+		sl := &sessionLoad{site: rs, routers: routers, callers: 40, requests: 4, pause: 200 * time.Millisecond}
+		stop := sl.start()
+		time.Sleep(2 * time.Second)
+		rs.OrderRollout(testsite.EngineService, "v2", limit)
+		addEngines(rs, engines)
+		for n := 1; n <= engines/2; n++ {
+			rs.Replicas[testsite.ReplicaID(testsite.EngineService, n, "v2")].SetFaults(standin.ReplicaFaults{Slowdown: 8})
+		}
+		time.Sleep(limit + time.Second)
+		stop()
+		qt.Assert(t, rs.RolloutState(testsite.EngineService), qt.Equals, "rolled_back", qt.Commentf("%v", sl.runs))
+	})
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -44,6 +44,13 @@
 	Unsigned bool
 	// Truncated aborts responses other than streams in the middle of the body.
 	Truncated bool
+	// Slowdown, if not 0, multiplies Delay and Gap of ReplicaOptions.
+	Slowdown int
+}
+
+// slow returns a duration as the faults lengthen it.
+func (fa ReplicaFaults) slow(du time.Duration) time.Duration {
+	return du * time.Duration(max(1, fa.Slowdown))
 }
 
 // ReplicaRun describes a request that a replica ran.
@@ -120,7 +127,7 @@
 	re.mu.Lock()
 	re.runs = append(re.runs, ru)
 	re.mu.Unlock()
-	if fa.Silent || !wait(rq, re.opt.Delay) {
+	if fa.Silent || !wait(rq, fa.slow(re.opt.Delay)) {
 		<-rq.Context().Done()
 		re.setDisconnected(ru)
 		panic(http.ErrAbortHandler)
@@ -188,7 +195,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(wr, "id: %d\ndata: piece %d of %s\n\n", n, n, ru.Request)
-		if rc.Flush() != nil || !wait(rq, re.opt.Gap) {
+		if rc.Flush() != nil || !wait(rq, fa.slow(re.opt.Gap)) {
 			re.setDisconnected(ru)
 			panic(http.ErrAbortHandler)
 		}
