Pin sessions also while a release on trial has no endpoints

Found on reading the change: until the candidate had endpoints, sessions of its share were sent to the release in use without a pin. Where its replicas start after the trial's begin, all sessions that had begun since the start of the roll-out moved to it.

The pin is set first now, and proposes the candidate only if it has endpoints. TestSessionsStayWhenCandidateStartsLate failed before in 2 of 2 runs (16 sessions moved, 3 allowed) and passes.

--- a/relay/release.go
+++ b/relay/release.go
@@ -16,7 +16,7 @@
 // tests releases that are being rolled out. In a roll-out, the candidate is the
 // new release; "stable" in a name refers to the release in use.
 //
-// mu guards states. The sessions' own lock is taken after it.
+// mu guards states. The locks of the sessions and of the fleet are taken after it.
 type releaseSelector struct {
 	router   *Router
 	sessions *sessions
@@ -54,7 +54,7 @@
 const (
 	// reasonNoRollout: the service has no roll-out, or it has ended.
 	reasonNoRollout selectionReason = "no_rollout"
-	// reasonRejected: the candidate was rejected or has no endpoints.
+	// reasonRejected: the candidate was rejected.
 	reasonRejected selectionReason = "rejected"
 	// reasonPromoted: every request goes to the candidate.
 	reasonPromoted selectionReason = "promoted"
@@ -91,14 +91,17 @@
 	}
 	now := time.Now()
 	pl, rejected := rs.planFor(now, ro)
-	if rejected || len(candidate) == 0 {
+	if rejected {
 		return selection{endpoints: stable, reason: reasonRejected}
 	}
-	uses, reason := rs.usesCandidate(ctx, now, ca, ro, pl)
+	uses, reason := rs.usesCandidate(ctx, ca, ro, rolloutMoment{pl, now, len(candidate) > 0})
 	// Asking for the session's release may have taken long enough for endpoints to leave.
 	stable, candidate = rs.endpointsOf(ro)
-	if !uses {
+	switch {
+	case !uses:
 		return selection{endpoints: stable, reason: reason}
+	case len(candidate) == 0:
+		return selection{endpoints: stable, reason: reasonNoCapacity}
 	}
 	return selection{endpoints: candidate, fallback: stable, reason: reason}
 }
@@ -136,26 +139,31 @@
 	})
 }
 
+// rolloutMoment is a roll-out as a request meets it. available reports whether the
+// candidate has endpoints.
+type rolloutMoment struct {
+	rollout.Plan
+	now       time.Time
+	available bool
+}
+
 // usesCandidate reports whether a request goes to the candidate, and why. At a share
 // of 1 every request does. Below that, sessions are assigned by their hash, the same at
 // every router, and the first half of the roll-out leaves those that run on the release
 // in use there. A request that has failed at any endpoint is retried on the release in
 // use.
-func (rs *releaseSelector) usesCandidate(ctx context.Context, now time.Time, ca *call, ro policy.Rollout, pl rollout.Plan) (bool, selectionReason) {
-	share, id := pl.Share(now), ca.request.Session
-	inTrial := ca.request.sessionFraction(ro.ToVersion) < pl.TrialShare
+func (rs *releaseSelector) usesCandidate(ctx context.Context, ca *call, ro policy.Rollout, rm rolloutMoment) (bool, selectionReason) {
+	share, id := rm.Share(rm.now), ca.request.Session
+	inTrial := ca.request.sessionFraction(ro.ToVersion) < rm.TrialShare
+	proposed := inTrial && share > 0 && rm.available
 	switch {
 	case share >= 1:
 		return true, reasonPromoted
 	case len(ca.failedEndpoints) > 0:
 		return false, reasonRetry
-	case !inTrial || id == "" || !pl.KeepsSessions(now):
-		return inTrial && share > 0, reasonAssigned
-	case ro.StartedAtMs == 0:
-		// pinRunning pins the session once the start is known.
-		return false, reasonAssigned
+	case !inTrial || id == "" || !rm.KeepsSessions(rm.now):
+		return proposed, reasonAssigned
 	}
-	proposed := share > 0
 	uses := rs.pin(ctx, ro, id, proposed)
 	if uses != proposed {
 		return uses, reasonKept
--- a/router/session_release_test.go
+++ b/router/session_release_test.go
@@ -179,3 +179,22 @@
 		})
 	}
 }
+
+// TestSessionsStayWhenCandidateStartsLate has the candidate's endpoints appear after the
+// trial's begin. Sessions that had begun since the start of the roll-out were not pinned
+// while there was no candidate, and moved to it.
+func TestSessionsStayWhenCandidateStartsLate(t *testing.T) {
+	const routers = 8
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 8}, func(t *testing.T, rs *testsite.RouterSite) {
+		sl := &sessionLoad{site: rs, routers: routers, callers: 200, requests: 12, pause: time.Second}
+		stop := sl.start()
+		time.Sleep(2 * time.Second)
+		rs.OrderRollout(testsite.EngineService, "v2", rolloutLimit)
+		time.Sleep(rolloutLimit / 3)
+		addEngines(rs, 8)
+		time.Sleep(rolloutLimit / 6)
+		stop()
+		qt.Assert(t, sl.runs["v2"] > maxMoves, qt.IsTrue, qt.Commentf("%v", sl.runs))
+		qt.Assert(t, len(sl.moves) <= maxMoves, qt.IsTrue, qt.Commentf("%d sessions moved: %v", len(sl.moves), sl.moves))
+	})
+}
