--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -235,7 +235,7 @@
 	ev, err := an.stream.next()
 	if err != nil && !errors.Is(err, io.EOF) {
 		an.source.Close()
-		return nil, failureOf(an.source.ReadFailure(err))
+		return nil, an.brokenOff(err)
 	}
 	an.firstEvent = ev
 	an.recordStart()
@@ -246,7 +246,7 @@
 	defer an.source.Close()
 	body, err := io.ReadAll(io.LimitReader(an.source, maxBufferedBody+1))
 	if err != nil {
-		return nil, failureOf(an.source.ReadFailure(err))
+		return nil, an.brokenOff(err)
 	}
 	if len(body) > maxBufferedBody {
 		return nil, &failure{err: eris.Errorf("answer is larger than %d bytes", maxBufferedBody)}
@@ -261,6 +261,13 @@
 	return an, nil
 }
 
+// brokenOff returns the failure for an error of reading the answer.
+func (an *answer) brokenOff(err error) *failure {
+	fa := failureOf(an.source.ReadFailure(err))
+	fa.begun = true
+	return fa
+}
+
 // recordStart records that the answer has begun, and how long that took.
 func (at *attempt) recordStart() {
 	ro, ca, took := at.router, at.call, time.Since(at.sentAt)
@@ -311,6 +318,7 @@
 	ro.metrics.Attempts.Add(ctx, 1, metric.With(metric.KeyOutcome, "failed", metric.KeyCause, causeLabel(fa.err)))
 	ro.log.WarnLimited(event.AttemptFailed, fa.err, event.Fields{
 		"request": at.call.request.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release, "not_run": fa.notRun,
+		"begun": fa.begun, "prompt": at.call.request.sharedParts(),
 		"after_ms": time.Since(at.sentAt).Milliseconds(), "policy": ro.holder.Set().Revision,
 	})
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -82,6 +82,15 @@
 	return rq.promptTokens() - rq.Prompt[len(rq.Prompt)-1].Tokens
 }
 
+// sharedParts returns the IDs of the parts that other requests may share.
+func (rq *Request) sharedParts() []PromptPartID {
+	var out []PromptPartID
+	for n := 0; n < len(rq.Prompt)-1; n++ {
+		out = append(out, rq.Prompt[n].ID)
+	}
+	return out
+}
+
 // prefix returns a hash of the prompt's shared prefix and the model, or 0 if there
 // is no shared prefix.
 func (rq *Request) prefix(model policy.ModelID) placement.Prefix {
--- a/relay/run.go
+++ b/relay/run.go
@@ -151,6 +151,8 @@
 	// notRun reports whether it is certain that the attempt did not run the
 	// request.
 	notRun bool
+	// begun reports whether the head of an answer had arrived.
+	begun bool
 	// noEndpoint reports whether there was no endpoint to send to.
 	noEndpoint bool
 	// callerError reports whether the request itself is at fault, so that every
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -164,7 +164,7 @@
 	for worker.Sleep(ctx, resumePause) && ca.route.Resumable && ro.mayRetry(ctx, ca, &failure{err: cause}) {
 		next, fa := ro.attempt(ctx, ca, sr.lastEventID)
 		if fa == nil && next.stream != nil {
-			ro.log.InfoLimited(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": sr.lastEventID, "cause": cause.Error()})
+			ro.log.InfoLimited(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "cause": cause.Error()})
 			return next
 		}
 		if fa == nil {
@@ -176,6 +176,6 @@
 			return nil
 		}
 	}
-	ro.log.WarnLimited(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "sends": ca.sends})
+	ro.log.WarnLimited(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends})
 	return nil
 }
