--- /dev/null
+++ b/router/crashing_prompt_test.go
@@ -0,0 +1,181 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/testsite"
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	// crashingPart is the part of a prompt that crashes endpoints.
+	crashingPart = "bad0"
+	// maxAfterFifthCrash is how many requests with the crashing part may reach
+	// endpoints later than contactLimit after the fifth crash, and crashesToKnow the
+	// number of crashes (rule BUDGET of the users' platform).
+	maxAfterFifthCrash = 3
+	crashesToKnow      = 5
+	contactLimit       = 3 * time.Second
+)
+
+// promptLoad sends requests with prompts of several parts through random routers.
+type promptLoad struct {
+	site    *testsite.RouterSite
+	routers int
+	// callers send sound requests with a pause after each. Every crashEvery, a request
+	// with the crashing part is sent too; none is if that is 0.
+	callers    int
+	pause      time.Duration
+	crashEvery time.Duration
+
+	mu sync.Mutex
+	// began holds the times of the sound requests that were answered, sent those of
+	// all of them.
+	began, sent []time.Time
+	refused     map[string]int
+}
+
+// start sends the load until the returned function is called.
+func (pl *promptLoad) start() (stop func()) {
+	gr := worker.NewGroup()
+	pl.refused = map[string]int{}
+	for caller := range pl.callers {
+		gr.Go(func(ctx context.Context) {
+			rng := rand.New(rand.NewPCG(uint64(caller), 2))
+			for n := 0; worker.Sleep(ctx, pl.pause/2+time.Duration(rng.Int64N(int64(pl.pause)))); n++ {
+				pl.sendSound(rng, fmt.Sprintf("s%d-%d", caller, n))
+			}
+		})
+	}
+	if pl.crashEvery > 0 {
+		gr.Go(pl.sendCrashing)
+	}
+	return gr.Close
+}
+
+func (pl *promptLoad) sendSound(rng *rand.Rand, id string) {
+	at := time.Now()
+	an := pl.do(rng, id, fmt.Sprintf("first%d:100,subject%d:50,%s:20", rng.IntN(3), rng.IntN(40), id))
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.sent = append(pl.sent, at)
+	if an.err == nil && an.status == http.StatusOK {
+		pl.began = append(pl.began, at)
+	}
+	if an.status == http.StatusServiceUnavailable {
+		pl.refused[an.body]++
+	}
+}
+
+func (pl *promptLoad) sendCrashing(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(1, 3))
+	gr := worker.NewGroup()
+	defer gr.Close()
+	for n := 0; worker.Sleep(ctx, pl.crashEvery); n++ {
+		id := fmt.Sprint("c", n)
+		prompt := fmt.Sprintf("first%d:100,%s:30,subject%d:50,%s:20", rng.IntN(3), crashingPart, rng.IntN(40), id)
+		to := rand.New(rand.NewPCG(uint64(n), 4))
+		gr.Go(func(context.Context) { pl.do(to, id, prompt) })
+	}
+}
+
+func (pl *promptLoad) do(rng *rand.Rand, id, prompt string) response {
+	return do(pl.site, request{
+		router: 1 + rng.IntN(pl.routers), id: id, path: testsite.EngineRoute,
+		header: map[string]string{"Prompt-Prefix": prompt},
+	})
+}
+
+// share returns the share of the sound requests sent within a span that were answered.
+func (pl *promptLoad) share(from, to time.Time) float64 {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	within := func(ats []time.Time) float64 {
+		n := 0
+		for _, at := range ats {
+			if !at.Before(from) && at.Before(to) {
+				n++
+			}
+		}
+		return float64(n)
+	}
+	return within(pl.began) / max(1, within(pl.sent))
+}
+
+// crashTimes returns the times of all crashes, in order.
+func crashTimes(rs *testsite.RouterSite) []time.Time {
+	var out []time.Time
+	for _, re := range rs.Replicas {
+		out = append(out, re.Crashes()...)
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
+// runsWithPartAfter returns the number of runs of requests with a prompt part that
+// began after a time.
+func runsWithPartAfter(rs *testsite.RouterSite, part string, after time.Time) int {
+	runs := 0
+	for _, re := range rs.Replicas {
+		for _, ru := range re.Runs() {
+			if ru.SharesPart(part) && ru.At.After(after) {
+				runs++
+			}
+		}
+	}
+	return runs
+}
+
+// streamingEngine is an engine whose streams last for most of a second.
+var streamingEngine = standin.ReplicaOptions{
+	Events: 20, Gap: 40 * time.Millisecond, Delay: 40 * time.Millisecond,
+	Confidence: map[string]string{testsite.SmallModel: "90", testsite.LargeModel: "95"},
+}
+
+// TestPromptPartThatCrashesEndpointsIsRefused sends requests that share a part which
+// crashes every endpoint that begins to answer, no two alike. The routers sent each of
+// them to up to three endpoints, for as long as they came.
+func TestPromptPartThatCrashesEndpointsIsRefused(t *testing.T) {
+	for _, site := range []struct {
+		routers, engines int
+		crashEvery       time.Duration
+	}{
+		{routers: 8, engines: 9, crashEvery: 150 * time.Millisecond},
+		{routers: 8, engines: 9, crashEvery: time.Second},
+		{routers: 60, engines: 40, crashEvery: 100 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d routers, every %v", site.routers, site.crashEvery), func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: site.routers, Engines: site.engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+				setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
+				before := time.Now()
+				sound := &promptLoad{site: rs, routers: site.routers, callers: 4 * site.engines, pause: 500 * time.Millisecond}
+				stopSound := sound.start()
+				time.Sleep(4 * time.Second)
+				began := time.Now()
+				bad := &promptLoad{site: rs, routers: site.routers, crashEvery: site.crashEvery}
+				stopBad := bad.start()
+				rs.Eventually(20*time.Second, "five endpoints have crashed", func() bool { return len(crashTimes(rs)) >= crashesToKnow })
+				fifth := crashTimes(rs)[crashesToKnow-1]
+				time.Sleep(12 * time.Second)
+				stopBad()
+				stopSound()
+				after := runsWithPartAfter(rs, crashingPart, fifth.Add(contactLimit))
+				qt.Check(t, after <= maxAfterFifthCrash, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints, %d crashes", after, len(crashTimes(rs))))
+				usual, late := sound.share(before, began), sound.share(fifth.Add(2*contactLimit), fifth.Add(11*time.Second))
+				qt.Check(t, usual > 0.95, qt.IsTrue, qt.Commentf("%v", usual))
+				// Rule LOST allows half of the usual share; the endpoints are back by then.
+				qt.Check(t, late >= usual/2, qt.IsTrue, qt.Commentf("%v of the sound requests answered, %v before; refused: %v", late, usual, sound.refused))
+			})
+		})
+	}
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,6 +23,9 @@
 	// Confidence is the value of the Confidence header by model; a model that is
 	// missing sends none.
 	Confidence map[string]string
+	// OnCrash ends the replica's process and its connections. It is called when the
+	// replica crashes, as ReplicaFaults.CrashPart describes.
+	OnCrash func()
 }
 
 // ReplicaFaults are the faults that a replica injects. The zero value injects none.
@@ -46,6 +51,10 @@
 	Truncated bool
 	// Slowdown, if not 0, multiplies Delay and Gap of ReplicaOptions.
 	Slowdown int
+	// CrashPart, if not empty, is the ID of a prompt part. A request with this part in
+	// its prompt, other than as the last one, crashes the replica crashDelay after
+	// the head of its response.
+	CrashPart string
 }
 
 // slow returns a duration as the faults lengthen it.
@@ -70,12 +79,15 @@
 // Replica simulates a replica on the users' platform. Its methods may be called
 // concurrently.
 //
-// mu guards faults and runs. No other lock is taken while it is held.
+// mu guards faults, runs, crashes and down. No other lock is taken while it is held.
 type Replica struct {
 	opt    ReplicaOptions
 	mu     sync.Mutex
 	faults ReplicaFaults
 	runs   []*ReplicaRun
+	// crashes holds the times of the crashes; down is set from a crash until Restart.
+	crashes []time.Time
+	down    bool
 }
 
 // NewReplica returns a replica without faults.
@@ -172,6 +184,8 @@
 	switch {
 	case fa.Status != 0:
 		wr.WriteHeader(fa.Status)
+	case sharesPart(ru.Header, fa.CrashPart):
+		re.crash(wr, rq)
 	case re.opt.Events > 0:
 		re.stream(wr, rq, ru, fa)
 	case fa.Truncated:
@@ -183,6 +197,55 @@
 	}
 }
 
+// crashDelay is the time from the head of a response to the crash that the request
+// causes.
+const crashDelay = 60 * time.Millisecond
+
+// SharesPart reports whether a request's prompt has a part, other than as its last one.
+func (ru ReplicaRun) SharesPart(id string) bool { return sharesPart(ru.Header, id) }
+
+func sharesPart(he http.Header, id string) bool {
+	parts := strings.Split(he.Get("Prompt-Prefix"), ",")
+	return id != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		name, _, _ := strings.Cut(part, ":")
+		return name == id
+	})
+}
+
+// crash sends the head of a response and then crashes the replica.
+func (re *Replica) crash(wr http.ResponseWriter, rq *http.Request) {
+	wr.Header().Set("Content-Type", "text/event-stream")
+	if http.NewResponseController(wr).Flush() == nil && wait(rq, crashDelay) && re.setCrashed() {
+		re.opt.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// setCrashed records a crash, and reports false if the replica is down already.
+func (re *Replica) setCrashed() bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.down {
+		return false
+	}
+	re.down, re.crashes = true, append(re.crashes, time.Now())
+	return true
+}
+
+// Restart lets the replica crash again after a crash.
+func (re *Replica) Restart() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.down = false
+}
+
+// Crashes returns the times at which the replica has crashed.
+func (re *Replica) Crashes() []time.Time {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return slices.Clone(re.crashes)
+}
+
 // stream sends the events after Last-Event-Id.
 func (re *Replica) stream(wr http.ResponseWriter, rq *http.Request, ru *ReplicaRun, fa ReplicaFaults) {
 	wr.Header().Set("Content-Type", "text/event-stream")
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,9 +66,11 @@
 	// Replicas are by ReplicaID, Routers by number.
 	Replicas map[string]*standin.Replica
 	Routers  map[int]*router.Daemon
-	servers  map[Host]*http.Server
-	group    *worker.Group
-	dir      string
+	// mu guards servers. No other lock is taken while it is held.
+	mu      sync.Mutex
+	servers map[Host]*http.Server
+	group   *worker.Group
+	dir     string
 	// version is that of the configuration that was written last.
 	version int64
 }
@@ -113,7 +116,9 @@
 		rs.tb.Fatal(err)
 	}
 	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
+	rs.mu.Lock()
 	rs.servers[ho] = sv
+	rs.mu.Unlock()
 	rs.group.Go(func(context.Context) { _ = sv.Serve(li) })
 }
 
@@ -136,6 +141,7 @@
 		opt = rs.opt.Engine
 	}
 	opt.ID = ReplicaID(service, n, release)
+	opt.OnCrash = func() { rs.CrashReplica(service, n, release) }
 	re := standin.NewReplica(opt)
 	rs.Replicas[opt.ID] = re
 	rs.Serve(Host(opt.ID), ReplicaAddress(service, n, release), re.Handler())
@@ -143,11 +149,29 @@
 	return re
 }
 
+// crashedFor is how long a replica that crashed is away.
+const crashedFor = 3 * time.Second
+
+// CrashReplica closes all connections of a replica at once, as a crash does, and starts
+// it again after crashedFor, with its ID and another time of birth.
+func (rs *RouterSite) CrashReplica(service string, n int, release string) {
+	id := ReplicaID(service, n, release)
+	rs.Net.Kill(Host(id))
+	rs.group.Go(func(ctx context.Context) {
+		if worker.Sleep(ctx, crashedFor) {
+			rs.Net.Revive(Host(id))
+			rs.Replicas[id].Restart()
+			rs.Serve(Host(id), ReplicaAddress(service, n, release), rs.Replicas[id].Handler())
+			rs.Register(service, n, release, "ready")
+		}
+	})
+}
+
 // Register writes a replica's registration to the store, with a state such as "ready"
-// or "draining".
+// or "draining". Its time of birth is now.
 func (rs *RouterSite) Register(service string, n int, release, state string) {
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"sequence":1`,
-		service, ReplicaAddress(service, n, release), release, state)
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"sequence":1,"born":%d`,
+		service, ReplicaAddress(service, n, release), release, state, time.Now().UnixMilli())
 	if service == EngineService {
 		text += `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
 	}
@@ -283,9 +307,11 @@
 	for _, da := range rs.Routers {
 		da.Close(ctx)
 	}
+	rs.mu.Lock()
 	for _, sv := range rs.servers {
 		_ = sv.Close()
 	}
+	rs.mu.Unlock()
 	rs.group.Close()
 	rs.Net.closeAll()
 }
