Choose the holders of shared state in package peer

session.Pins chose the routers that hold a pin; the crashes of prompt parts need the same choice. Moved, with the ranking that Preferred had a second time.

--- /dev/null
+++ b/peer/holder.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/vm"
+)
+
+// Holder is a daemon that may hold state on behalf of all daemons. Address is empty
+// for this daemon.
+type Holder struct {
+	VM            vm.ID
+	Incarnation   Incarnation
+	FailureDomain policy.FailureDomain
+	Address       string
+}
+
+// Holders returns the live daemons that serve callers, this one included.
+func (gr *Group) Holders() []Holder {
+	out := []Holder{{VM: gr.VM(), Incarnation: gr.Incarnation(), FailureDomain: gr.FailureDomain()}}
+	for _, mb := range gr.Entries() {
+		out = append(out, Holder{VM: mb.VM, Incarnation: mb.Incarnation, FailureDomain: mb.FailureDomain, Address: mb.PeerAddress})
+	}
+	return out
+}
+
+// SelectHolders returns the n of the daemons that hold the state of a key, or all if
+// there are fewer, chosen by rendezvous hashing (highest random weight; Thaler and
+// Ravishankar, 1998). If they are in several failure domains, the second holder is in
+// another one than the first.
+func SelectHolders(daemons []Holder, key string, n int) []Holder {
+	all := slices.Clone(daemons)
+	slices.SortFunc(all, func(a, b Holder) int {
+		return cmp.Compare(weight(b.VM, key), weight(a.VM, key))
+	})
+	elsewhere := slices.IndexFunc(all, func(ho Holder) bool { return ho.FailureDomain != all[0].FailureDomain })
+	if elsewhere > 1 {
+		all[1], all[elsewhere] = all[elsewhere], all[1]
+	}
+	return all[:min(n, len(all))]
+}
+
+// weight returns the rank of a VM for a key; the VMs with the greatest are chosen.
+func weight(id vm.ID, key string) uint64 {
+	return xxhash.Sum64String(string(id) + "\x00" + key)
+}
--- a/peer/member.go
+++ b/peer/member.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"tanagerpoint.example/tanager/event"
@@ -55,10 +54,9 @@
 // task: whether it is one of the n live daemons of its role that rendezvous
 // hashing by the task ranks first.
 func (gr *Group) Preferred(task string, n int) bool {
-	weigh := func(id vm.ID) uint64 { return xxhash.Sum64String(string(id) + "\x00" + task) }
-	own, before := weigh(gr.VM()), 0
+	own, before := weight(gr.VM(), task), 0
 	for _, mb := range gr.Members() {
-		if mb.Role == gr.opt.Self.GetRole() && mb.VM != gr.VM() && weigh(mb.VM) > own {
+		if mb.Role == gr.opt.Self.GetRole() && mb.VM != gr.VM() && weight(mb.VM, task) > own {
 			before++
 		}
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -85,7 +85,7 @@
 // sharedParts returns the IDs of the parts that other requests may share.
 func (rq *Request) sharedParts() []PromptPartID {
 	var out []PromptPartID
-	for n := 0; n < len(rq.Prompt)-1; n++ {
+	for n := range max(0, len(rq.Prompt)-1) {
 		out = append(out, rq.Prompt[n].ID)
 	}
 	return out
--- a/session/pin.go
+++ b/session/pin.go
@@ -8,12 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
-	"tanagerpoint.example/tanager/vm"
 	"tanagerpoint.example/tanager/worker"
 )
 
@@ -62,7 +59,7 @@
 	ttl         time.Duration
 	mu          sync.Mutex
 	pins        map[Key]pin
-	lastEntries []pinHolder
+	lastEntries []peer.Holder
 }
 
 // NewPins returns an empty table whose pins are kept for ttl after they were last
@@ -78,44 +75,11 @@
 	return len(pi.pins)
 }
 
-// pinHolder is an entry that stores a pin; address is empty for this entry.
-type pinHolder struct {
-	vm          vm.ID
-	incarnation peer.Incarnation
-	domain      policy.FailureDomain
-	address     string
-}
-
-// entries returns the live entries, this one included.
-func (pi *Pins) entries() []pinHolder {
-	out := []pinHolder{{vm: pi.group.VM(), incarnation: pi.group.Incarnation(), domain: pi.group.FailureDomain()}}
-	for _, mb := range pi.group.Entries() {
-		out = append(out, pinHolder{vm: mb.VM, incarnation: mb.Incarnation, domain: mb.FailureDomain, address: mb.PeerAddress})
-	}
-	return out
-}
-
 // holdersOf returns the live entries that hold a session's pin.
-func (pi *Pins) holdersOf(key Key) []pinHolder { return selectHolders(pi.entries(), key) }
-
-// selectHolders returns those of the entries that hold a session's pin, chosen by
-// rendezvous hashing (highest random weight; Thaler and Ravishankar, 1998). If
-// the site has several failure domains, the second holder is in another one than
-// the first.
-func selectHolders(entries []pinHolder, key Key) []pinHolder {
-	all := slices.Clone(entries)
-	slices.SortFunc(all, func(a, b pinHolder) int {
-		return cmp.Compare(weight(b.vm, key), weight(a.vm, key))
-	})
-	elsewhere := slices.IndexFunc(all, func(ho pinHolder) bool { return ho.domain != all[0].domain })
-	if elsewhere > 1 {
-		all[1], all[elsewhere] = all[elsewhere], all[1]
-	}
-	return all[:min(holdersPerPin, len(all))]
-}
+func (pi *Pins) holdersOf(key Key) []peer.Holder { return selectHolders(pi.group.Holders(), key) }
 
-func weight(id vm.ID, key Key) uint64 {
-	return xxhash.Sum64String(string(id) + "\x00" + string(key))
+func selectHolders(entries []peer.Holder, key Key) []peer.Holder {
+	return peer.SelectHolders(entries, string(key), holdersPerPin)
 }
 
 // Version returns the version that a session is pinned to, and pins it to the
@@ -142,8 +106,8 @@
 	return pi.putIfAbsent(key, proposed, replaced, now)
 }
 
-func (pi *Pins) requestPin(ctx context.Context, ho pinHolder, rq *rpc.PinRequest) (*rpc.PinResponse, error) {
-	if ho.address == "" {
+func (pi *Pins) requestPin(ctx context.Context, ho peer.Holder, rq *rpc.PinRequest) (*rpc.PinResponse, error) {
+	if ho.Address == "" {
 		return pi.Pin(ctx, rq)
 	}
 	timeout := pinTimeout
@@ -152,7 +116,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return pi.group.Peer(ho.address).Pin(ctx, rq)
+	return pi.group.Peer(ho.Address).Pin(ctx, rq)
 }
 
 // Pin implements peer.Pins for sessions whose pins this entry holds. If it has no
@@ -200,7 +164,7 @@
 // for the session, or "" if none has.
 func (pi *Pins) fetchCopy(ctx context.Context, key Key, rq *rpc.PinRequest) policy.VersionID {
 	for _, ho := range pi.holdersOf(key) {
-		if ho.address == "" {
+		if ho.Address == "" {
 			continue
 		}
 		rs, err := pi.requestPin(ctx, ho, &rpc.PinRequest{Session: rq.GetSession(), Copy: true})
@@ -220,8 +184,8 @@
 
 // sendCopy sends a pin to another holder. It ignores errors, and does nothing if the
 // holder is this entry.
-func (pi *Pins) sendCopy(ctx context.Context, ho pinHolder, key Key, version, replaced policy.VersionID, expiresAtMS int64) {
-	if ho.address == "" {
+func (pi *Pins) sendCopy(ctx context.Context, ho peer.Holder, key Key, version, replaced policy.VersionID, expiresAtMS int64) {
+	if ho.Address == "" {
 		return
 	}
 	_, _ = pi.requestPin(ctx, ho, &rpc.PinRequest{
@@ -295,9 +259,9 @@
 
 // updateEntries records the live entries, and returns those recorded before and now,
 // sorted by VM.
-func (pi *Pins) updateEntries() (before, now []pinHolder) {
-	now = pi.entries()
-	slices.SortFunc(now, func(a, b pinHolder) int { return cmp.Compare(a.vm, b.vm) })
+func (pi *Pins) updateEntries() (before, now []peer.Holder) {
+	now = pi.group.Holders()
+	slices.SortFunc(now, func(a, b peer.Holder) int { return cmp.Compare(a.VM, b.VM) })
 	pi.mu.Lock()
 	defer pi.mu.Unlock()
 	before, pi.lastEntries = pi.lastEntries, now
@@ -306,7 +270,7 @@
 
 // replicatePins sends each pin in the table, cached ones included, to its holders among
 // the entries now that were not its holders before.
-func (pi *Pins) replicatePins(ctx context.Context, before, now []pinHolder) {
+func (pi *Pins) replicatePins(ctx context.Context, before, now []peer.Holder) {
 	for key, pn := range pi.livePins() {
 		old := selectHolders(before, key)
 		for _, ho := range selectHolders(now, key) {
