Quarantine prompt parts that crash endpoint after endpoint

Cause: a router takes every failure for the endpoint's. It suspends the endpoint and sends the request to the next one, up to max_attempts; each new request with the part begins again. Nothing relates crashes of different endpoints, seen by different routers, to what the requests have in common. Class: a request that harms whoever gets it is retried as if the endpoint were at fault.

Breaks before the head are the bystanders'.

Now an answer that breaks off within a second of its head is reported to the two routers that hold each part of its prompt, except parts of answers that went well in the last minute. Four separate crashes under three different requests put a part in quarantine: a key of the store under a lease, a policy record at every router. Requests with it are refused at once as not run. An answer that goes well ends it.

Why it works: the part is the only thing that the crashes share and that no answer outlives; the record reaches all routers within the watch's pause, 1.2 s at most, which is within contact_ms; a router that starts anew reads it with its first policy.

--- a/event/event.go
+++ b/event/event.go
@@ -57,6 +57,10 @@
 	CascadeEscalated     Number = 413
 	SessionMoved         Number = 414
 	ReleaseShareChanged  Number = 415
+	PartQuarantined      Number = 416
+	QuarantineEnded      Number = 417
+	QuarantineLimited    Number = 418
+	CrashNotReported     Number = 419
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -115,6 +119,10 @@
 	CascadeEscalated:     "cascade dropped a smaller model's answer to use the largest model",
 	SessionMoved:         "session continues on another release",
 	ReleaseShareChanged:  "this router changed the share of requests that a release gets",
+	PartQuarantined:      "prompt part quarantined: it crashed several endpoints",
+	QuarantineEnded:      "quarantine ended: an answer to a prompt with the part went well",
+	QuarantineLimited:    "prompt part not quarantined: too many parts are, so prompts are not the cause",
+	CrashNotReported:     "crash under a prompt part could not be reported to its holder",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/peer/server.go
+++ b/peer/server.go
@@ -27,11 +27,18 @@
 	Pin(ctx context.Context, rq *rpc.PinRequest) (*rpc.PinResponse, error)
 }
 
+// Crashes answers other daemons' reports of crashes to a holder of their prompt parts.
+type Crashes interface {
+	ReportCrashes(ctx context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error)
+}
+
 // Server serves the calls of other daemons. It implements rpc.PeerService.
 type Server struct {
 	group *Group
 	bills Bills
 	pins  Pins
+	// crashes is nil on daemons that hold no reports.
+	crashes Crashes
 }
 
 // NewServer returns a server. bi and pi are nil on daemons that hold no copies
@@ -40,6 +47,12 @@
 	return &Server{group: gr, bills: bi, pins: pi}
 }
 
+// WithCrashes makes the server answer reports of crashes, and returns it.
+func (se *Server) WithCrashes(cr Crashes) *Server {
+	se.crashes = cr
+	return se
+}
+
 // Handler returns the HTTP handler of the listener for peers. It answers
 // requests without the shared key with status 401.
 func (se *Server) Handler() http.Handler {
@@ -126,6 +139,15 @@
 	return se.pins.Pin(ctx, rq)
 }
 
+// ReportCrashes implements rpc.PeerService. A daemon that holds no reports ignores the
+// call.
+func (se *Server) ReportCrashes(ctx context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error) {
+	if se.crashes == nil {
+		return &rpc.ReportCrashesResponse{}, nil
+	}
+	return se.crashes.ReportCrashes(ctx, rq)
+}
+
 func equalSecret(a, b string) bool {
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -63,6 +63,8 @@
 		return Route{ID: RouteID(id), Route: sp}
 	case *rpc.Limits:
 		return Limits{ID: LimitsID(id), Limits: sp}
+	case *rpc.Quarantine:
+		return Quarantine{ID: QuarantineID(id), Quarantine: sp}
 	default:
 		return Rollout{ID: RolloutID(id), Rollout: ms.(*rpc.Rollout), FencingToken: re.GetFencingToken()}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,10 +32,11 @@
 	KindRollout      Kind = "rollout"
 	KindRoute        Kind = "route"
 	KindLimits       Kind = "limits"
+	KindQuarantine   Kind = "quarantine"
 )
 
-// The ids of records, each unique within its kind, and of releases, which have no
-// records.
+// The ids of records, each unique within its kind, and of releases and prompt parts,
+// which have no records.
 type (
 	// OrganisationID names an organisation.
 	OrganisationID string
@@ -59,8 +60,12 @@
 	RouteID string
 	// LimitsID names a record of limits; only LimitsSite is used.
 	LimitsID string
+	// QuarantineID names the quarantine of a prompt part, see QuarantineIDOf.
+	QuarantineID string
 	// ReleaseID names a release of the software that endpoints run.
 	ReleaseID string
+	// PromptPartID identifies a part of a prompt; equal parts have equal ids.
+	PromptPartID string
 )
 
 // FailureDomain names a part of a site that can fail as a whole.
--- a/policy/record.go
+++ b/policy/record.go
@@ -203,6 +203,8 @@
 		return &rpc.Route{}
 	case KindLimits:
 		return &rpc.Limits{}
+	case KindQuarantine:
+		return &rpc.Quarantine{}
 	}
 	return nil
 }
--- a/policy/set.go
+++ b/policy/set.go
@@ -33,6 +33,7 @@
 	Rollouts      Table[RolloutID, Rollout]
 	Routes        Table[RouteID, Route]
 	Limits        Table[LimitsID, Limits]
+	Quarantines   Table[QuarantineID, Quarantine]
 
 	// Findings lists why records cannot be used. These records count as absent.
 	Findings finding.List
@@ -294,6 +295,7 @@
 	se.Rollouts.sortIDs()
 	se.Routes.sortIDs()
 	se.Limits.sortIDs()
+	se.Quarantines.sortIDs()
 	se.byHost = routesByHost(se.Routes.List())
 }
 
@@ -328,5 +330,7 @@
 		se.Routes.add(va.ID, va)
 	case Limits:
 		se.Limits.add(va.ID, va)
+	case Quarantine:
+		se.Quarantines.add(va.ID, va)
 	}
 }
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,225 @@
+// Package quarantine bars the parts of prompts that crash endpoints. A router that sees
+// an answer break off soon after it has begun reports the parts of the prompt to the
+// routers that hold them. A part with enough crashes, and without an answer that went
+// well, is quarantined: a holder records that in the store, and every router refuses
+// requests with the part.
+package quarantine
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/peer"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+)
+
+const (
+	// Duration is how long a part is quarantined. It is the longest time to live of a
+	// lease of the store.
+	Duration = 10 * time.Minute
+	// ProvenAfter is how long an answer has to last, from its head on, to show that the
+	// parts of its prompt do not crash endpoints.
+	ProvenAfter = time.Second
+	// provenTTL is how long that is remembered, and maxProven of how many parts.
+	provenTTL = time.Minute
+	maxProven = 8192
+	// contrastTTL is how long an answer that went well shows that endpoints do not crash
+	// under every prompt. It is shorter than provenTTL, so that the usual parts still
+	// count as proven when the last such answer no longer counts.
+	contrastTTL = 30 * time.Second
+	// maxQuarantined is the largest number of parts in quarantine. If more crash
+	// endpoints, the prompts are not the cause.
+	maxQuarantined = 16
+	// reportedTTL is how long a part is refused here because a holder said that it is
+	// quarantined. The record of the quarantine arrives in that time, unless the store
+	// is unavailable.
+	reportedTTL = 30 * time.Second
+	// maxReports is the number of crashes that may wait to be reported.
+	maxReports = 1024
+)
+
+// Recorder keeps quarantines where all routers learn of them.
+type Recorder interface {
+	// Record sets a quarantine, unless the part has one.
+	Record(ctx context.Context, qu *rpc.Quarantine) error
+	// Remove ends the quarantine of a part.
+	Remove(ctx context.Context, part policy.PromptPartID) error
+}
+
+// List holds the prompt parts that are in quarantine, and what this router knows of
+// others. It is safe for concurrent use.
+//
+// mu guards evidence and refused. The locks of proven and of the holder are taken after
+// it.
+type List struct {
+	group    *peer.Group
+	holder   *configuration.Holder
+	recorder Recorder
+	log      *event.Log
+	// proven holds the parts of answers that went well, with the time until which that
+	// counts.
+	proven  *lru.Cache[policy.PromptPartID, time.Time]
+	reports chan Crash
+	// contrastUntil is until when the last answer that went well counts as contrast, in
+	// Unix nanoseconds.
+	contrastUntil atomic.Int64
+
+	mu       sync.Mutex
+	evidence *Evidence
+	// refused holds the parts that are refused here although the policy may not show
+	// their quarantine yet.
+	refused map[policy.PromptPartID]refusal
+}
+
+// refusal says that a part is refused until a time. pending is the quarantine that this
+// router still has to record, nil if there is none.
+type refusal struct {
+	until   time.Time
+	pending *rpc.Quarantine
+}
+
+// NewList returns a list; Run reports and records.
+func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, lo *event.Log) *List {
+	return &List{
+		group: gr, holder: ho, recorder: re, log: lo, proven: newCache[time.Time](maxProven), reports: make(chan Crash, maxReports),
+		evidence: NewEvidence(), refused: map[policy.PromptPartID]refusal{},
+	}
+}
+
+// Until returns when the quarantine of a prompt part ends, the latest one if several of
+// the parts are quarantined, and false if none is.
+func (li *List) Until(now time.Time, parts []policy.PromptPartID) (time.Time, bool) {
+	var latest time.Time
+	for _, part := range parts {
+		until, ok := li.untilOf(now, part)
+		if ok && until.After(latest) && !li.isProven(now, part) {
+			latest = until
+		}
+	}
+	return latest, !latest.IsZero()
+}
+
+// untilOf returns when the quarantine of a part ends, and false if it has none.
+func (li *List) untilOf(now time.Time, part policy.PromptPartID) (time.Time, bool) {
+	if until, ok := li.holder.Set().QuarantinedUntil(now, part); ok {
+		return until, true
+	}
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	re, ok := li.refused[part]
+	return re.until, ok && now.Before(re.until)
+}
+
+// Proven records that an answer to a prompt with these parts went well.
+func (li *List) Proven(now time.Time, parts []policy.PromptPartID) {
+	if len(parts) > 0 {
+		li.contrastUntil.Store(now.Add(contrastTTL).UnixNano())
+	}
+	for _, part := range parts {
+		li.proven.Add(part, now.Add(provenTTL))
+	}
+}
+
+func (li *List) isProven(now time.Time, part policy.PromptPartID) bool {
+	until, ok := li.proven.Peek(part)
+	return ok && now.Before(until)
+}
+
+// Crashed records that an answer broke off soon after it had begun. request is the last
+// part of the prompt, parts are the others. It does nothing if no other answer has gone
+// well here of late: then the endpoints, not the prompts, may be the cause.
+func (li *List) Crashed(now time.Time, en policy.Endpoint, request policy.PromptPartID, parts []policy.PromptPartID) {
+	if now.UnixNano() > li.contrastUntil.Load() {
+		return
+	}
+	for _, part := range parts {
+		if li.isProven(now, part) {
+			continue
+		}
+		select {
+		case li.reports <- Crash{Part: part, Endpoint: EndpointStart{en.ID, en.StartedAtMs}, Request: request}:
+		default:
+			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"part": part, "endpoint": en.ID})
+		}
+	}
+}
+
+// ReportCrashes implements peer.Crashes for parts that this router holds.
+func (li *List) ReportCrashes(_ context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error) {
+	now, rs := time.Now(), &rpc.ReportCrashesResponse{}
+	for _, cr := range rq.GetCrashes() {
+		part := policy.PromptPartID(cr.GetPart())
+		if li.isProven(now, part) {
+			continue
+		}
+		if _, ok := li.untilOf(now, part); !ok {
+			li.addEvidence(now, Crash{
+				Part: part, Endpoint: EndpointStart{policy.EndpointID(cr.GetEndpoint()), cr.GetEndpointStartedAtMs()},
+				Request: policy.PromptPartID(cr.GetRequest()),
+			})
+		}
+		if _, ok := li.untilOf(now, part); ok {
+			rs.Quarantined = append(rs.Quarantined, cr.GetPart())
+		}
+	}
+	return rs, nil
+}
+
+// addEvidence adds a crash, and quarantines its part if it has crashed enough endpoints.
+func (li *List) addEvidence(now time.Time, cr Crash) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	ve, ok := li.evidence.Add(now, cr)
+	if !ok {
+		return
+	}
+	fi := event.Fields{"part": cr.Part, "crashes": ve.Crashes, "requests": ve.Requests, "endpoint": cr.Endpoint.Endpoint}
+	if li.holder.Set().Quarantines.Len()+li.pending() >= maxQuarantined {
+		li.log.Warn(event.QuarantineLimited, nil, fi)
+		return
+	}
+	until := now.Add(Duration)
+	li.refused[cr.Part] = refusal{until: until, pending: &rpc.Quarantine{
+		Part: string(cr.Part), UntilMs: until.UnixMilli(), Crashes: ve.Crashes, Requests: ve.Requests,
+	}}
+	li.log.Warn(event.PartQuarantined, nil, fi)
+}
+
+// Refused returns the prompt parts that are refused here, sorted.
+func (li *List) Refused(now time.Time) []policy.PromptPartID {
+	out := map[policy.PromptPartID]bool{}
+	for _, qu := range li.holder.Set().Quarantines.List() {
+		out[policy.PromptPartID(qu.Part)] = true
+	}
+	li.mu.Lock()
+	for part := range li.refused {
+		out[part] = true
+	}
+	li.mu.Unlock()
+	maps.DeleteFunc(out, func(part policy.PromptPartID, _ bool) bool {
+		_, ok := li.Until(now, []policy.PromptPartID{part})
+		return !ok
+	})
+	return slices.Sorted(maps.Keys(out))
+}
+
+// pending returns the number of quarantines that this router still has to record. The
+// caller holds mu.
+func (li *List) pending() int {
+	n := 0
+	for _, re := range li.refused {
+		if re.pending != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -65,21 +65,29 @@
 // answer is an answer that has begun to arrive.
 type answer struct {
 	*attempt
-	head   AnswerHead
-	status int
-	header http.Header
-	body   []byte
+	// beganAt is when the head arrived.
+	beganAt time.Time
+	head    AnswerHead
+	status  int
+	header  http.Header
+	body    []byte
 	// stream is nil for buffered answers. firstEvent has already been read from
 	// it, and is empty if the stream has no events.
 	stream     *eventReader
 	firstEvent streamEvent
-	source     *endpoint.ForwardAnswer
+	// provedPrompt reports whether the answer has shown that its prompt does not crash
+	// endpoints.
+	provedPrompt bool
+	source       *endpoint.ForwardAnswer
 }
 
 // attempt sends a request to one endpoint. It blocks until the answer is complete
 // or, for a stream, its first event has arrived. after is the last event that the
 // caller has received.
 func (ro *Router) attempt(ctx context.Context, ca *call, after EventID) (*answer, *failure) {
+	if fa := ro.quarantined(ca); fa != nil {
+		return nil, fa
+	}
 	at, fa := ro.chooseEndpoint(ctx, ca)
 	if fa != nil {
 		return nil, fa
@@ -157,7 +165,7 @@
 		}
 		return nil, fa
 	}
-	an := &answer{attempt: at, status: source.Status, header: source.Header, source: source}
+	an := &answer{attempt: at, beganAt: time.Now(), status: source.Status, header: source.Header, source: source}
 	an.head = ro.options().Dialect.Head(source.Status, source.Header)
 	if an.head.HasLoad {
 		ro.balancer.RecordLoad(time.Now(), at.endpoint.ID, an.head.Running+an.head.Waiting)
@@ -257,6 +265,7 @@
 		return nil, &failure{err: errFailureStatus, answer: an, callerError: callerError}
 	}
 	an.recordStart()
+	an.provePrompt()
 	an.finish(placement.Succeeded)
 	return an, nil
 }
@@ -265,6 +274,9 @@
 func (an *answer) brokenOff(err error) *failure {
 	fa := failureOf(an.source.ReadFailure(err))
 	fa.begun = true
+	if causeLabel(fa.err) == string(endpoint.CauseBroken) {
+		an.brokeOff()
+	}
 	return fa
 }
 
--- /dev/null
+++ b/relay/quarantine.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quarantine"
+)
+
+var errQuarantined = eris.New("a part of the prompt is in quarantine")
+
+// quarantined returns the failure of a call whose prompt has a part in quarantine, nil if
+// it has none.
+func (ro *Router) quarantined(ca *call) *failure {
+	until, ok := ro.barred.Until(time.Now(), ca.request.sharedParts())
+	if !ok {
+		return nil
+	}
+	return &failure{err: errQuarantined, notRun: true, quarantinedUntil: until}
+}
+
+// provePrompt records, once, that the parts of the answer's prompt do not crash endpoints.
+func (an *answer) provePrompt() {
+	if !an.provedPrompt {
+		an.provedPrompt = true
+		an.router.barred.Proven(time.Now(), an.call.request.sharedParts())
+	}
+}
+
+// noteEvent notes that the stream goes on.
+func (an *answer) noteEvent() {
+	if time.Since(an.beganAt) >= quarantine.ProvenAfter {
+		an.provePrompt()
+	}
+}
+
+// noteEnd notes that the stream is complete. One without events shows nothing.
+func (an *answer) noteEnd() {
+	if len(an.firstEvent.text) > 0 {
+		an.provePrompt()
+	}
+}
+
+// brokeOff records that the connection broke during the answer. Only shortly after the
+// answer began can the prompt be the cause.
+func (an *answer) brokeOff() {
+	now, rq := time.Now(), an.call.request
+	if len(rq.Prompt) == 0 || now.Sub(an.beganAt) >= quarantine.ProvenAfter {
+		return
+	}
+	an.router.barred.Crashed(now, an.endpoint, rq.lastPart(), rq.sharedParts())
+}
+
+// lastPart returns the ID of the prompt's last part, which belongs to the request or to
+// its session.
+func (rq *Request) lastPart() policy.PromptPartID { return rq.Prompt[len(rq.Prompt)-1].ID }
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -25,6 +25,7 @@
 	ReasonEndpointsUnreachable Reason = "endpoints_unreachable"
 	ReasonAnswerBroken         Reason = "answer_broken"
 	ReasonTimeout              Reason = "timeout"
+	ReasonQuarantined          Reason = "prompt_part_quarantined"
 )
 
 // Refusal is an answer made by the router itself. It ends a request.
--- a/relay/request.go
+++ b/relay/request.go
@@ -24,15 +24,12 @@
 // SessionID identifies a session of a caller.
 type SessionID string
 
-// PromptPartID identifies a part of a prompt; equal parts have equal ids.
-type PromptPartID string
-
 // EventID is the number of an event in a stream. It increases with each event.
 type EventID int64
 
 // PromptPart is a part of a prompt, with its length.
 type PromptPart struct {
-	ID     PromptPartID
+	ID     policy.PromptPartID
 	Tokens policy.Tokens
 }
 
@@ -83,8 +80,8 @@
 }
 
 // sharedParts returns the IDs of the parts that other requests may share.
-func (rq *Request) sharedParts() []PromptPartID {
-	var out []PromptPartID
+func (rq *Request) sharedParts() []policy.PromptPartID {
+	var out []policy.PromptPartID
 	for n := range max(0, len(rq.Prompt)-1) {
 		out = append(out, rq.Prompt[n].ID)
 	}
--- a/relay/router.go
+++ b/relay/router.go
@@ -13,6 +13,7 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quarantine"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/session"
 )
@@ -41,6 +42,7 @@
 	client    *endpoint.Client
 	peers     *peer.Group
 	pins      *session.Pins
+	barred    *quarantine.List
 	log       *event.Log
 	metrics   *metric.Metrics
 	balancer  *placement.Balancer
@@ -58,18 +60,20 @@
 
 // Dependencies are the components that a Router uses.
 type Dependencies struct {
-	Holder  *configuration.Holder
-	Client  *endpoint.Client
-	Peers   *peer.Group
-	Pins    *session.Pins
-	Log     *event.Log
-	Metrics *metric.Metrics
+	Holder *configuration.Holder
+	Client *endpoint.Client
+	Peers  *peer.Group
+	Pins   *session.Pins
+	// Quarantine holds the prompt parts that no endpoint may get.
+	Quarantine *quarantine.List
+	Log        *event.Log
+	Metrics    *metric.Metrics
 }
 
 // New returns a Router.
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
-		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, log: de.Log, metrics: de.Metrics,
+		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
--- a/relay/run.go
+++ b/relay/run.go
@@ -32,6 +32,9 @@
 		if fa.answer != nil || last == nil || last.answer == nil {
 			last = fa
 		}
+		if !fa.quarantinedUntil.IsZero() {
+			return ro.writeFailure(ctx, wr, ca, fa)
+		}
 		if fa.noEndpoint || !ro.mayRetry(ctx, ca, fa) {
 			return ro.writeFailure(ctx, wr, ca, last)
 		}
@@ -76,6 +79,9 @@
 	if !ca.route.Repeatable() && !fa.notRun {
 		return false
 	}
+	if ro.quarantined(ca) != nil {
+		return false
+	}
 	if !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
 		ro.log.WarnLimited(event.RetryBudgetSpent, nil, event.Fields{"request": ca.request.ID})
 		return false
@@ -96,6 +102,8 @@
 	case last.answer != nil:
 		ro.writeEndpointFailure(wr, last.answer)
 		return nil
+	case !ca.mayHaveRun && !last.quarantinedUntil.IsZero():
+		return refuseNotRun(ReasonQuarantined, last.quarantinedUntil)
 	case !ca.mayHaveRun && last.noEndpoint:
 		return refuseNotRun(ReasonEndpointsBusy, now.Add(ro.fleet.retryAfter(ca)))
 	case !ca.mayHaveRun:
@@ -155,6 +163,9 @@
 	begun bool
 	// noEndpoint reports whether there was no endpoint to send to.
 	noEndpoint bool
+	// quarantinedUntil is when the quarantine of a part of the prompt ends, zero if no
+	// part is in quarantine.
+	quarantinedUntil time.Time
 	// callerError reports whether the request itself is at fault, so that every
 	// endpoint would give the same answer.
 	callerError bool
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/rollout"
@@ -103,6 +104,7 @@
 		err := sr.forward(an)
 		an.source.Close()
 		if err == nil {
+			an.noteEnd()
 			an.finish(placement.Succeeded)
 			return true, sr.longestPauseMs
 		}
@@ -122,6 +124,7 @@
 		if len(ev.text) == 0 {
 			return nil
 		}
+		an.noteEvent()
 		if ev.id == 0 || ev.id > sr.lastEventID {
 			if err := sr.write(ev); err != nil {
 				return errors.Join(errCallerGone, err)
@@ -158,6 +161,9 @@
 		an.finish(placement.Neutral)
 		return nil
 	}
+	if causeLabel(an.source.ReadFailure(cause)) == string(endpoint.CauseBroken) {
+		an.brokeOff()
+	}
 	an.finish(placement.Failed)
 	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
 	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/standin"
 	"tanagerpoint.example/tanager/testsite"
 	"tanagerpoint.example/tanager/worker"
@@ -172,6 +173,8 @@
 				after := runsWithPartAfter(rs, crashingPart, fifth.Add(contactLimit))
 				qt.Check(t, after <= maxAfterFifthCrash, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints, %d crashes", after, len(crashTimes(rs))))
 				usual, late := sound.share(before, began), sound.share(fifth.Add(2*contactLimit), fifth.Add(11*time.Second))
+				t.Logf("%d crashes, %d requests later than %v after the fifth; sound requests answered: %.3f, before %.3f; refused: %v",
+					len(crashTimes(rs)), after, contactLimit, late, usual, sound.refused)
 				qt.Check(t, usual > 0.95, qt.IsTrue, qt.Commentf("%v", usual))
 				// Rule LOST allows half of the usual share; the endpoints are back by then.
 				qt.Check(t, late >= usual/2, qt.IsTrue, qt.Commentf("%v of the sound requests answered, %v before; refused: %v", late, usual, sound.refused))
@@ -179,3 +182,80 @@
 		})
 	}
 }
+
+// TestCrashesOfManyEndpointsQuarantineNoPrompt crashes most endpoints at once, again and
+// again, from the first moments of the load on. The prompts are not the cause.
+func TestCrashesOfManyEndpointsQuarantineNoPrompt(t *testing.T) {
+	const engines = 9
+	for _, crashed := range []int{engines - 2, engines} {
+		t.Run(fmt.Sprintf("%d of %d", crashed, engines), func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: 8, Engines: engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+				sound := &promptLoad{site: rs, routers: 8, callers: 4 * engines, pause: 300 * time.Millisecond}
+				stop := sound.start()
+				time.Sleep(200 * time.Millisecond)
+				for range 5 {
+					for n := 1; n <= crashed; n++ {
+						rs.CrashReplica(testsite.EngineService, n, "v1")
+					}
+					time.Sleep(3500 * time.Millisecond)
+				}
+				time.Sleep(12 * time.Second)
+				end := time.Now()
+				time.Sleep(2 * time.Second)
+				stop()
+				qt.Check(t, sound.refused[`{"error":"prompt_part_quarantined","not_run":true}`], qt.Equals, 0, qt.Commentf("%v", sound.refused))
+				qt.Check(t, sound.share(end, time.Now()) > 0.95, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestQuarantineOutlivesEveryRouter kills all routers at once while a prompt part is in
+// quarantine.
+func TestQuarantineOutlivesEveryRouter(t *testing.T) {
+	const routers = 4
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 9, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
+		sound := &promptLoad{site: rs, routers: routers, callers: 30, pause: 500 * time.Millisecond}
+		defer sound.start()()
+		time.Sleep(2 * time.Second)
+		bad := &promptLoad{site: rs, routers: routers, crashEvery: 200 * time.Millisecond}
+		stop := bad.start()
+		rs.Eventually(20*time.Second, "the part is in quarantine", func() bool {
+			an := do(rs, request{id: "probe", path: testsite.EngineRoute, header: map[string]string{"Prompt-Prefix": "first:10," + crashingPart + ":10,probe:5"}})
+			return an.status == http.StatusServiceUnavailable && an.body == `{"error":"prompt_part_quarantined","not_run":true}`
+		})
+		stop()
+		time.Sleep(contactLimit)
+		before := time.Now()
+		restartAll(rs, routers)
+		rs.Eventually(5*time.Second, "all serve again", rs.AllReady)
+		stop = bad.start()
+		time.Sleep(5 * time.Second)
+		stop()
+		qt.Assert(t, runsWithPartAfter(rs, crashingPart, before), qt.Equals, 0)
+	})
+}
+
+// TestQuarantineEndsWhenAnAnswerGoesWell puts a part in quarantine that does no harm. A
+// router at which an answer to a prompt with it goes on lifts it for all.
+func TestQuarantineEndsWhenAnAnswerGoesWell(t *testing.T) {
+	longer := streamingEngine
+	longer.Events = 60
+	withSite(t, testsite.RouterOptions{Routers: 2, Engines: 2, Engine: longer}, func(t *testing.T, rs *testsite.RouterSite) {
+		prompt := map[string]string{"Prompt-Prefix": "first:10,second:5,last:5"}
+		running := worker.NewGroup()
+		running.Go(func(context.Context) { do(rs, request{id: "running", path: testsite.EngineRoute, header: prompt}) })
+		time.Sleep(200 * time.Millisecond)
+		rs.Store.Write("tanager/quarantine/"+string(policy.QuarantineIDOf("second")),
+			fmt.Appendf(nil, `{"part":"second","until_ms":"%d"}`, time.Now().Add(time.Minute).UnixMilli()))
+		time.Sleep(500 * time.Millisecond)
+		an := do(rs, request{router: 2, id: "refused", path: testsite.EngineRoute, header: prompt})
+		qt.Assert(t, an.status, qt.Equals, http.StatusServiceUnavailable)
+		running.Wait()
+		rs.Eventually(3*time.Second, "the quarantine has ended", func() bool {
+			return do(rs, request{router: 2, id: "served", path: testsite.EngineRoute, header: prompt}).status == http.StatusOK
+		})
+		qt.Assert(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf("second"))), qt.IsNil)
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -23,6 +23,7 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/platform"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quarantine"
 	"tanagerpoint.example/tanager/relay"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/session"
@@ -71,10 +72,12 @@
 	peers    *peer.Group
 	registry *peer.Registry
 	pins     *session.Pins
-	client   *endpoint.Client
-	relay    *relay.Router
-	leases   *lease.Manager
-	idle     *idleConnections
+	// barred holds the prompt parts in quarantine.
+	barred *quarantine.List
+	client *endpoint.Client
+	relay  *relay.Router
+	leases *lease.Manager
+	idle   *idleConnections
 	// dueSince is when this router first saw that a roll-out has an action due.
 	// Only the goroutine of advanceRollouts uses it.
 	dueSince map[policy.RolloutID]time.Time
@@ -102,11 +105,12 @@
 	da.watcher.SetBatchDelay(da.batchDelay)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
+	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, lo)
 	da.client = endpoint.NewClient(ne, endpointProgressTimeout)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
-		relay.Dependencies{Holder: da.holder, Client: da.client, Peers: da.peers, Pins: da.pins, Log: lo, Metrics: me},
+		relay.Dependencies{Holder: da.holder, Client: da.client, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
 	)
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
@@ -144,7 +148,7 @@
 		address string
 		handler http.Handler
 	}{
-		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).Handler()},
+		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).Handler()},
 		{ls.GetAdmin(), admin.NewRouter(da.holder, da.metrics, da.Dump, nil)},
 		{ls.GetReadiness(), platform.NewReadinessHandler(da.relay.Ready)},
 		{ls.GetDirectory(), platform.NewDirectoryHandler(da.addresses, da.settings.GetServing().GetAddressKeep().AsDuration)},
@@ -162,6 +166,7 @@
 	da.group.Go(da.relay.Run)
 	da.group.Go(da.relay.PinSessions)
 	da.group.Go(func(ctx context.Context) { da.pins.Run(ctx, pinReplicationInterval) })
+	da.group.Go(da.barred.Run)
 	da.group.Go(da.exchange)
 	da.group.Every(rolloutInterval, da.advanceRollouts)
 	da.group.Every(idleInterval, da.closeIdle)
@@ -262,6 +267,8 @@
 	Members        []peer.Member    `json:"members"`
 	Tasks          []lease.Hold     `json:"tasks"`
 	Relay          relay.State      `json:"relay"`
+	// Quarantined holds the prompt parts that this router refuses.
+	Quarantined []policy.PromptPartID `json:"quarantined"`
 }
 
 // Dump returns the router's state as a State.
@@ -269,7 +276,7 @@
 	return State{
 		VM: da.peers.VM(), Incarnation: da.peers.Incarnation(), PolicyRevision: da.holder.Set().Revision,
 		StoreAnswered: da.watcher.LastAnswer(), Ready: da.relay.Ready(), InFlight: da.relay.InFlight(),
-		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(),
+		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(), Quarantined: da.barred.Refused(time.Now()),
 	}
 }
 
