Take a stream without events that ends with its connection as broken

What callers would see: an endpoint that crashes between the head of such a stream and its first event ends it like a complete one, and the caller got 200 with an empty stream. Cause: io.EOF before the first event counted as the end of the stream, however the body is delimited.

A stream of this form without events now counts as broken off, is tried at another endpoint, and counts as a crash under its prompt. Where it would have been a complete one without events, as when a caller resumes after the last event, the caller gets a broken answer: the bytes do not tell the two apart, and an answer that ends early must not look complete.

--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -38,7 +38,11 @@
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if it is not known.
 	Length int64
-	conn   *connection
+	// EndsWithConnection reports whether the answer has neither a length nor chunks, so
+	// that only the end of the connection ends the body.
+	EndsWithConnection bool
+
+	conn *connection
 }
 
 // Forward sends a call and blocks until it has the answer's header. The error is a
@@ -59,7 +63,10 @@
 	co.idleTimeout = ca.IdleTimeout
 	co.timer.Reset(ca.IdleTimeout)
 	rs := co.response
-	return &ForwardAnswer{Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength, conn: co}, nil
+	return &ForwardAnswer{
+		Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength,
+		EndsWithConnection: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, conn: co,
+	}, nil
 }
 
 // request returns the HTTP request. An Opaque URL keeps net/http from re-encoding
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -241,6 +241,11 @@
 func (an *answer) readFirstEvent() (*answer, *failure) {
 	an.stream = newEventReader(an.source)
 	ev, err := an.stream.next()
+	if errors.Is(err, io.EOF) && an.source.EndsWithConnection {
+		// The end of the connection does not tell a stream without events from one that
+		// broke off.
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		an.source.Close()
 		return nil, an.brokenOff(err)
--- /dev/null
+++ b/router/connection_end_test.go
@@ -0,0 +1,53 @@
+package router_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/testsite"
+)
+
+// suspensionLimit is longer than an endpoint is suspended after failures.
+const suspensionLimit = 15 * time.Second
+
+// TestAnswerThatEndsWithItsConnection has replicas answer with neither a length nor
+// chunks. A stream that ended before its first event was passed on as a complete one
+// without events.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	for _, tt := range []struct {
+		name, path string
+		faults     standin.ReplicaFaults
+		complete   bool
+	}{
+		{"whole body", testsite.SafeRoute, standin.ReplicaFaults{}, true},
+		{"whole stream", testsite.EngineRoute, standin.ReplicaFaults{}, true},
+		{"stream that ends inside an event", testsite.EngineRoute, standin.ReplicaFaults{CutAfter: 2}, false},
+		{"stream that ends before its first event", testsite.EngineRoute, standin.ReplicaFaults{CutAtHead: true}, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: 1, Engines: 2, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+				tt.faults.EndsWithConnection = true
+				setFaults(rs, tt.faults)
+				for n := range 5 {
+					an := do(rs, request{id: fmt.Sprint("all-", n), path: tt.path})
+					qt.Assert(t, an.status == http.StatusOK && an.err == nil, qt.Equals, tt.complete, qt.Commentf("%v", an))
+				}
+				time.Sleep(suspensionLimit)
+				rs.Replicas[testsite.ReplicaID(testsite.EngineService, 2, "v1")].SetFaults(standin.ReplicaFaults{EndsWithConnection: true})
+				for n := range 5 {
+					an := do(rs, request{id: fmt.Sprint("one-", n), path: tt.path})
+					qt.Assert(t, an.err, qt.IsNil)
+					qt.Assert(t, an.status, qt.Equals, http.StatusOK)
+					if tt.path == testsite.EngineRoute {
+						qt.Assert(t, eventIDs(an.body), qt.DeepEquals, []string{"1", "2", "3", "4", "5"})
+					}
+				}
+			})
+		})
+	}
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -40,6 +40,8 @@
 	// CutAfter, if not 0, is the number of events after which a stream is aborted in
 	// the middle of the next one.
 	CutAfter int
+	// CutAtHead aborts a stream after its head.
+	CutAtHead bool
 	// Silent makes the replica run requests but never answer them.
 	Silent bool
 	// OtherRequestID, if not empty, replaces the request's ID in responses.
@@ -49,6 +51,9 @@
 	Unsigned bool
 	// Truncated aborts responses other than streams in the middle of the body.
 	Truncated bool
+	// EndsWithConnection sends responses with neither a length nor chunks: their bodies
+	// end with the connection.
+	EndsWithConnection bool
 	// Slowdown, if not 0, multiplies Delay and Gap of ReplicaOptions.
 	Slowdown int
 	// CrashPart, if not empty, is the ID of a prompt part. A request with this part in
@@ -181,6 +186,11 @@
 	if co, ok := re.opt.Confidence[rq.Header.Get("Model")]; ok {
 		he.Set("Confidence", co)
 	}
+	if fa.EndsWithConnection {
+		// With this value net/http sends no chunks, does not send the header, and closes
+		// the connection at the end.
+		he.Set("Transfer-Encoding", "identity")
+	}
 	switch {
 	case fa.Status != 0:
 		wr.WriteHeader(fa.Status)
@@ -251,6 +261,10 @@
 	wr.Header().Set("Content-Type", "text/event-stream")
 	first, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
 	rc := http.NewResponseController(wr)
+	if fa.CutAtHead {
+		_ = rc.Flush()
+		panic(http.ErrAbortHandler)
+	}
 	for n := first + 1; n <= re.opt.Events; n++ {
 		if fa.CutAfter > 0 && n > first+fa.CutAfter {
 			_, _ = fmt.Fprintf(wr, "id: %d\ndata: tor", n)
