--- a/standin/replica.go
+++ b/standin/replica.go
@@ -67,6 +67,15 @@
 	return du * time.Duration(max(1, fa.Slowdown))
 }
 
+// delimit sets how the end of a response's body is marked.
+func (fa ReplicaFaults) delimit(he http.Header) {
+	if fa.EndsWithConnection {
+		// With this value net/http sends no chunks, does not send the header, and closes
+		// the connection at the end.
+		he.Set("Transfer-Encoding", "identity")
+	}
+}
+
 // ReplicaRun describes a request that a replica ran.
 type ReplicaRun struct {
 	// Request is the ID that the request carries in the header Attempt-Id.
@@ -186,11 +195,6 @@
 	if co, ok := re.opt.Confidence[rq.Header.Get("Model")]; ok {
 		he.Set("Confidence", co)
 	}
-	if fa.EndsWithConnection {
-		// With this value net/http sends no chunks, does not send the header, and closes
-		// the connection at the end.
-		he.Set("Transfer-Encoding", "identity")
-	}
 	switch {
 	case fa.Status != 0:
 		wr.WriteHeader(fa.Status)
@@ -203,6 +207,7 @@
 		_, _ = wr.Write([]byte("half"))
 		panic(http.ErrAbortHandler)
 	default:
+		fa.delimit(he)
 		_, _ = fmt.Fprintf(wr, "whole answer to %s", ru.Request)
 	}
 }
@@ -259,6 +264,7 @@
 // stream sends the events after Last-Event-Id.
 func (re *Replica) stream(wr http.ResponseWriter, rq *http.Request, ru *ReplicaRun, fa ReplicaFaults) {
 	wr.Header().Set("Content-Type", "text/event-stream")
+	fa.delimit(wr.Header())
 	first, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
 	rc := http.NewResponseController(wr)
 	if fa.CutAtHead {
