Blame fewer bystanders' prompts for a crash

An answer that has sent events and breaks off within a second of its head was evidence against its prompt. After its first event an answer is now evidence for 250 ms only.

The test now has 300 subjects and that new one, and asks that in the end only the crashing part is in quarantine.

--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -43,11 +43,20 @@
 	}
 }
 
+// suspectAfterEvent is how long after its head an answer that has sent events may break
+// off and still be blamed on its prompt. Such answers run beside the one that crashes the
+// endpoint far more often than answers without events.
+const suspectAfterEvent = 250 * time.Millisecond
+
 // brokeOff records that the connection broke during the answer. Only shortly after the
 // answer began can the prompt be the cause.
 func (an *answer) brokeOff() {
 	now, rq := time.Now(), an.call.request
-	if len(rq.Prompt) == 0 || now.Sub(an.beganAt) >= quarantine.ProvenAfter {
+	limit := quarantine.ProvenAfter
+	if len(an.firstEvent.text) > 0 {
+		limit = suspectAfterEvent
+	}
+	if len(rq.Prompt) == 0 || now.Sub(an.beganAt) >= limit {
 		return
 	}
 	an.router.barred.Crashed(now, an.endpoint, rq.lastPart(), rq.sharedParts())
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/router"
 	"tanagerpoint.example/tanager/standin"
 	"tanagerpoint.example/tanager/testsite"
 	"tanagerpoint.example/tanager/worker"
@@ -21,6 +22,8 @@
 const (
 	// crashingPart is the part of a prompt that crashes endpoints.
 	crashingPart = "bad0"
+	// subjects is the number of middle parts that sound prompts share.
+	subjects = 300
 	// maxAfterFifthCrash is how many requests with the crashing part may reach
 	// endpoints later than contactLimit after the fifth crash, and crashesToKnow the
 	// number of crashes (rule BUDGET of the users' platform).
@@ -33,11 +36,13 @@
 type promptLoad struct {
 	site    *testsite.RouterSite
 	routers int
-	// callers send sound requests with a pause after each. Every crashEvery, a request
+	// callers send sound requests with a pause after each. From newSubjectAt on, one in
+	// five asks for a subject that nobody asked for before. Every crashEvery, a request
 	// with the crashing part is sent too; none is if that is 0.
-	callers    int
-	pause      time.Duration
-	crashEvery time.Duration
+	callers      int
+	pause        time.Duration
+	newSubjectAt time.Time
+	crashEvery   time.Duration
 
 	mu sync.Mutex
 	// began holds the times of the sound requests that were answered, sent those of
@@ -65,8 +70,11 @@
 }
 
 func (pl *promptLoad) sendSound(rng *rand.Rand, id string) {
-	at := time.Now()
-	an := pl.do(rng, id, fmt.Sprintf("first%d:100,subject%d:50,%s:20", rng.IntN(3), rng.IntN(40), id))
+	at, subject := time.Now(), fmt.Sprint("subject", rng.IntN(subjects))
+	if rng.IntN(5) == 0 && at.After(pl.newSubjectAt) {
+		subject = "new"
+	}
+	an := pl.do(rng, id, fmt.Sprintf("first%d:100,%s:50,%s:20", rng.IntN(3), subject, id))
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	pl.sent = append(pl.sent, at)
@@ -84,7 +92,7 @@
 	defer gr.Close()
 	for n := 0; worker.Sleep(ctx, pl.crashEvery); n++ {
 		id := fmt.Sprint("c", n)
-		prompt := fmt.Sprintf("first%d:100,%s:30,subject%d:50,%s:20", rng.IntN(3), crashingPart, rng.IntN(40), id)
+		prompt := fmt.Sprintf("first%d:100,%s:30,subject%d:50,%s:20", rng.IntN(3), crashingPart, rng.IntN(subjects), id)
 		to := rand.New(rand.NewPCG(uint64(n), 4))
 		gr.Go(func(context.Context) { pl.do(to, id, prompt) })
 	}
@@ -159,7 +167,7 @@
 			withSite(t, testsite.RouterOptions{Routers: site.routers, Engines: site.engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
 				setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
 				before := time.Now()
-				sound := &promptLoad{site: rs, routers: site.routers, callers: 4 * site.engines, pause: 500 * time.Millisecond}
+				sound := &promptLoad{site: rs, routers: site.routers, callers: 4 * site.engines, pause: 500 * time.Millisecond, newSubjectAt: before.Add(4 * time.Second)}
 				stopSound := sound.start()
 				time.Sleep(4 * time.Second)
 				began := time.Now()
@@ -175,6 +183,7 @@
 				usual, late := sound.share(before, began), sound.share(fifth.Add(2*contactLimit), fifth.Add(11*time.Second))
 				t.Logf("%d crashes, %d requests later than %v after the fifth; sound requests answered: %.3f, before %.3f; refused: %v",
 					len(crashTimes(rs)), after, contactLimit, late, usual, sound.refused)
+				qt.Check(t, rs.Routers[1].Dump().(router.State).Quarantined, qt.DeepEquals, []policy.PromptPartID{crashingPart})
 				qt.Check(t, usual > 0.95, qt.IsTrue, qt.Commentf("%v", usual))
 				// Rule LOST allows half of the usual share; the endpoints are back by then.
 				qt.Check(t, late >= usual/2, qt.IsTrue, qt.Commentf("%v of the sound requests answered, %v before; refused: %v", late, usual, sound.refused))
@@ -259,3 +268,28 @@
 		qt.Assert(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf("second"))), qt.IsNil)
 	})
 }
+
+// TestPromptPartIsRefusedWithoutTheStore has the store fail before the first crash. The
+// holders of the part tell each router that reports a crash, and record the quarantine
+// when the store is back.
+func TestPromptPartIsRefusedWithoutTheStore(t *testing.T) {
+	const routers = 8
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 9, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
+		sound := &promptLoad{site: rs, routers: routers, callers: 36, pause: 500 * time.Millisecond}
+		defer sound.start()()
+		time.Sleep(4 * time.Second)
+		rs.Store.SetFaults(standin.Faults{Down: true})
+		bad := &promptLoad{site: rs, routers: routers, crashEvery: 200 * time.Millisecond}
+		stop := bad.start()
+		time.Sleep(10 * time.Second)
+		told := time.Now()
+		time.Sleep(10 * time.Second)
+		qt.Check(t, runsWithPartAfter(rs, crashingPart, told), qt.Equals, 0)
+		rs.Store.SetFaults(standin.Faults{})
+		time.Sleep(10 * time.Second)
+		stop()
+		qt.Check(t, runsWithPartAfter(rs, crashingPart, told), qt.Equals, 0)
+		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf(crashingPart))), qt.Not(qt.IsNil))
+	})
+}
