Count crashes of prompt parts also while routers restart

What callers would see: while routers are replaced, or after all were killed, a prompt part goes on crashing endpoints for seconds longer.

Cause: a report counted only if answers had gone well at the very router that sent it, and a router that has just started has none. Besides, a restart of an endpoint counted by the start that it had registered, which routers do not learn of while the store is down, and two routers held the counts of a part, others after each change of members.

Now a report says whether answers went well at its sender, and counts if they did there or at the holder; five routers hold a part; what an endpoint reports within a second is one crash.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -17,6 +17,9 @@
 	// crashSeparation is the time between two crashes that count as separate. Endpoints
 	// that fail together, as with their failure domain, crash within it.
 	crashSeparation = 100 * time.Millisecond
+	// restartTime is the time in which an endpoint that crashed cannot crash again: what is
+	// reported of it meanwhile is the same crash.
+	restartTime = time.Second
 	// evidenceTTL is how long the crashes of a part are remembered after the first.
 	evidenceTTL = 10 * time.Minute
 	// maxEndpoints is the number of endpoints whose crashes are remembered for a part.
@@ -28,17 +31,13 @@
 // Crash is an answer that broke off soon after it had begun.
 type Crash struct {
 	Part     policy.PromptPartID
-	Endpoint EndpointStart
+	Endpoint policy.EndpointID
 	// Request is the last part of the prompt. It is the same when a request is sent
 	// again.
 	Request policy.PromptPartID
-}
-
-// EndpointStart identifies one run of an endpoint's process.
-type EndpointStart struct {
-	Endpoint policy.EndpointID
-	// AtMs is in Unix milliseconds, 0 if it is not known.
-	AtMs int64
+	// Contrast reports whether answers to other prompts went well, at the router that saw
+	// the crash, of late.
+	Contrast bool
 }
 
 // Evidence counts the crashes of prompt parts. It is not safe for concurrent use.
@@ -48,8 +47,9 @@
 
 // suspect holds the crashes of one part.
 type suspect struct {
-	forgetAt  time.Time
-	endpoints map[EndpointStart]bool
+	forgetAt time.Time
+	// crashedAt is when each endpoint last crashed.
+	crashedAt map[policy.EndpointID]time.Time
 	requests  map[policy.PromptPartID]bool
 	// crashes counts those that are separate; the last one was at lastAt.
 	crashes int64
@@ -79,7 +79,7 @@
 func (ev *Evidence) Add(now time.Time, cr Crash) (Verdict, bool) {
 	su, ok := ev.suspects.Get(cr.Part)
 	if !ok || now.After(su.forgetAt) {
-		su = &suspect{forgetAt: now.Add(evidenceTTL), endpoints: map[EndpointStart]bool{}, requests: map[policy.PromptPartID]bool{}}
+		su = &suspect{forgetAt: now.Add(evidenceTTL), crashedAt: map[policy.EndpointID]time.Time{}, requests: map[policy.PromptPartID]bool{}}
 		ev.suspects.Add(cr.Part, su)
 	}
 	su.add(now, cr)
@@ -95,10 +95,11 @@
 	if len(su.requests) < minRequests {
 		su.requests[cr.Request] = true
 	}
-	if su.endpoints[cr.Endpoint] || len(su.endpoints) == maxEndpoints {
+	last, known := su.crashedAt[cr.Endpoint]
+	if known && now.Sub(last) < restartTime || !known && len(su.crashedAt) == maxEndpoints {
 		return
 	}
-	su.endpoints[cr.Endpoint] = true
+	su.crashedAt[cr.Endpoint] = now
 	if su.crashes == 0 || now.Sub(su.lastAt) >= crashSeparation {
 		su.crashes, su.lastAt = su.crashes+1, now
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,11 +10,8 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/peer"
@@ -26,16 +23,6 @@
 	// Duration is how long a part is quarantined. It is the longest time to live of a
 	// lease of the store.
 	Duration = 10 * time.Minute
-	// ProvenAfter is how long an answer has to last, from its head on, to show that the
-	// parts of its prompt do not crash endpoints.
-	ProvenAfter = time.Second
-	// provenTTL is how long that is remembered, and maxProven of how many parts.
-	provenTTL = time.Minute
-	maxProven = 8192
-	// contrastTTL is how long an answer that went well shows that endpoints do not crash
-	// under every prompt. It is shorter than provenTTL, so that the usual parts still
-	// count as proven when the last such answer no longer counts.
-	contrastTTL = 30 * time.Second
 	// maxQuarantined is the largest number of parts in quarantine. If more crash
 	// endpoints, the prompts are not the cause.
 	maxQuarantined = 16
@@ -58,20 +45,15 @@
 // List holds the prompt parts that are in quarantine, and what this router knows of
 // others. It is safe for concurrent use.
 //
-// mu guards evidence and refused. The locks of proven and of the holder are taken after
+// mu guards evidence and refused. The locks of proofs and of the holder are taken after
 // it.
 type List struct {
 	group    *peer.Group
 	holder   *configuration.Holder
 	recorder Recorder
 	log      *event.Log
-	// proven holds the parts of answers that went well, with the time until which that
-	// counts.
-	proven  *lru.Cache[policy.PromptPartID, time.Time]
-	reports chan Crash
-	// contrastUntil is until when the last answer that went well counts as contrast, in
-	// Unix nanoseconds.
-	contrastUntil atomic.Int64
+	proofs   *Proofs
+	reports  chan Crash
 
 	mu       sync.Mutex
 	evidence *Evidence
@@ -90,7 +72,7 @@
 // NewList returns a list; Run reports and records.
 func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, lo *event.Log) *List {
 	return &List{
-		group: gr, holder: ho, recorder: re, log: lo, proven: newCache[time.Time](maxProven), reports: make(chan Crash, maxReports),
+		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), reports: make(chan Crash, maxReports),
 		evidence: NewEvidence(), refused: map[policy.PromptPartID]refusal{},
 	}
 }
@@ -101,7 +83,7 @@
 	var latest time.Time
 	for _, part := range parts {
 		until, ok := li.untilOf(now, part)
-		if ok && until.After(latest) && !li.isProven(now, part) {
+		if ok && until.After(latest) && !li.proofs.Proven(now, part) {
 			latest = until
 		}
 	}
@@ -121,50 +103,38 @@
 
 // Proven records that an answer to a prompt with these parts went well.
 func (li *List) Proven(now time.Time, parts []policy.PromptPartID) {
-	if len(parts) > 0 {
-		li.contrastUntil.Store(now.Add(contrastTTL).UnixNano())
-	}
-	for _, part := range parts {
-		li.proven.Add(part, now.Add(provenTTL))
-	}
-}
-
-func (li *List) isProven(now time.Time, part policy.PromptPartID) bool {
-	until, ok := li.proven.Peek(part)
-	return ok && now.Before(until)
+	li.proofs.Add(now, parts)
 }
 
 // Crashed records that an answer broke off soon after it had begun. request is the last
-// part of the prompt, parts are the others. It does nothing if no other answer has gone
-// well here of late: then the endpoints, not the prompts, may be the cause.
-func (li *List) Crashed(now time.Time, en policy.Endpoint, request policy.PromptPartID, parts []policy.PromptPartID) {
-	if now.UnixNano() > li.contrastUntil.Load() {
-		return
-	}
+// part of the prompt, parts are the others.
+func (li *List) Crashed(now time.Time, en policy.EndpointID, request policy.PromptPartID, parts []policy.PromptPartID) {
+	contrast := li.proofs.Contrast(now)
 	for _, part := range parts {
-		if li.isProven(now, part) {
+		if li.proofs.Proven(now, part) {
 			continue
 		}
 		select {
-		case li.reports <- Crash{Part: part, Endpoint: EndpointStart{en.ID, en.StartedAtMs}, Request: request}:
+		case li.reports <- Crash{Part: part, Endpoint: en, Request: request, Contrast: contrast}:
 		default:
-			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"part": part, "endpoint": en.ID})
+			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"part": part, "endpoint": en})
 		}
 	}
 }
 
-// ReportCrashes implements peer.Crashes for parts that this router holds.
+// ReportCrashes implements peer.Crashes for parts that this router holds. It does not
+// count a crash if answers went well neither here nor at the router that reports it.
 func (li *List) ReportCrashes(_ context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error) {
 	now, rs := time.Now(), &rpc.ReportCrashesResponse{}
 	for _, cr := range rq.GetCrashes() {
 		part := policy.PromptPartID(cr.GetPart())
-		if li.isProven(now, part) {
+		if li.proofs.Proven(now, part) {
 			continue
 		}
-		if _, ok := li.untilOf(now, part); !ok {
+		contrast := cr.GetOthersWentWell() || li.proofs.Contrast(now)
+		if _, ok := li.untilOf(now, part); !ok && contrast {
 			li.addEvidence(now, Crash{
-				Part: part, Endpoint: EndpointStart{policy.EndpointID(cr.GetEndpoint()), cr.GetEndpointStartedAtMs()},
-				Request: policy.PromptPartID(cr.GetRequest()),
+				Part: part, Endpoint: policy.EndpointID(cr.GetEndpoint()), Request: policy.PromptPartID(cr.GetRequest()), Contrast: contrast,
 			})
 		}
 		if _, ok := li.untilOf(now, part); ok {
@@ -182,7 +152,7 @@
 	if !ok {
 		return
 	}
-	fi := event.Fields{"part": cr.Part, "crashes": ve.Crashes, "requests": ve.Requests, "endpoint": cr.Endpoint.Endpoint}
+	fi := event.Fields{"part": cr.Part, "crashes": ve.Crashes, "requests": ve.Requests, "endpoint": cr.Endpoint}
 	if li.holder.Set().Quarantines.Len()+li.pending() >= maxQuarantined {
 		li.log.Warn(event.QuarantineLimited, nil, fi)
 		return
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// holdersPerPart is the number of routers that count the crashes of a part.
-	holdersPerPart = 2
+	// holdersPerPart is the number of routers that count the crashes of a part. Each
+	// counts all of them, so that some have most when routers come and go.
+	holdersPerPart = 5
 	// reportDelay is how long a report waits for others: a crash breaks several answers.
 	reportDelay = 20 * time.Millisecond
 	// reportTimeout is the time limit of a call to a holder.
@@ -62,7 +63,7 @@
 				byHolder[ho] = &rpc.ReportCrashesRequest{}
 			}
 			byHolder[ho].Crashes = append(byHolder[ho].Crashes, &rpc.Crash{
-				Part: string(cr.Part), Endpoint: string(cr.Endpoint.Endpoint), EndpointStartedAtMs: cr.Endpoint.AtMs, Request: string(cr.Request),
+				Part: string(cr.Part), Endpoint: string(cr.Endpoint), Request: string(cr.Request), OthersWentWell: cr.Contrast,
 			})
 		}
 	}
@@ -109,7 +110,7 @@
 	}
 	for _, qu := range se.Quarantines.List() {
 		part := policy.PromptPartID(qu.Part)
-		if !li.isProven(now, part) {
+		if !li.proofs.Proven(now, part) {
 			continue
 		}
 		if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Remove(ctx, part) }); err != nil {
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -59,7 +59,7 @@
 	if len(rq.Prompt) == 0 || now.Sub(an.beganAt) >= limit {
 		return
 	}
-	an.router.barred.Crashed(now, an.endpoint, rq.lastPart(), rq.sharedParts())
+	an.router.barred.Crashed(now, an.endpoint.ID, rq.lastPart(), rq.sharedParts())
 }
 
 // lastPart returns the ID of the prompt's last part, which belongs to the request or to
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -293,3 +293,29 @@
 		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf(crashingPart))), qt.Not(qt.IsNil))
 	})
 }
+
+// TestPromptPartIsRefusedWhileRoutersRestart kills a router again and again while
+// endpoints crash. The routers that count a part's crashes change each time.
+func TestPromptPartIsRefusedWhileRoutersRestart(t *testing.T) {
+	const routers = 6
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 4, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
+		sound := &promptLoad{site: rs, routers: routers, callers: 16, pause: 500 * time.Millisecond}
+		defer sound.start()()
+		time.Sleep(4 * time.Second)
+		bad := &promptLoad{site: rs, routers: routers, crashEvery: 500 * time.Millisecond}
+		defer bad.start()()
+		for k := range 12 {
+			n := 1 + k%routers
+			rs.KillRouter(n)
+			time.Sleep(700 * time.Millisecond)
+			rs.StartRouter(n)
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(contactLimit)
+		since := time.Now()
+		time.Sleep(5 * time.Second)
+		t.Logf("%d crashes", len(crashTimes(rs)))
+		qt.Check(t, runsWithPartAfter(rs, since), qt.Equals, 0)
+	})
+}
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -31,6 +31,14 @@
 	// firstPort+10*n on: callers, readiness, directory, peers and admin.
 	firstPort = 9100
 	routeHost = "soak.example"
+	// crashPart is a prompt part that crashes replicas. One in crashEvery streaming
+	// requests of a caller has it. A replica that crashed is away for crashedFor.
+	crashPart  = "bad"
+	crashEvery = 12
+	crashedFor = 1500 * time.Millisecond
+	// maxCrashing is how many requests with the part may reach replicas in the calm time
+	// after the faults (rule BUDGET of the users' platform).
+	maxCrashing = 3
 	// revocationLimit is how long a revoked key may still be accepted.
 	revocationLimit = 6 * time.Second
 )
@@ -88,7 +96,9 @@
 	rs.mu.Lock()
 	before := rs.complete
 	rs.mu.Unlock()
+	calm := time.Now()
 	time.Sleep(5 * time.Second)
+	rs.checkCrashing(calm)
 	rs.mu.Lock()
 	rs.check(rs.complete > before+20, "got %d complete answers in 5 s after the faults, want more than 20", rs.complete-before)
 	rs.mu.Unlock()
@@ -138,16 +148,36 @@
 	time.Sleep(2 * time.Second)
 }
 
-// replica starts replica n of a service and registers it in the store.
+// replica starts replica n of a service behind a proxy and registers it in the store.
 func (rs *routerSite) replica(service string, n int, opt standin.ReplicaOptions) {
 	opt.ID = fmt.Sprintf("i-%s-%d", service, n)
-	re := standin.NewReplica(opt)
+	var re *standin.Replica
+	var px *proxy
+	opt.OnCrash = func() {
+		px.setLink(true, 0)
+		px.reset()
+		time.AfterFunc(crashedFor, func() {
+			px.setLink(false, 0)
+			re.Restart()
+			rs.register(service, n, px.address())
+		})
+	}
+	re = standin.NewReplica(opt)
+	re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart})
 	rs.replicas[opt.ID] = re
+	address := rs.serve(re.Handler())
+	px = rs.proxies[len(rs.proxies)-1]
+	rs.register(service, n, address)
+}
+
+// register registers replica n of a service, born now.
+func (rs *routerSite) register(service string, n int, address string) {
 	models := ""
 	if service == "scribes" {
 		models = `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
 	}
-	rs.store.Write("servers/"+opt.ID, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"fd-%d","version":"v1","slots":16,"state":"ready"%s}`, service, rs.serve(re.Handler()), n%3, models))
+	rs.store.Write(fmt.Sprintf("servers/i-%s-%d", service, n), fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"fd-%d","version":"v1","slots":16,"state":"ready","born":%d%s}`,
+		service, address, n%3, time.Now().UnixMilli(), models))
 }
 
 // configure writes a configuration in which the callers' key and one other key are
@@ -207,7 +237,9 @@
 	kinds := []standin.ReplicaFaults{{}, {}, {Status: 500}, {NotRun: true}, {CutAfter: 3}, {Silent: true}, {OtherRequestID: "other"}, {Truncated: true}}
 	for _, re := range rs.replicas {
 		if rs.rng.IntN(3) == 0 {
-			re.SetFaults(kinds[rs.rng.IntN(len(kinds))])
+			fa := kinds[rs.rng.IntN(len(kinds))]
+			fa.CrashPart = crashPart
+			re.SetFaults(fa)
 		}
 	}
 }
@@ -256,7 +288,7 @@
 	rs.configure("unused-key")
 	time.Sleep(revocationLimit)
 	for n := range soakRouters {
-		status, _, err := rs.send(context.Background(), n, "/p/x", fmt.Sprint("revoked-", n), "last-key")
+		status, _, err := rs.send(context.Background(), n, "/p/x", fmt.Sprint("revoked-", n), "last-key", "")
 		rs.mu.Lock()
 		rs.check(err == nil && status == http.StatusUnauthorized, "router-%d answered status %d (error %v) to a revoked key, want 401", n, status, err)
 		rs.mu.Unlock()
@@ -268,7 +300,7 @@
 func (rs *routerSite) endFaults() {
 	rs.store.SetFaults(standin.Faults{})
 	for _, re := range rs.replicas {
-		re.SetFaults(standin.ReplicaFaults{})
+		re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart})
 	}
 	for _, px := range rs.proxies {
 		px.setLink(false, 0)
@@ -278,6 +310,24 @@
 	time.Sleep(5 * time.Second)
 }
 
+// checkCrashing checks how many requests with the part that crashes replicas have
+// reached replicas since a time.
+func (rs *routerSite) checkCrashing(since time.Time) {
+	reached, crashes := 0, 0
+	for _, re := range rs.replicas {
+		crashes += len(re.Crashes())
+		for _, ru := range re.Runs() {
+			if ru.SharesPart(crashPart) && ru.At.After(since) {
+				reached++
+			}
+		}
+	}
+	rs.t.Logf("%d crashes under one prompt part; %d requests with it reached replicas after the faults", crashes, reached)
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.check(reached <= maxCrashing, "%d requests with a prompt part that had crashed replicas %d times reached replicas after the faults, %d are allowed", reached, crashes, maxCrashing)
+}
+
 // addViolation records the violation of an invariant. The caller holds mu.
 func (rs *routerSite) addViolation(format string, args ...any) {
 	rs.violations = append(rs.violations, fmt.Sprintf(format, args...))
@@ -293,7 +343,7 @@
 
 // send sends one request to a router and returns the status and the complete body of
 // the answer.
-func (rs *routerSite) send(ctx context.Context, n int, path, id, key string) (int, string, error) {
+func (rs *routerSite) send(ctx context.Context, n int, path, id, key, prompt string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d%s", firstPort+10*n, path), strings.NewReader("body"))
@@ -302,6 +352,9 @@
 	}
 	rq.GetBody, rq.Host = nil, routeHost
 	rq.Header = http.Header{"Attempt-Id": {id}, "Key": {key}, "Deadline-Remaining": {"7000"}, "Model": {"*"}}
+	if prompt != "" {
+		rq.Header.Set("Prompt-Prefix", prompt)
+	}
 	res, err := unpooled.Do(rq)
 	if err != nil {
 		return 0, "", err
@@ -322,7 +375,7 @@
 		id, n := fmt.Sprintf("c%d-%d", caller, k), (caller+k)%soakRouters
 		path := []string{"/s/x", "/u/x", "/p/x"}[k%3]
 		sentAt := time.Now()
-		status, body, err := rs.send(ctx, n, path, id, "own")
+		status, body, err := rs.send(ctx, n, path, id, "own", promptOf(path, id, k))
 		rs.mu.Lock()
 		rs.requests++
 		if path == "/u/x" {
@@ -342,6 +395,18 @@
 	}
 }
 
+// promptOf returns the prompt of a caller's request number k, "" for a plain service.
+func promptOf(path, id string, k int) string {
+	middle := fmt.Sprint("subject", k%7)
+	switch {
+	case path != "/s/x":
+		return ""
+	case k/3%crashEvery == crashEvery-1:
+		middle = crashPart
+	}
+	return fmt.Sprintf("first:100,%s:50,%s:20", middle, id)
+}
+
 // wantBody returns the body of the complete answer to a request.
 func wantBody(path, id string) string {
 	if path != "/s/x" {
