--- a/event/event.go
+++ b/event/event.go
@@ -61,6 +61,8 @@
 	QuarantineEnded      Number = 417
 	QuarantineLimited    Number = 418
 	CrashNotReported     Number = 419
+	LimitNamed           Number = 420
+	LimitEnded           Number = 421
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -123,6 +125,8 @@
 	QuarantineEnded:      "quarantine ended: an answer to a prompt with the part went well",
 	QuarantineLimited:    "prompt part not quarantined: too many parts are, so prompts are not the cause",
 	CrashNotReported:     "crash under a prompt part could not be reported to its holder",
+	LimitNamed:           "endpoint named a limit of its requests",
+	LimitEnded:           "endpoint names no limit any more",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -147,8 +147,10 @@
 		Deadline: ca.deadline, LastEventID: after, Urgency: ca.urgency,
 	}, time.Now())
 	ca.sends++
+	rate, _ := ro.limits.Rate(at.endpoint.ID)
 	ro.log.InfoLimited(event.RequestSent, event.Fields{
-		"request": rq.ID, "session": rq.Session, "route": ca.route.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release,
+		"limit_per_second": rate,
+		"request":          rq.ID, "session": rq.Session, "route": ca.route.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release,
 		"selected": at.selected, "model": ca.modelID(),
 		"send": ca.sends, "estimate_ms": at.estimatedWait().Milliseconds(), "pressure_ms": int64(float64(ca.meanBacklog) * 1000),
 		"policy": ro.holder.Set().Revision,
@@ -167,6 +169,7 @@
 	}
 	an := &answer{attempt: at, beganAt: time.Now(), status: source.Status, header: source.Header, source: source}
 	an.head = ro.options().Dialect.Head(source.Status, source.Header)
+	an.noteLimit()
 	if an.head.HasLoad {
 		ro.balancer.RecordLoad(time.Now(), at.endpoint.ID, an.head.Running+an.head.Waiting)
 	}
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -38,6 +38,10 @@
 	// set if HasLoad is true.
 	Running, Waiting int
 	HasLoad          bool
+	// Limit is the number of requests a second that the endpoint takes from all routers
+	// together. It is set if HasLimit is true; otherwise the endpoint names none.
+	Limit    float64
+	HasLimit bool
 }
 
 // Dialect defines the headers of requests to endpoints and of their answers.
--- a/relay/router.go
+++ b/relay/router.go
@@ -9,6 +9,7 @@
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/limit"
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/placement"
@@ -48,6 +49,7 @@
 	balancer  *placement.Balancer
 	fleet     *fleet
 	latencies *latencies
+	limits    *limit.Limits
 	// backlogs is used in large groups only.
 	backlogs *backlogAverages
 	budgets  *retryBudgets
@@ -74,7 +76,7 @@
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
 		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
-		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), backlogs: newBacklogAverages(),
+		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(de.Log), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
 	ro.routers.Store(1)
