--- a/standin/replica.go
+++ b/standin/replica.go
@@ -51,6 +51,9 @@
 	Unsigned bool
 	// Truncated aborts responses other than streams in the middle of the body.
 	Truncated bool
+	// Limit, if not empty, is the value of the header Server-Limit: the requests a second
+	// that the replica takes from all callers together.
+	Limit string
 	// EndsWithConnection sends responses with neither a length nor chunks: their bodies
 	// end with the connection.
 	EndsWithConnection bool
@@ -186,6 +189,9 @@
 func (re *Replica) respond(wr http.ResponseWriter, rq *http.Request, ru *ReplicaRun, fa ReplicaFaults) {
 	he := wr.Header()
 	he.Set("Attempt-Id", ru.Request)
+	if fa.Limit != "" {
+		he.Set("Server-Limit", fa.Limit)
+	}
 	if fa.OtherRequestID != "" {
 		he.Set("Attempt-Id", fa.OtherRequestID)
 	}
