Keep the limits that endpoints name, by all routers together

Cause: nothing read the header; an endpoint's word on what it takes was passed on to the caller and otherwise ignored. Class: a limit of one resource that many senders share needs a division among them, not a check at each.

Now a few routers share an endpoint's limit, as many as the limit and one more, those of its failure domain first; each has an equal part of nine tenths of it, in a bucket that begins empty and holds one request. All others send that endpoint nothing, and a router whose share is used up chooses another endpoint, or refuses at once with the time at which its next share comes. Routers tell each other what they learn, with its age, so that the newest answer counts everywhere; without word for 30 s all routers share.

Why it works: over any time t all routers together send 0.9 x limit x t, and no more than one request each beyond it, of limit + 2 routers.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,71 +1,193 @@
 // Package limit keeps the limits that endpoints in need name in their answers: the
-// requests a second that an endpoint takes from all routers together.
+// requests a second that an endpoint takes from all routers together. A few routers share
+// a limit, each with a fixed part of it; the others send that endpoint nothing. Routers
+// tell each other what they have learnt.
 package limit
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
+	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 )
 
 // Rate is a number of requests a second.
 type Rate float64
 
+// wordTTL is how long what an endpoint said is used without newer word of it.
+const wordTTL = 30 * time.Second
+
 // Limits holds the limits of endpoints. It is safe for concurrent use.
 //
-// mu guards known. No other lock is taken while it is held.
+// mu guards known and published. The locks of the holder and of the peers are not taken
+// while it is held.
 type Limits struct {
-	log   *event.Log
+	group     *peer.Group
+	holder    *configuration.Holder
+	log       *event.Log
+	startedAt time.Time
+
 	mu    sync.Mutex
 	known map[policy.EndpointID]*word
+	// size is the length of known, for readers that need no more.
+	size atomic.Int64
+	// published reports whether the last message to the peers had limits.
+	published bool
 }
 
-// word is the last that is known of an endpoint's limit.
+// word is the newest that is known of an endpoint's limit.
 type word struct {
 	// rate is the limit; ended reports whether the endpoint names none any more.
 	rate  Rate
 	ended bool
-	at    time.Time
+	// at is when the answer arrived at a router, own whether at this one.
+	at  time.Time
+	own bool
+	// share is this router's part of the limit, 0 if others share it. bucket holds at
+	// most one token.
+	share  Rate
+	bucket *rate.Limiter
 }
 
 // New returns an empty set of limits.
-func New(lo *event.Log) *Limits {
-	return &Limits{log: lo, known: map[policy.EndpointID]*word{}}
+func New(now time.Time, gr *peer.Group, ho *configuration.Holder, lo *event.Log) *Limits {
+	return &Limits{group: gr, holder: ho, log: lo, startedAt: now, known: map[policy.EndpointID]*word{}}
 }
 
 // Named records that an endpoint named a limit in an answer.
 func (li *Limits) Named(now time.Time, id policy.EndpointID, ra Rate) {
+	si := li.site(now)
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo, ok := li.known[id]
-	if !ok || wo.ended || wo.rate != ra {
-		li.log.InfoLimited(event.LimitNamed, event.Fields{"endpoint": id, "per_second": ra})
-	}
-	li.known[id] = &word{rate: ra, at: now}
+	li.update(si, id, word{rate: ra, at: now, own: true})
 }
 
 // NotNamed records that an endpoint named no limit in an answer to a request that was sent
 // at a time. An answer to a request that is older than the limit shows nothing.
 func (li *Limits) NotNamed(now, sentAt time.Time, id policy.EndpointID) {
+	if li.size.Load() == 0 {
+		return
+	}
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	wo, ok := li.known[id]
 	if !ok || wo.ended || sentAt.Before(wo.at) {
 		return
 	}
-	li.log.InfoLimited(event.LimitEnded, event.Fields{"endpoint": id})
-	wo.ended, wo.at = true, now
+	li.end(id, wo, now, true)
+}
+
+// update replaces what is known of an endpoint by a newer word that names a limit. The
+// caller holds mu.
+func (li *Limits) update(si site, id policy.EndpointID, next word) {
+	wo, ok := li.known[id]
+	if !ok {
+		wo = &word{ended: true, bucket: newBucket(si.now)}
+		li.known[id] = wo
+		li.size.Store(int64(len(li.known)))
+	}
+	if wo.ended || wo.rate != next.rate {
+		li.log.InfoLimited(event.LimitNamed, event.Fields{"endpoint": id, "per_second": next.rate, "own": next.own})
+	}
+	wo.rate, wo.ended, wo.at, wo.own = next.rate, false, next.at, next.own
+	wo.setShare(si, si.shareOf(id, wo))
+}
+
+// end records that an endpoint names no limit any more. The caller holds mu.
+func (li *Limits) end(id policy.EndpointID, wo *word, at time.Time, own bool) {
+	li.log.InfoLimited(event.LimitEnded, event.Fields{"endpoint": id, "own": own})
+	wo.ended, wo.at, wo.own = true, at, own
+}
+
+// newBucket returns a bucket without a token.
+func newBucket(now time.Time) *rate.Limiter {
+	bu := rate.NewLimiter(0, 1)
+	bu.AllowN(now, 1)
+	return bu
+}
+
+func (wo *word) setShare(si site, share Rate) {
+	if wo.share != share {
+		wo.share = share
+		wo.bucket.SetLimitAt(si.now, rate.Limit(share))
+	}
+}
+
+// limited returns what is known of an endpoint that names a limit, nil if it names none.
+// The caller holds mu.
+func (li *Limits) limited(id policy.EndpointID) *word {
+	if wo, ok := li.known[id]; ok && !wo.ended {
+		return wo
+	}
+	return nil
+}
+
+// Allows reports whether this router may send an endpoint one more request.
+func (li *Limits) Allows(now time.Time, id policy.EndpointID) bool {
+	if li.size.Load() == 0 {
+		return true
+	}
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	wo := li.limited(id)
+	return wo == nil || wo.share > 0 && wo.bucket.TokensAt(now) >= 1
+}
+
+// Take counts a request to an endpoint. It returns false, and counts nothing, if the
+// endpoint may not get it.
+func (li *Limits) Take(now time.Time, id policy.EndpointID) bool {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	wo := li.limited(id)
+	return wo == nil || wo.share > 0 && wo.bucket.AllowN(now, 1)
+}
+
+// NextAt returns when the first of the endpoints may get a request from this router, and
+// false if none names a limit of which this router has a share.
+func (li *Limits) NextAt(now time.Time, ens []policy.Endpoint) (time.Time, bool) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	var first time.Time
+	for _, en := range ens {
+		wo := li.limited(en.ID)
+		if wo == nil || wo.share <= 0 {
+			continue
+		}
+		missing := max(0, 1-wo.bucket.TokensAt(now))
+		at := now.Add(time.Duration(missing / float64(wo.share) * float64(time.Second)))
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first, !first.IsZero()
 }
 
 // Rate returns the limit that an endpoint names, and false if it names none.
 func (li *Limits) Rate(id policy.EndpointID) (Rate, bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo, ok := li.known[id]
-	if !ok || wo.ended {
+	wo := li.limited(id)
+	if wo == nil {
 		return 0, false
 	}
 	return wo.rate, true
 }
+
+// Rates returns the limits that endpoints name, as far as this router knows them.
+func (li *Limits) Rates() map[policy.EndpointID]Rate {
+	out := map[policy.EndpointID]Rate{}
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	for id, wo := range li.known {
+		if !wo.ended {
+			out[id] = wo.rate
+		}
+	}
+	return out
+}
--- a/peer/holder.go
+++ b/peer/holder.go
@@ -44,6 +44,19 @@
 	return all[:min(n, len(all))]
 }
 
+// SelectNearest returns the n of the daemons, or all if there are fewer, that share a task
+// of a failure domain: those in it first, then by rendezvous hashing.
+func SelectNearest(daemons []Holder, fd policy.FailureDomain, key string, n int) []Holder {
+	all := slices.Clone(daemons)
+	slices.SortFunc(all, func(a, b Holder) int {
+		if near := b.FailureDomain == fd; near != (a.FailureDomain == fd) {
+			return map[bool]int{true: 1, false: -1}[near]
+		}
+		return cmp.Compare(weight(b.VM, key), weight(a.VM, key))
+	})
+	return all[:min(n, len(all))]
+}
+
 // weight returns the rank of a VM for a key; the VMs with the greatest are chosen.
 func weight(id vm.ID, key string) uint64 {
 	return xxhash.Sum64String(string(id) + "\x00" + key)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -112,11 +112,13 @@
 	jo := placement.Job{Prefix: rq.prefix(ca.modelID()), Work: work, CacheSaving: cached}
 	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, se.endpoints)
 	routers := int(ro.routers.Load())
-	usable := func(en policy.Endpoint, ru placement.Running) bool { return ro.fleet.hasCapacity(ca, en, ru, routers) }
-	pl, ok := ro.balancer.Choose(now, se.endpoints, jo, ca.failedEndpoints, usable)
+	usable := func(en policy.Endpoint, ru placement.Running) bool {
+		return ro.fleet.hasCapacity(ca, en, ru, routers) && ro.limits.Allows(now, en.ID)
+	}
+	pl, ok := ro.place(now, ca, jo, se.endpoints, usable)
 	if !ok {
 		se.reason = reasonNoCapacity
-		pl, ok = ro.balancer.Choose(now, se.fallback, jo, ca.failedEndpoints, usable)
+		pl, ok = ro.place(now, ca, jo, se.fallback, usable)
 	}
 	if !ok {
 		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, noEndpoint: true}
@@ -125,6 +127,18 @@
 	return &attempt{router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, sentAt: now}, nil
 }
 
+// place chooses one of the endpoints for a call's job, and counts the request against the
+// endpoint's limit. Requests that are placed at the same time may have used up the limit.
+func (ro *Router) place(now time.Time, ca *call, jo placement.Job, ens []policy.Endpoint, usable func(policy.Endpoint, placement.Running) bool) (placement.Assignment, bool) {
+	for {
+		pl, ok := ro.balancer.Choose(now, ens, jo, ca.failedEndpoints, usable)
+		if !ok || ro.limits.Take(now, pl.Endpoint.ID) {
+			return pl, ok
+		}
+		ro.balancer.Done(now, pl, placement.Neutral)
+	}
+}
+
 // meanBacklog returns the mean work queued at an endpoint by all routers. In a
 // group too large for routers to exchange their loads, every other router is
 // assumed to have queued as much as this router does on average over time.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,10 +14,11 @@
 // load/VM.
 const loadPrefix = "load/"
 
-// Publish publishes this router's load and its results of roll-outs to the other
-// routers.
+// Publish publishes this router's load, its results of roll-outs and the limits that
+// endpoints named to the other routers.
 func (ro *Router) Publish() {
 	ro.releases.publish()
+	ro.limits.Publish(time.Now())
 	if ro.peers.Large() {
 		// In large groups the load that the endpoints report in their answers is
 		// more recent than what the routers would exchange.
@@ -55,4 +56,5 @@
 		ro.balancer.SetPeerLoads(now, others)
 	}
 	ro.releases.refresh()
+	ro.limits.Refresh(now)
 }
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -18,3 +18,15 @@
 		limits.NotNamed(now, an.sentAt, id)
 	}
 }
+
+// retryAt returns when the caller of a request that found no free endpoint should try
+// again: not before an endpoint may get a request from this router, if limits are why
+// none is free.
+func (ro *Router) retryAt(now time.Time, ca *call) time.Time {
+	at := now.Add(ro.fleet.retryAfter(ca))
+	next, ok := ro.limits.NextAt(now, ro.fleet.forService(now, ca.service.ID))
+	if ok && next.After(at) {
+		return next
+	}
+	return at
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -76,7 +76,7 @@
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
 		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
-		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(de.Log), backlogs: newBacklogAverages(),
+		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
 	ro.routers.Store(1)
@@ -248,9 +248,11 @@
 type State struct {
 	Routers   int64                                `json:"routers"`
 	Endpoints map[policy.EndpointID]placement.Load `json:"endpoints"`
+	// Limits are the requests a second that endpoints take from all routers together.
+	Limits map[policy.EndpointID]limit.Rate `json:"limits"`
 }
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Limits: ro.limits.Rates()}
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -105,7 +105,7 @@
 	case !ca.mayHaveRun && !last.quarantinedUntil.IsZero():
 		return refuseNotRun(ReasonQuarantined, last.quarantinedUntil)
 	case !ca.mayHaveRun && last.noEndpoint:
-		return refuseNotRun(ReasonEndpointsBusy, now.Add(ro.fleet.retryAfter(ca)))
+		return refuseNotRun(ReasonEndpointsBusy, ro.retryAt(now, ca))
 	case !ca.mayHaveRun:
 		return refuseNotRun(ReasonEndpointsUnreachable, now.Add(defaultRetryDelay))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
