--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -54,7 +54,7 @@
 			delete(li.known, id)
 			continue
 		}
-		wo.setShare(si, si.shareOf(id, wo))
+		wo.bucket.SetShare(now, si.shareOf(id, wo))
 	}
 	li.size.Store(int64(len(li.known)))
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/peer"
@@ -49,10 +47,8 @@
 	// at is when the answer arrived at a router, own whether at this one.
 	at  time.Time
 	own bool
-	// share is this router's part of the limit, 0 if others share it. bucket holds at
-	// most one token.
-	share  Rate
-	bucket *rate.Limiter
+	// bucket has this router's part of the limit, 0 if others share it.
+	bucket *Bucket
 }
 
 // New returns an empty set of limits.
@@ -88,7 +84,7 @@
 func (li *Limits) update(si site, id policy.EndpointID, next word) {
 	wo, ok := li.known[id]
 	if !ok {
-		wo = &word{ended: true, bucket: newBucket(si.now)}
+		wo = &word{ended: true, bucket: NewBucket(si.now)}
 		li.known[id] = wo
 		li.size.Store(int64(len(li.known)))
 	}
@@ -96,7 +92,7 @@
 		li.log.InfoLimited(event.LimitNamed, event.Fields{"endpoint": id, "per_second": next.rate, "own": next.own})
 	}
 	wo.rate, wo.ended, wo.at, wo.own = next.rate, false, next.at, next.own
-	wo.setShare(si, si.shareOf(id, wo))
+	wo.bucket.SetShare(si.now, si.shareOf(id, wo))
 }
 
 // end records that an endpoint names no limit any more. The caller holds mu.
@@ -105,20 +101,6 @@
 	wo.ended, wo.at, wo.own = true, at, own
 }
 
-// newBucket returns a bucket without a token.
-func newBucket(now time.Time) *rate.Limiter {
-	bu := rate.NewLimiter(0, 1)
-	bu.AllowN(now, 1)
-	return bu
-}
-
-func (wo *word) setShare(si site, share Rate) {
-	if wo.share != share {
-		wo.share = share
-		wo.bucket.SetLimitAt(si.now, rate.Limit(share))
-	}
-}
-
 // limited returns what is known of an endpoint that names a limit, nil if it names none.
 // The caller holds mu.
 func (li *Limits) limited(id policy.EndpointID) *word {
@@ -136,7 +118,7 @@
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	wo := li.limited(id)
-	return wo == nil || wo.share > 0 && wo.bucket.TokensAt(now) >= 1
+	return wo == nil || wo.bucket.Ready(now)
 }
 
 // Take counts a request to an endpoint. It returns false, and counts nothing, if the
@@ -145,7 +127,7 @@
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	wo := li.limited(id)
-	return wo == nil || wo.share > 0 && wo.bucket.AllowN(now, 1)
+	return wo == nil || wo.bucket.Take(now)
 }
 
 // NextAt returns when the first of the endpoints may get a request from this router, and
@@ -156,12 +138,11 @@
 	var first time.Time
 	for _, en := range ens {
 		wo := li.limited(en.ID)
-		if wo == nil || wo.share <= 0 {
+		if wo == nil {
 			continue
 		}
-		missing := max(0, 1-wo.bucket.TokensAt(now))
-		at := now.Add(time.Duration(missing / float64(wo.share) * float64(time.Second)))
-		if first.IsZero() || at.Before(first) {
+		at, ok := wo.bucket.NextAt(now)
+		if ok && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
--- a/limit/share.go
+++ b/limit/share.go
@@ -16,9 +16,11 @@
 	// minRate is used for lower limits, in requests a second: only an answer can show that
 	// a limit has ended.
 	minRate = Rate(0.1)
-	// minSharers is the smallest number of routers that share a limit, so that it is used
-	// when one of them has no callers.
-	minSharers = 2
+	// minSharers is the number of routers that share a limit of 0, and sharersPerRate how
+	// many more do for each request a second. Each may have one request at hand: more of
+	// them would send larger bursts, fewer would leave more callers without a share.
+	minSharers     = 3
+	sharersPerRate = 2
 	// assumedRouters is how many routers a router assumes at least in the time joinTime
 	// after its start, as it does not know the others yet.
 	assumedRouters = 8
@@ -29,40 +31,50 @@
 type site struct {
 	now     time.Time
 	routers []peer.Holder
-	// self is the first of routers. joining reports whether it has just started.
-	self    peer.Holder
-	joining bool
-	policy  *policy.Set
+	// self is the first of routers. There may be minRouters that it does not know yet.
+	self       peer.Holder
+	minRouters int
+	policy     *policy.Set
 }
 
 func (li *Limits) site(now time.Time) site {
 	routers := li.group.Holders()
-	return site{now: now, routers: routers, self: routers[0], joining: now.Sub(li.startedAt) < joinTime, policy: li.holder.Set()}
+	si := site{now: now, routers: routers, self: routers[0], policy: li.holder.Set()}
+	if now.Sub(li.startedAt) < joinTime {
+		si.minRouters = assumedRouters
+	}
+	return si
+}
+
+// sharers returns how many routers share a limit.
+func sharers(ra Rate) int { return minSharers + int(math.Ceil(sharersPerRate*float64(ra))) }
+
+// Share returns a router's part of the limit of an endpoint in a failure domain, 0 if
+// others of the routers share it.
+func Share(routers []peer.Holder, self peer.Holder, fd policy.FailureDomain, id policy.EndpointID, ra Rate) Rate {
+	n := min(len(routers), sharers(ra))
+	if !slices.Contains(peer.SelectNearest(routers, fd, string(id), n), self) {
+		return 0
+	}
+	return used(ra) / Rate(n)
 }
 
-// sharers returns how many routers share a limit. Each may have one token at hand, so
-// more of them would send larger bursts, and fewer leave more callers without a share.
-func sharers(ra Rate) int { return max(minSharers, int(math.Ceil(float64(ra)))+1) }
+// used returns the part of a limit that the routers use together.
+func used(ra Rate) Rate { return usedShare * max(minRate, ra) }
 
 // shareOf returns this router's part of an endpoint's limit. Without word of the endpoint
 // for wordTTL, those that share it may have no callers, so that all routers share it.
 func (si site) shareOf(id policy.EndpointID, wo *word) Rate {
-	routers := len(si.routers)
-	if si.joining {
-		routers = max(routers, assumedRouters)
-	}
-	use := usedShare * max(minRate, wo.rate)
 	if si.now.Sub(wo.at) > wordTTL {
-		return use / Rate(routers)
+		return used(wo.rate) / Rate(max(len(si.routers), si.minRouters))
 	}
-	en, _ := si.policy.Endpoints.ByID(id)
-	var domain policy.FailureDomain
-	if en.Endpoint != nil {
-		domain = policy.FailureDomain(en.FailureDomain)
+	var fd policy.FailureDomain
+	if en, ok := si.policy.Endpoints.ByID(id); ok {
+		fd = policy.FailureDomain(en.FailureDomain)
 	}
-	n := min(routers, sharers(wo.rate))
-	if !slices.Contains(peer.SelectNearest(si.routers, domain, string(id), n), si.self) {
-		return 0
+	share := Share(si.routers, si.self, fd, id, wo.rate)
+	if unknown := min(si.minRouters, sharers(wo.rate)) - len(si.routers); unknown > 0 {
+		share *= Rate(len(si.routers)) / Rate(len(si.routers)+unknown)
 	}
-	return use / Rate(n)
+	return share
 }
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -148,7 +148,7 @@
 
 // TestEndpointIsUsedFullyAfterItsLimit has a replica name a limit for a while.
 func TestEndpointIsUsedFullyAfterItsLimit(t *testing.T) {
-	const routers, engines = 8, 9
+	const routers, engines = 20, 9
 	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines}, func(t *testing.T, rs *testsite.RouterSite) {
 		load := &promptLoad{site: rs, routers: routers, callers: 36, pause: 300 * time.Millisecond}
 		defer load.start()()
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -39,6 +39,13 @@
 	// maxCrashing is how many requests with the part may reach replicas in the calm time
 	// after the faults (rule BUDGET of the users' platform).
 	maxCrashing = 3
+	// namedLimit is the limit, in requests a second, that one replica names after the
+	// faults. From contactLimit on it may get limitFactor times as much, and limitSlack
+	// requests more (rule LIMIT of the users' platform).
+	namedLimit   = 1.0
+	contactLimit = 3 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
 	// revocationLimit is how long a revoked key may still be accepted.
 	revocationLimit = 6 * time.Second
 )
@@ -93,12 +100,16 @@
 		time.Sleep(time.Duration(200+rs.rng.IntN(1500)) * time.Millisecond)
 	}
 	rs.endFaults()
+	limited := rs.replicas["i-scribes-0"]
+	limited.SetFaults(standin.ReplicaFaults{CrashPart: crashPart, Limit: fmt.Sprint(namedLimit)})
+	time.Sleep(contactLimit)
 	rs.mu.Lock()
 	before := rs.complete
 	rs.mu.Unlock()
 	calm := time.Now()
 	time.Sleep(5 * time.Second)
 	rs.checkCrashing(calm)
+	rs.checkLimit(limited, calm)
 	rs.mu.Lock()
 	rs.check(rs.complete > before+20, "got %d complete answers in 5 s after the faults, want more than 20", rs.complete-before)
 	rs.mu.Unlock()
@@ -234,7 +245,7 @@
 
 // setReplicaFaults sets a random fault, or none, for about a third of the replicas.
 func (rs *routerSite) setReplicaFaults() {
-	kinds := []standin.ReplicaFaults{{}, {}, {Status: 500}, {NotRun: true}, {CutAfter: 3}, {Silent: true}, {OtherRequestID: "other"}, {Truncated: true}}
+	kinds := []standin.ReplicaFaults{{}, {}, {Status: 500}, {NotRun: true}, {CutAfter: 3}, {Silent: true}, {OtherRequestID: "other"}, {Truncated: true}, {Limit: "3"}, {EndsWithConnection: true}, {CutAtHead: true}}
 	for _, re := range rs.replicas {
 		if rs.rng.IntN(3) == 0 {
 			fa := kinds[rs.rng.IntN(len(kinds))]
@@ -328,6 +339,21 @@
 	rs.check(reached <= maxCrashing, "%d requests with a prompt part that had crashed replicas %d times reached replicas after the faults, %d are allowed", reached, crashes, maxCrashing)
 }
 
+// checkLimit checks how many requests a replica that names a limit has run since a time.
+func (rs *routerSite) checkLimit(re *standin.Replica, since time.Time) {
+	runs := 0
+	for _, ru := range re.Runs() {
+		if ru.At.After(since) {
+			runs++
+		}
+	}
+	allowed := limitFactor*namedLimit*time.Since(since).Seconds() + limitSlack
+	rs.t.Logf("%d requests at a replica with a limit, %.1f allowed", runs, allowed)
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.check(float64(runs) <= allowed, "%d requests ran at a replica whose limit allows %.1f", runs, allowed)
+}
+
 // addViolation records the violation of an invariant. The caller holds mu.
 func (rs *routerSite) addViolation(format string, args ...any) {
 	rs.violations = append(rs.violations, fmt.Sprintf(format, args...))
