--- /dev/null
+++ b/relay/answer.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagerpoint.example/tanager/endpoint"
+	"tanagerpoint.example/tanager/placement"
+)
+
+const (
+	// maxBufferedBody is the maximum size in bytes of an answer that is buffered
+	// until it is complete.
+	maxBufferedBody = 8 << 20
+	// eventStreamType is the media type of an answer that is a stream of events.
+	eventStreamType = "text/event-stream"
+)
+
+// answer is an answer that has begun to arrive.
+type answer struct {
+	*attempt
+	// beganAt is when the head arrived.
+	beganAt time.Time
+	head    AnswerHead
+	status  int
+	header  http.Header
+	body    []byte
+	// stream is nil for buffered answers. firstEvent has already been read from
+	// it, and is empty if the stream has no events.
+	stream     *eventReader
+	firstEvent streamEvent
+	// provedPrompt reports whether the answer has shown that its prompt does not crash
+	// endpoints.
+	provedPrompt bool
+	source       *endpoint.ForwardAnswer
+}
+
+// receive checks the head of the answer, then reads a stream's first event or a
+// buffered answer's body.
+func (an *answer) receive() (*answer, *failure) {
+	ca := an.call
+	switch {
+	case an.head.Request != "" && an.head.Request != ca.request.ID:
+		an.source.Close()
+		return nil, &failure{err: errWrongRequest}
+	case an.head.NotRun:
+		an.source.Close()
+		return nil, &failure{err: errNotRun, notRun: true}
+	case !an.head.Signed && an.status < http.StatusMultipleChoices:
+		an.source.Close()
+		return nil, &failure{err: errUnsigned}
+	case an.header.Get("Content-Encoding") != "":
+		an.source.Close()
+		return nil, &failure{err: errContentEncoding}
+	}
+	if ca.wantsStream() && an.status == http.StatusOK && isStream(an.header) {
+		return an.readFirstEvent()
+	}
+	return an.readBody()
+}
+
+func isStream(he http.Header) bool {
+	mt, _, err := mime.ParseMediaType(he.Get("Content-Type"))
+	return err == nil && mt == eventStreamType
+}
+
+func (an *answer) readFirstEvent() (*answer, *failure) {
+	an.stream = newEventReader(an.source)
+	ev, err := an.stream.next()
+	if errors.Is(err, io.EOF) && an.source.EndsWithConnection {
+		// The end of the connection does not tell a stream without events from one that
+		// broke off.
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		an.source.Close()
+		return nil, an.brokenOff(err)
+	}
+	an.firstEvent = ev
+	an.recordStart()
+	return an, nil
+}
+
+func (an *answer) readBody() (*answer, *failure) {
+	defer an.source.Close()
+	body, err := io.ReadAll(io.LimitReader(an.source, maxBufferedBody+1))
+	if err != nil {
+		return nil, an.brokenOff(err)
+	}
+	if len(body) > maxBufferedBody {
+		return nil, &failure{err: eris.Errorf("answer is larger than %d bytes", maxBufferedBody)}
+	}
+	an.body = body
+	if an.status >= http.StatusBadRequest {
+		callerError := an.status < http.StatusInternalServerError && an.status != http.StatusTooManyRequests && an.status != http.StatusRequestTimeout
+		return nil, &failure{err: errFailureStatus, answer: an, callerError: callerError}
+	}
+	an.recordStart()
+	an.provePrompt()
+	an.finish(placement.Succeeded)
+	return an, nil
+}
+
+// brokenOff returns the failure for an error of reading the answer.
+func (an *answer) brokenOff(err error) *failure {
+	fa := failureOf(an.source.ReadFailure(err))
+	fa.begun = true
+	if causeLabel(fa.err) == string(endpoint.CauseBroken) {
+		an.brokeOff()
+	}
+	return fa
+}
+
+// discard closes an answer of which the caller has received nothing. For the
+// endpoint the attempt counts as a success.
+func (an *answer) discard() {
+	an.source.Close()
+	an.finish(placement.Succeeded)
+}
+
+// writeBuffered writes a buffered answer to the caller.
+func (an *answer) writeBuffered(wr http.ResponseWriter, status int) {
+	copyHeader(wr.Header(), an.header)
+	wr.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
+	wr.WriteHeader(status)
+	_, _ = io.Copy(wr, bytes.NewReader(an.body))
+}
+
+// connectionHeaders are headers that apply to one connection only, or that are set
+// anew for the caller.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Date": true,
+}
+
+// copyHeader copies an endpoint's headers, except those of the connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		to["Content-Type"] = nil // stops net/http from detecting one
+	}
+}
