Let one request through a quarantine now and then

Callers would see: a sound subject that many ask for the first time just when endpoints crash is blamed with the part that crashes them, and stays refused for ten minutes, since no answer to it can prove it any more.

Cause: a quarantine had no way back but its end, or an answer that was under way already. Now one request with the part is let through ten seconds after its begin, and one a minute after that: the router replaces the record in the store, if it is unchanged, and sends the request once, without repeats. An answer that goes well ends the quarantine at all routers. Besides, an answer that has sent events is evidence against its prompt for 100 ms after its head, 250 before: what crashes an endpoint does so within 100 ms in all cases on record.

--- a/event/event.go
+++ b/event/event.go
@@ -63,6 +63,7 @@
 	CrashNotReported     Number = 419
 	LimitNamed           Number = 420
 	LimitEnded           Number = 421
+	QuarantineProbed     Number = 422
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -127,6 +128,7 @@
 	CrashNotReported:     "crash under a prompt part could not be reported to its holder",
 	LimitNamed:           "endpoint named a limit of its requests",
 	LimitEnded:           "endpoint names no limit any more",
+	QuarantineProbed:     "request let through to see whether its prompt part still crashes endpoints",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -17,6 +17,7 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
 )
 
 const (
@@ -38,6 +39,9 @@
 type Recorder interface {
 	// Record sets a quarantine, unless the part has one.
 	Record(ctx context.Context, qu *rpc.Quarantine) error
+	// Replace replaces a quarantine that was last changed at a revision. It returns false
+	// if it has been changed since.
+	Replace(ctx context.Context, qu *rpc.Quarantine, revision store.Revision) (bool, error)
 	// Remove ends the quarantine of a part.
 	Remove(ctx context.Context, part policy.PromptPartID) error
 }
@@ -45,7 +49,7 @@
 // List holds the prompt parts that are in quarantine, and what this router knows of
 // others. It is safe for concurrent use.
 //
-// mu guards evidence and refused. The locks of proofs and of the holder are taken after
+// mu guards evidence, refused and triedProbeAt. The locks of proofs and of the holder are taken after
 // it.
 type List struct {
 	group    *peer.Group
@@ -60,6 +64,8 @@
 	// refused holds the parts that are refused here although the policy may not show
 	// their quarantine yet.
 	refused map[policy.PromptPartID]refusal
+	// triedProbeAt is when this router last tried to let a request through as a probe.
+	triedProbeAt map[policy.PromptPartID]time.Time
 }
 
 // refusal says that a part is refused until a time. pending is the quarantine that this
@@ -74,6 +80,7 @@
 	return &List{
 		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), reports: make(chan Crash, maxReports),
 		evidence: NewEvidence(), refused: map[policy.PromptPartID]refusal{},
+		triedProbeAt: map[policy.PromptPartID]time.Time{},
 	}
 }
 
@@ -160,6 +167,7 @@
 	until := now.Add(Duration)
 	li.refused[cr.Part] = refusal{until: until, pending: &rpc.Quarantine{
 		Part: string(cr.Part), UntilMs: until.UnixMilli(), Crashes: ve.Crashes, Requests: ve.Requests,
+		ProbeAtMs: now.Add(probeDelays[0]).UnixMilli(),
 	}}
 	li.log.Warn(event.PartQuarantined, nil, fi)
 }
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -138,6 +138,7 @@
 		switch {
 		case inPolicy || !now.Before(re.until):
 			delete(li.refused, part)
+			delete(li.triedProbeAt, part)
 		case re.pending != nil:
 			out[part] = re.pending
 		}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -56,7 +56,7 @@
 // or, for a stream, its first event has arrived. after is the last event that the
 // caller has received.
 func (ro *Router) attempt(ctx context.Context, ca *call, after EventID) (*answer, *failure) {
-	if fa := ro.quarantined(ca); fa != nil {
+	if fa := ro.quarantined(ca); fa != nil && !ro.probe(ctx, ca) {
 		return nil, fa
 	}
 	at, fa := ro.chooseEndpoint(ctx, ca)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +22,16 @@
 	return &failure{err: errQuarantined, notRun: true, quarantinedUntil: until}
 }
 
+// probe reports whether a call that is refused for its prompt is sent all the same, once,
+// as a probe of the quarantine.
+func (ro *Router) probe(ctx context.Context, ca *call) bool {
+	if ca.sends > 0 || ca.probes {
+		return false
+	}
+	ca.probes = ro.barred.Probe(ctx, time.Now(), ca.request.sharedParts())
+	return ca.probes
+}
+
 // provePrompt records, once, that the parts of the answer's prompt do not crash endpoints.
 func (an *answer) provePrompt() {
 	if !an.provedPrompt {
@@ -46,7 +57,7 @@
 // suspectAfterEvent is how long after its head an answer that has sent events may break
 // off and still be blamed on its prompt. Such answers run beside the one that crashes the
 // endpoint far more often than answers without events.
-const suspectAfterEvent = 250 * time.Millisecond
+const suspectAfterEvent = 100 * time.Millisecond
 
 // brokeOff records that the connection broke during the answer. Only shortly after the
 // answer began can the prompt be the cause.
--- a/relay/run.go
+++ b/relay/run.go
@@ -50,7 +50,7 @@
 // the request on the largest model instead.
 func (ro *Router) shouldEscalate(ca *call, an *answer) bool {
 	models := ca.models()
-	if ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
+	if ca.probes || ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
 		return false
 	}
 	key := latencyKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
@@ -79,7 +79,7 @@
 	if !ca.route.Repeatable() && !fa.notRun {
 		return false
 	}
-	if ro.quarantined(ca) != nil {
+	if ca.probes || ro.quarantined(ca) != nil {
 		return false
 	}
 	if !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -33,6 +34,21 @@
 	return eris.Wrap(err, "quarantineRecorder.Record")
 }
 
+// Replace implements quarantine.Recorder. Without an answer of the store it returns an
+// error, although the store may have replaced the quarantine.
+func (qr quarantineRecorder) Replace(ctx context.Context, qu *rpc.Quarantine, revision store.Revision) (bool, error) {
+	lease, err := qr.store.Grant(ctx, time.Until(time.UnixMilli(qu.GetUntilMs())))
+	if err != nil {
+		return false, eris.Wrap(err, "quarantineRecorder.Replace")
+	}
+	co, err := qr.layout.QuarantineReplacement(qu, lease, revision)
+	if err != nil {
+		return false, eris.Wrap(err, "quarantineRecorder.Replace")
+	}
+	ou, err := qr.store.Apply(ctx, co)
+	return ou.Applied, eris.Wrap(err, "quarantineRecorder.Replace")
+}
+
 // Remove implements quarantine.Recorder.
 func (qr quarantineRecorder) Remove(ctx context.Context, part policy.PromptPartID) error {
 	_, err := qr.store.Apply(ctx, qr.layout.QuarantineEnd(part))
