End a quarantine by its record, not by a VM's clock

Read in the code, not seen: a router compared the end of a quarantine with its VM's time of day. One whose clock is ahead by more than ten minutes would send the part again, and one whose clock is behind would refuse it for longer. The record itself is removed by the store's lease; it alone counts now, and a probe renews it. Retry-After names the next probe rather than the end, as the quarantine of a harmless part ends then. Failed calls to the store are logged under the rate limit.

--- a/policy/quarantine.go
+++ b/policy/quarantine.go
@@ -38,16 +38,28 @@
 	return QuarantineID(strconv.FormatUint(xxhash.Sum64String(string(part)), hexadecimal))
 }
 
-// QuarantinedUntil returns when the quarantine of a prompt part ends, and false if the
-// part is not in quarantine now.
-func (se *Set) QuarantinedUntil(now time.Time, part PromptPartID) (time.Time, bool) {
+// probeTime is how long the answer to a probe takes to end the quarantine at all routers.
+const probeTime = 2 * time.Second
+
+// QuarantineOf returns the quarantine of a prompt part, and false if it has none. A
+// quarantine ends when its record is removed: VMs' clocks may be off by more than it lasts.
+func (se *Set) QuarantineOf(part PromptPartID) (Quarantine, bool) {
 	if se.Quarantines.Len() == 0 {
-		return time.Time{}, false
+		return Quarantine{}, false
 	}
 	qu, ok := se.Quarantines.ByID(QuarantineIDOf(part))
-	if !ok || qu.Part != string(part) {
-		return time.Time{}, false
+	return qu, ok && qu.Part == string(part)
+}
+
+// RetryAt returns when a caller whose request was refused should try again: when the next
+// probe may have ended the quarantine, or at its end if there is no further probe.
+func (qu Quarantine) RetryAt(now time.Time) time.Time {
+	at := time.UnixMilli(qu.UntilMs)
+	if qu.ProbeAtMs > 0 {
+		at = time.UnixMilli(qu.ProbeAtMs).Add(probeTime)
+	}
+	if earliest := now.Add(probeTime); at.Before(earliest) {
+		return earliest
 	}
-	until := time.UnixMilli(qu.UntilMs)
-	return until, now.Before(until)
+	return at
 }
--- a/quarantine/probe.go
+++ b/quarantine/probe.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	applied, err := li.recorder.Replace(ctx, probed(now, qu.Quarantine), revision)
 	if err != nil {
-		li.log.Warn(event.StoreUnreachable, err, event.Fields{"part": part})
+		li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
 		return false
 	}
 	if applied {
@@ -57,7 +57,7 @@
 	var found policy.PromptPartID
 	count := 0
 	for _, part := range parts {
-		if _, ok := li.Until(now, []policy.PromptPartID{part}); ok {
+		if _, ok := li.Refuses(now, []policy.PromptPartID{part}); ok {
 			found = part
 			count++
 		}
@@ -77,9 +77,10 @@
 	return true
 }
 
-// probed returns a quarantine after one more probe.
+// probed returns a quarantine after one more probe. It lasts anew.
 func probed(now time.Time, qu *rpc.Quarantine) *rpc.Quarantine {
 	next := proto.CloneOf(qu)
+	next.UntilMs = now.Add(Duration).UnixMilli()
 	next.Probes++
 	next.ProbeAtMs = 0
 	if int(next.GetProbes()) < len(probeDelays) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -49,8 +49,8 @@
 // List holds the prompt parts that are in quarantine, and what this router knows of
 // others. It is safe for concurrent use.
 //
-// mu guards evidence, refused and triedProbeAt. The locks of proofs and of the holder are taken after
-// it.
+// mu guards evidence, refused and triedProbeAt. The locks of proofs and of the holder are
+// taken after it.
 type List struct {
 	group    *peer.Group
 	holder   *configuration.Holder
@@ -84,23 +84,22 @@
 	}
 }
 
-// Until returns when the quarantine of a prompt part ends, the latest one if several of
-// the parts are quarantined, and false if none is.
-func (li *List) Until(now time.Time, parts []policy.PromptPartID) (time.Time, bool) {
-	var latest time.Time
+// Refuses reports whether a request with these prompt parts is refused, and when its
+// caller should try again.
+func (li *List) Refuses(now time.Time, parts []policy.PromptPartID) (retryAt time.Time, refused bool) {
 	for _, part := range parts {
-		until, ok := li.untilOf(now, part)
-		if ok && until.After(latest) && !li.proofs.Proven(now, part) {
-			latest = until
+		at, ok := li.quarantined(now, part)
+		if ok && at.After(retryAt) && !li.proofs.Proven(now, part) {
+			retryAt, refused = at, true
 		}
 	}
-	return latest, !latest.IsZero()
+	return retryAt, refused
 }
 
-// untilOf returns when the quarantine of a part ends, and false if it has none.
-func (li *List) untilOf(now time.Time, part policy.PromptPartID) (time.Time, bool) {
-	if until, ok := li.holder.Set().QuarantinedUntil(now, part); ok {
-		return until, true
+// quarantined reports whether a part is in quarantine, and when callers should try again.
+func (li *List) quarantined(now time.Time, part policy.PromptPartID) (retryAt time.Time, ok bool) {
+	if qu, ok := li.holder.Set().QuarantineOf(part); ok {
+		return qu.RetryAt(now), true
 	}
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -139,12 +138,12 @@
 			continue
 		}
 		contrast := cr.GetOthersWentWell() || li.proofs.Contrast(now)
-		if _, ok := li.untilOf(now, part); !ok && contrast {
+		if _, ok := li.quarantined(now, part); !ok && contrast {
 			li.addEvidence(now, Crash{
 				Part: part, Endpoint: policy.EndpointID(cr.GetEndpoint()), Request: policy.PromptPartID(cr.GetRequest()), Contrast: contrast,
 			})
 		}
-		if _, ok := li.untilOf(now, part); ok {
+		if _, ok := li.quarantined(now, part); ok {
 			rs.Quarantined = append(rs.Quarantined, cr.GetPart())
 		}
 	}
@@ -172,8 +171,8 @@
 	li.log.Warn(event.PartQuarantined, nil, fi)
 }
 
-// Refused returns the prompt parts that are refused here, sorted.
-func (li *List) Refused(now time.Time) []policy.PromptPartID {
+// Parts returns the prompt parts that are refused here, sorted.
+func (li *List) Parts(now time.Time) []policy.PromptPartID {
 	out := map[policy.PromptPartID]bool{}
 	for _, qu := range li.holder.Set().Quarantines.List() {
 		out[policy.PromptPartID(qu.Part)] = true
@@ -184,7 +183,7 @@
 	}
 	li.mu.Unlock()
 	maps.DeleteFunc(out, func(part policy.PromptPartID, _ bool) bool {
-		_, ok := li.Until(now, []policy.PromptPartID{part})
+		_, ok := li.Refuses(now, []policy.PromptPartID{part})
 		return !ok
 	})
 	return slices.Sorted(maps.Keys(out))
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -77,7 +77,7 @@
 // reportTo sends crashes to one holder, and refuses the parts that it has quarantined.
 func (li *List) reportTo(ctx context.Context, ho peer.Holder, rq *rpc.ReportCrashesRequest) {
 	if ho.Address == "" {
-		_, _ = li.ReportCrashes(ctx, rq) // fails never
+		_, _ = li.ReportCrashes(ctx, rq) // never fails
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -103,7 +103,7 @@
 	now, se := time.Now(), li.holder.Set()
 	for part, qu := range li.updateRefused(now, se) {
 		if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Record(ctx, qu) }); err != nil {
-			li.log.Warn(event.StoreUnreachable, err, event.Fields{"part": part})
+			li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
 			continue
 		}
 		li.setRecorded(part)
@@ -114,7 +114,7 @@
 			continue
 		}
 		if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Remove(ctx, part) }); err != nil {
-			li.log.Warn(event.StoreUnreachable, err, event.Fields{"part": part})
+			li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
 			continue
 		}
 		li.log.Info(event.QuarantineEnded, event.Fields{"part": part})
@@ -134,7 +134,7 @@
 	defer li.mu.Unlock()
 	out := map[policy.PromptPartID]*rpc.Quarantine{}
 	for part, re := range li.refused {
-		_, inPolicy := se.QuarantinedUntil(now, part)
+		_, inPolicy := se.QuarantineOf(part)
 		switch {
 		case inPolicy || !now.Before(re.until):
 			delete(li.refused, part)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -15,21 +15,21 @@
 // quarantined returns the failure of a call whose prompt has a part in quarantine, nil if
 // it has none.
 func (ro *Router) quarantined(ca *call) *failure {
-	until, ok := ro.barred.Until(time.Now(), ca.request.sharedParts())
+	retryAt, ok := ro.barred.Refuses(time.Now(), ca.request.sharedParts())
 	if !ok {
 		return nil
 	}
-	return &failure{err: errQuarantined, notRun: true, quarantinedUntil: until}
+	return &failure{err: errQuarantined, notRun: true, quarantined: true, retryAt: retryAt}
 }
 
 // probe reports whether a call that is refused for its prompt is sent all the same, once,
 // as a probe of the quarantine.
 func (ro *Router) probe(ctx context.Context, ca *call) bool {
-	if ca.sends > 0 || ca.probes {
+	if ca.sends > 0 || ca.probing {
 		return false
 	}
-	ca.probes = ro.barred.Probe(ctx, time.Now(), ca.request.sharedParts())
-	return ca.probes
+	ca.probing = ro.barred.Probe(ctx, time.Now(), ca.request.sharedParts())
+	return ca.probing
 }
 
 // provePrompt records, once, that the parts of the answer's prompt do not crash endpoints.
--- a/relay/router.go
+++ b/relay/router.go
@@ -152,9 +152,9 @@
 	sends           int64
 	// mayHaveRun reports whether an endpoint may have run the request.
 	mayHaveRun bool
-	// probes reports whether the request was let through although a part of its prompt is
+	// probing reports whether the request was let through although a part of its prompt is
 	// in quarantine. It is then sent once.
-	probes bool
+	probing bool
 	// meanBacklog is the mean work queued at an endpoint before the last attempt.
 	meanBacklog placement.Work
 	// model is the index of the current model in models; noEscalation prevents a
--- a/relay/run.go
+++ b/relay/run.go
@@ -32,7 +32,7 @@
 		if fa.answer != nil || last == nil || last.answer == nil {
 			last = fa
 		}
-		if !fa.quarantinedUntil.IsZero() {
+		if fa.quarantined {
 			return ro.writeFailure(ctx, wr, ca, fa)
 		}
 		if fa.noEndpoint || !ro.mayRetry(ctx, ca, fa) {
@@ -50,7 +50,7 @@
 // the request on the largest model instead.
 func (ro *Router) shouldEscalate(ca *call, an *answer) bool {
 	models := ca.models()
-	if ca.probes || ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
+	if ca.probing || ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
 		return false
 	}
 	key := latencyKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
@@ -79,7 +79,7 @@
 	if !ca.route.Repeatable() && !fa.notRun {
 		return false
 	}
-	if ca.probes || ro.quarantined(ca) != nil {
+	if ca.probing || ro.quarantined(ca) != nil {
 		return false
 	}
 	if !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
@@ -102,8 +102,8 @@
 	case last.answer != nil:
 		ro.writeEndpointFailure(wr, last.answer)
 		return nil
-	case !ca.mayHaveRun && !last.quarantinedUntil.IsZero():
-		return refuseNotRun(ReasonQuarantined, last.quarantinedUntil)
+	case !ca.mayHaveRun && last.quarantined:
+		return refuseNotRun(ReasonQuarantined, last.retryAt)
 	case !ca.mayHaveRun && last.noEndpoint:
 		return refuseNotRun(ReasonEndpointsBusy, ro.retryAt(now, ca))
 	case !ca.mayHaveRun:
@@ -163,9 +163,10 @@
 	begun bool
 	// noEndpoint reports whether there was no endpoint to send to.
 	noEndpoint bool
-	// quarantinedUntil is when the quarantine of a part of the prompt ends, zero if no
-	// part is in quarantine.
-	quarantinedUntil time.Time
+	// quarantined reports whether a part of the prompt is in quarantine, retryAt when the
+	// caller should then try again.
+	quarantined bool
+	retryAt     time.Time
 	// callerError reports whether the request itself is at fault, so that every
 	// endpoint would give the same answer.
 	callerError bool
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -37,7 +36,7 @@
 // Replace implements quarantine.Recorder. Without an answer of the store it returns an
 // error, although the store may have replaced the quarantine.
 func (qr quarantineRecorder) Replace(ctx context.Context, qu *rpc.Quarantine, revision store.Revision) (bool, error) {
-	lease, err := qr.store.Grant(ctx, time.Until(time.UnixMilli(qu.GetUntilMs())))
+	lease, err := qr.store.Grant(ctx, quarantine.Duration)
 	if err != nil {
 		return false, eris.Wrap(err, "quarantineRecorder.Replace")
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -276,7 +276,7 @@
 	return State{
 		VM: da.peers.VM(), Incarnation: da.peers.Incarnation(), PolicyRevision: da.holder.Set().Revision,
 		StoreAnswered: da.watcher.LastAnswer(), Ready: da.relay.Ready(), InFlight: da.relay.InFlight(),
-		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(), Quarantined: da.barred.Refused(time.Now()),
+		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(), Quarantined: da.barred.Parts(time.Now()),
 	}
 }
 
