--- a/event/event.go
+++ b/event/event.go
@@ -36,6 +36,7 @@
 	Isolated             Number = 206
 	IsolationEnded       Number = 207
 	StoreLost            Number = 208
+	StoreEra             Number = 209
 	MemberJoined         Number = 300
 	MemberFailed         Number = 301
 	PeerUnreachable      Number = 302
@@ -100,6 +101,7 @@
 	StoreUnreachable:     "store unreachable",
 	Isolated:             "isolated: policy may be out of date; refusing new requests",
 	StoreLost:            "store stopped answering; keeping the current policy",
+	StoreEra:             "store names a new era: it came back from an older copy",
 	IsolationEnded:       "isolation ended: policy is current again; accepting new requests",
 	MemberJoined:         "peer joined",
 	MemberFailed:         "peer timed out",
--- a/router/router.go
+++ b/router/router.go
@@ -96,7 +96,7 @@
 	}
 	da := &Daemon{settings: rs, network: ne, log: lo, metrics: me, group: worker.NewGroup(), idle: newIdleConnections(), dueSince: map[policy.RolloutID]time.Time{}, repeatAt: map[doneAction]time.Time{}}
 	prefix := store.Key(rs.GetStore().GetPrefix())
-	da.store = platform.NewStore(store.OptionsOf(rs.GetStore(), ne.Dial))
+	da.store = platform.NewStore(store.OptionsOf(rs.GetStore(), ne.Dial), lo)
 	da.layout = platform.NewLayout(lo)
 	da.holder = configuration.NewHolder(lo)
 	da.watcher = configuration.NewWatcher(da.layout, da.store, da.holder, lo)
@@ -286,6 +286,9 @@
 	if err == nil {
 		err = me.Gauge("tanager_policy_revision", "Policy revision in force.", func() float64 { return float64(da.holder.Set().Revision) })
 	}
+	if err == nil {
+		err = me.Gauge("tanager_store_era", "How often the store has come back from an older copy.", func() float64 { return float64(da.store.Era()) })
+	}
 	if err == nil {
 		err = me.Gauge("tanager_policy_age_seconds", "Time since the policy was known to be the newest.", func() float64 {
 			return time.Since(da.holder.Evidence()).Seconds()
--- a/store/store.go
+++ b/store/store.go
@@ -16,6 +16,11 @@
 // Revision is the store's revision number, which increases with every change.
 type Revision int64
 
+// Era counts how often the store has come back from an older copy of itself. A copy
+// lacks the newest changes, and the store gives their revisions out again. 0 if the
+// store does not tell.
+type Era int64
+
 // LeaseID identifies a lease granted by the store.
 type LeaseID int64
 
