--- a/standin/kv.go
+++ b/standin/kv.go
@@ -65,7 +65,7 @@
 	mu.HandleFunc("POST /v1/kv-lease", st.handleKVLease)
 	mu.HandleFunc("POST /v1/kv-keep/{id}", st.handleKVKeepAlive)
 	mu.HandleFunc("DELETE /v1/kv-lease-end/{id}", st.handleKVLeaseEnd)
-	return st.Wrap(mu)
+	return st.withEra(st.Wrap(mu))
 }
 
 // Write sets the value of a key, or deletes the key if the value is nil, and
@@ -73,6 +73,8 @@
 func (st *Store) Write(key string, value []byte) int64 {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.writtenOrder++
+	st.written[key] = clientWrite{value: value, order: st.writtenOrder}
 	eventsBefore := len(st.events)
 	st.revision++
 	if value == nil {
@@ -193,11 +195,12 @@
 }
 
 // eventsAfter returns the events of a prefix after a revision, and a channel that is
-// closed when there may be more. compacted is true if Compact dropped some of them.
+// closed when there may be more. compacted is true if Compact dropped some of them, or if
+// the store does not have the revision.
 func (st *Store) eventsAfter(prefix string, after int64) (re kvResponse, changed chan struct{}, compacted bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if after < st.compactedRevision {
+	if after < st.compactedRevision || after > st.revision {
 		return re, nil, true
 	}
 	re = kvResponse{StoreRevision: st.revision, Events: []kvItem{}}
--- a/standin/store.go
+++ b/standin/store.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tanagerpoint.example/tanager/store"
@@ -25,8 +26,14 @@
 // mu guards the fields below it.
 type Store struct {
 	FaultInjector
+	// era counts the restores, from 1 on.
+	era atomic.Int64
 
 	mu sync.Mutex
+	// written holds what operators and replicas wrote with Write, and writtenOrder the
+	// order of the last.
+	written      map[string]clientWrite
+	writtenOrder int
 	// revision is that of the last change. Granting a lease advances it as well.
 	revision int64
 	pairs    map[string]storedPair
@@ -57,7 +64,11 @@
 
 // NewStore returns an empty store at revision 1.
 func NewStore() *Store {
-	st := &Store{revision: 1, pairs: map[string]storedPair{}, leases: map[int64]storedLease{}, changed: make(chan struct{})}
+	st := &Store{
+		revision: 1, pairs: map[string]storedPair{}, leases: map[int64]storedLease{}, changed: make(chan struct{}),
+		written: map[string]clientWrite{},
+	}
+	st.era.Store(1)
 	st.writeMatcher = func(rq *http.Request) bool { return rq.URL.Path == "/v3/kv/txn" || rq.URL.Path == "/v1/kv-txn" }
 	return st
 }
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -66,11 +66,13 @@
 	// Replicas are by ReplicaID, Routers by number.
 	Replicas map[string]*standin.Replica
 	Routers  map[int]*router.Daemon
-	// mu guards servers. No other lock is taken while it is held.
+	// mu guards servers and registered. No other lock is taken while it is held.
 	mu      sync.Mutex
 	servers map[Host]*http.Server
 	group   *worker.Group
 	dir     string
+	// registered holds the newest registrations of replicas.
+	registered map[string]registration
 	// version is that of the configuration that was written last.
 	version int64
 }
@@ -88,6 +90,7 @@
 	rs := &RouterSite{
 		tb: tb, opt: opt, Net: NewNetwork(), Store: standin.NewStore(), Replicas: map[string]*standin.Replica{},
 		Routers: map[int]*router.Daemon{}, servers: map[Host]*http.Server{}, group: worker.NewGroup(), dir: tb.TempDir(),
+		registered: map[string]registration{},
 	}
 	rs.Serve("kv", KVAddress, rs.Store.KVHandler())
 	rs.group.Every(100*time.Millisecond, func(context.Context) { rs.Store.ExpireLeases() })
@@ -161,17 +164,41 @@
 		if worker.Sleep(ctx, crashedFor) {
 			rs.Net.Revive(Host(id))
 			rs.Replicas[id].Restart()
+			rs.mu.Lock()
+			delete(rs.registered, id)
+			rs.mu.Unlock()
 			rs.Serve(Host(id), ReplicaAddress(service, n, release), rs.Replicas[id].Handler())
 			rs.Register(service, n, release, "ready")
 		}
 	})
 }
 
+// registration is what changes in the registrations of one incarnation of a replica.
+type registration struct {
+	bornAt   time.Time
+	sequence int
+}
+
+// nextRegistration returns the next registration of a replica. The first one after a
+// start has the time as its time of birth.
+func (rs *RouterSite) nextRegistration(id string) registration {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	re, ok := rs.registered[id]
+	if !ok {
+		re.bornAt = time.Now()
+	}
+	re.sequence++
+	rs.registered[id] = re
+	return re
+}
+
 // Register writes a replica's registration to the store, with a state such as "ready"
-// or "draining". Its time of birth is now.
+// or "draining".
 func (rs *RouterSite) Register(service string, n int, release, state string) {
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"sequence":1,"born":%d`,
-		service, ReplicaAddress(service, n, release), release, state, time.Now().UnixMilli())
+	re := rs.nextRegistration(ReplicaID(service, n, release))
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"sequence":%d,"born":%d`,
+		service, ReplicaAddress(service, n, release), release, state, re.sequence, re.bornAt.UnixMilli())
 	if service == EngineService {
 		text += `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
 	}
@@ -315,3 +342,11 @@
 	rs.group.Close()
 	rs.Net.closeAll()
 }
+
+// RestoreStore takes the store down, and brings it back from a copy after a time.
+func (rs *RouterSite) RestoreStore(co standin.StoreCopy, away time.Duration) {
+	rs.Store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(away)
+	rs.Store.Restore(co)
+	rs.Store.SetFaults(standin.Faults{})
+}
