Write roll-outs and quarantines into a restored store again

A router that retains them writes them again: two at once by rendezvous hashing, the others if it is still due. A roll-out's follow the operator's order, and only if the store says less; an action is decided on the further of both, also if the store's new era is met only while acting. A quarantine is set as before, create-only.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -58,6 +58,9 @@
 	log      *event.Log
 	proofs   *Proofs
 	reports  chan Crash
+	// recordAgainAt is when a quarantine that a restored store has lost is recorded again.
+	// Only the goroutine of record uses it.
+	recordAgainAt map[policy.PromptPartID]time.Time
 
 	mu       sync.Mutex
 	evidence *Evidence
@@ -79,7 +82,8 @@
 func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, lo *event.Log) *List {
 	return &List{
 		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), reports: make(chan Crash, maxReports),
-		evidence: NewEvidence(), refused: map[policy.PromptPartID]refusal{},
+		recordAgainAt: map[policy.PromptPartID]time.Time{},
+		evidence:      NewEvidence(), refused: map[policy.PromptPartID]refusal{},
 		triedProbeAt: map[policy.PromptPartID]time.Time{},
 	}
 }
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -23,6 +23,10 @@
 	// recordTimeout the time limit of one.
 	recordInterval = 250 * time.Millisecond
 	recordTimeout  = time.Second
+	// preferredRecorders is how many routers record at once a quarantine that a restored
+	// store has lost. recordAgainDelay is when the others do, and when all try again.
+	preferredRecorders = 2
+	recordAgainDelay   = 2 * time.Second
 )
 
 // Run reports crashes to the holders of their parts, records quarantines, and ends those
@@ -110,6 +114,11 @@
 	}
 	for _, qu := range se.Quarantines.List() {
 		part := policy.PromptPartID(qu.Part)
+		if se.Retains(policy.KindQuarantine, string(qu.ID)) {
+			li.recordAgain(ctx, now, qu)
+			continue
+		}
+		delete(li.recordAgainAt, part)
 		if !li.proofs.Proven(now, part) {
 			continue
 		}
@@ -121,6 +130,24 @@
 	}
 }
 
+// recordAgain records a quarantine that a restored store has lost. A few routers do so at
+// once, the others if it is still lost later.
+func (li *List) recordAgain(ctx context.Context, now time.Time, qu policy.Quarantine) {
+	part := policy.PromptPartID(qu.Part)
+	at, known := li.recordAgainAt[part]
+	if !known && !li.group.Preferred(string(qu.ID), preferredRecorders) {
+		at, known = now.Add(recordAgainDelay), true
+		li.recordAgainAt[part] = at
+	}
+	if known && now.Before(at) {
+		return
+	}
+	li.recordAgainAt[part] = now.Add(recordAgainDelay)
+	if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Record(ctx, qu.Quarantine) }); err != nil {
+		li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
+	}
+}
+
 func (li *List) call(ctx context.Context, fn func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -24,18 +24,22 @@
 	// repeatDelay is how long a router waits for its policy to show the result of an
 	// action before it looks at the store again.
 	repeatDelay = 3 * time.Second
+	// minRewriteDelay and maxRewriteDelay are the shortest and the longest time between
+	// two attempts to write again what a restored store has lost.
+	minRewriteDelay = 500 * time.Millisecond
+	maxRewriteDelay = 30 * time.Second
 )
 
-// advanceRollouts carries out the actions that are due in roll-outs. It holds
-// the lease of a roll-out's task for one action only.
+// advanceRollouts carries out the actions that are due in roll-outs, and writes again what
+// the store has lost of them. It holds the lease of a roll-out's task for one action only.
 func (da *Daemon) advanceRollouts(ctx context.Context) {
 	now := time.Now()
 	for _, ro := range da.holder.Set().Rollouts.List() {
-		if ro.Service == "" || !ro.Active() || da.relay.Draining() {
+		if ro.Service == "" || da.relay.Draining() {
 			continue
 		}
-		ac := da.relay.RolloutProgress(now, ro).Next(now)
-		if ac == rollout.ActionNone {
+		ac := da.nextAction(now, ro)
+		if ac == rollout.ActionNone && !da.lostByStore(ro) {
 			delete(da.dueSince, ro.ID)
 			continue
 		}
@@ -45,13 +49,36 @@
 		}
 		if ho, ok := da.acquire(ctx, lease.Task(rolloutTaskPrefix+ro.Service)); ok {
 			if da.advance(ctx, ho, ro) {
-				da.repeatAt[done] = time.Now().Add(repeatDelay)
+				da.repeatAt[done] = time.Now().Add(da.repeatDelay(now, ro))
 			}
 			da.leases.Close(ctx)
 		}
 	}
 }
 
+// nextAction returns the action that is due in a roll-out, ActionNone if it has ended.
+func (da *Daemon) nextAction(now time.Time, ro policy.Rollout) rollout.Action {
+	if !ro.Active() {
+		return rollout.ActionNone
+	}
+	return da.relay.RolloutProgress(now, ro).Next(now)
+}
+
+// lostByStore reports whether a restored store may lack what is known of a roll-out.
+func (da *Daemon) lostByStore(ro policy.Rollout) bool {
+	return da.holder.Set().Retains(policy.KindRollout, string(ro.ID))
+}
+
+// repeatDelay returns how long a router waits before it attempts an action again. What a
+// restored store has lost of a roll-out can be written only after the operator's order: the
+// first attempts follow closely, as orders are written again soon or not at all.
+func (da *Daemon) repeatDelay(now time.Time, ro policy.Rollout) time.Duration {
+	if !da.lostByStore(ro) {
+		return repeatDelay
+	}
+	return min(max(now.Sub(da.dueSince[ro.ID]), minRewriteDelay), maxRewriteDelay)
+}
+
 // doneAction is an action of a roll-out whose result the store has.
 type doneAction struct {
 	rollout policy.RolloutID
@@ -95,12 +122,18 @@
 		da.log.Warn(event.StoreUnreachable, err, event.Fields{"task": ho.Task})
 		return false
 	}
-	if current.ToVersion != ro.ToVersion || !current.Active() {
+	_, known, _ := da.holder.Set().Record(policy.KindRollout, string(ro.ID))
+	lost := known.Era() < eraOf(compares) && current.SameOrder(ro) && ro.FurtherThan(current)
+	if lost {
+		current = ro
+	}
+	if current.ToVersion != ro.ToVersion {
 		return true
 	}
-	now := time.Now()
-	pr := da.relay.RolloutProgress(now, current)
-	next, why := pr.Apply(now, pr.Next(now), current.Rollout)
+	next, why := da.nextState(current)
+	if next == nil && lost {
+		next, why = current.Rollout, "the restored store had lost it"
+	}
 	if next == nil {
 		return true
 	}
@@ -109,6 +142,26 @@
 	return da.record(ctx, ho, next, compares, why)
 }
 
+// nextState returns a roll-out after the action that is due in it, and why, or nil if none
+// is due.
+func (da *Daemon) nextState(ro policy.Rollout) (*rpc.Rollout, string) {
+	if !ro.Active() {
+		return nil, ""
+	}
+	now := time.Now()
+	pr := da.relay.RolloutProgress(now, ro)
+	return pr.Apply(now, pr.Next(now), ro.Rollout)
+}
+
+// eraOf returns the newest era of the revisions that are compared.
+func eraOf(compares []store.Compare) store.Era {
+	newest := store.Revision(0)
+	for _, cm := range compares {
+		newest = max(newest, cm.ModRevision)
+	}
+	return newest.Era()
+}
+
 // readRollout reads a roll-out from the store. The compares hold as long as it is
 // unchanged there.
 func (da *Daemon) readRollout(ctx context.Context, ro policy.Rollout) (policy.Rollout, []store.Compare, error) {
