--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,6 +64,9 @@
 	QuarantineID string
 	// ReleaseID names a release of the software that endpoints run.
 	ReleaseID string
+	// Fingerprint identifies a request by its caller, method, host, target and body. It is
+	// the same when the request comes again unchanged.
+	Fingerprint string
 	// PromptPartID identifies a part of a prompt; equal parts have equal ids.
 	PromptPartID string
 )
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -247,7 +247,7 @@
 	ro.metrics.Attempts.Add(ctx, 1, metric.With(metric.KeyOutcome, "failed", metric.KeyCause, causeLabel(fa.err)))
 	ro.log.WarnLimited(event.AttemptFailed, fa.err, event.Fields{
 		"request": at.call.request.ID, "endpoint": at.endpoint.ID, "release": at.endpoint.Release, "not_run": fa.notRun,
-		"begun": fa.begun, "prompt": at.call.request.sharedParts(),
+		"begun": fa.begun, "prompt": at.call.request.sharedParts(), "fingerprint": at.call.fingerprint,
 		"after_ms": time.Since(at.sentAt).Milliseconds(), "policy": ro.holder.Set().Revision,
 	})
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -9,6 +9,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,6 +89,17 @@
 	return out
 }
 
+// fingerprint identifies the request among those of its caller: one that comes again
+// unchanged, under another ID, has the same.
+func (rq *Request) fingerprint(caller policy.OrganisationID) policy.Fingerprint {
+	di := xxhash.New()
+	for _, text := range []string{string(caller), rq.Method, rq.Host, rq.Target} {
+		_, _ = di.WriteString(text + "\x00") // never fails
+	}
+	_, _ = di.Write(rq.Body) // never fails
+	return policy.Fingerprint(strconv.FormatUint(di.Sum64(), 16))
+}
+
 // prefix returns a hash of the prompt's shared prefix and the model, or 0 if there
 // is no shared prefix.
 func (rq *Request) prefix(model policy.ModelID) placement.Prefix {
--- a/relay/router.go
+++ b/relay/router.go
@@ -144,6 +144,7 @@
 	route        policy.Route
 	service      policy.Service
 	organisation policy.OrganisationID
+	fingerprint  policy.Fingerprint
 	urgency      int64
 	deadline     time.Time
 	// failedEndpoints are the endpoints at which an attempt failed; sends is the
@@ -215,6 +216,7 @@
 	if !ok {
 		return nil, refuseNotRun(ReasonNoEndpoint, rq.ReceivedAt.Add(defaultRetryDelay))
 	}
+	ca.fingerprint = rq.fingerprint(ca.organisation)
 	return ca, nil
 }
 
