Count no crash when a caller leaves before the first event

A caller that left, or reached its deadline, between the head of an answer and its first event counted as a crash of the endpoint, so that sound prompt parts were quarantined. The cause of the broken reading decides now: an answer ended by the call's own context is no evidence.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -112,9 +112,7 @@
 func (an *answer) brokenOff(err error) *failure {
 	fa := failureOf(an.source.ReadFailure(err))
 	fa.begun = true
-	if causeLabel(fa.err) == string(endpoint.CauseBroken) {
-		an.brokeOff()
-	}
+	an.brokeOff(err)
 	return fa
 }
 
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/quarantine"
 )
@@ -59,9 +61,13 @@
 // endpoint far more often than answers without events.
 const suspectAfterEvent = 100 * time.Millisecond
 
-// brokeOff records that the connection broke during the answer. Only shortly after the
-// answer began can the prompt be the cause.
-func (an *answer) brokeOff() {
+// brokeOff records that reading the answer failed with err. The prompt can be the cause
+// only if the endpoint broke the connection, shortly after the answer began; it is not if
+// the caller left or the time was up.
+func (an *answer) brokeOff(err error) {
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || an.source.ReadFailure(err).Cause != endpoint.CauseBroken {
+		return
+	}
 	now, rq := time.Now(), an.call.request
 	limit := quarantine.ProvenAfter
 	if len(an.firstEvent.text) > 0 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,7 +12,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/rollout"
@@ -161,9 +160,7 @@
 		an.finish(placement.Neutral)
 		return nil
 	}
-	if causeLabel(an.source.ReadFailure(cause)) == string(endpoint.CauseBroken) {
-		an.brokeOff()
-	}
+	an.brokeOff(cause)
 	an.finish(placement.Failed)
 	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
 	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -380,3 +380,29 @@
 		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf("new"))), qt.IsNil)
 	})
 }
+
+// TestCallersThatLeaveQuarantineNoPrompt has callers leave, or reach their deadlines,
+// between the head of the answer and its first event. The routers took that for crashes.
+func TestCallersThatLeaveQuarantineNoPrompt(t *testing.T) {
+	slow := streamingEngine
+	slow.FirstEvent = 500 * time.Millisecond
+	for _, deadline := range []string{"20000", "300"} {
+		t.Run("deadline in "+deadline+" ms", func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: 2, Engines: 9, Engine: slow}, func(t *testing.T, rs *testsite.RouterSite) {
+				sound := &promptLoad{site: rs, routers: 2, callers: 8, pause: 500 * time.Millisecond}
+				defer sound.start()()
+				time.Sleep(4 * time.Second)
+				for n := range 30 {
+					ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+					do(rs, request{
+						router: 1 + n%2, id: fmt.Sprint("left", n), path: testsite.EngineRoute, ctx: ctx,
+						header: map[string]string{"Prompt-Prefix": fmt.Sprintf("first0:100,left:50,left%d:20", n), "Deadline-Remaining": deadline},
+					})
+					cancel()
+				}
+				an := do(rs, request{id: "stays", path: testsite.EngineRoute, header: map[string]string{"Prompt-Prefix": "first0:100,left:50,stays:20"}})
+				qt.Assert(t, an.status, qt.Equals, http.StatusOK, qt.Commentf("%s", an.body))
+			})
+		})
+	}
+}
