--- a/standin/replica.go
+++ b/standin/replica.go
@@ -65,6 +65,9 @@
 	// its prompt, other than as the last one, crashes the replica crashDelay after
 	// the head of its response.
 	CrashPart string
+	// CrashTarget, if not empty, is a request target. A request for it crashes the
+	// replica crashDelay after it began to run, before the head of its response.
+	CrashTarget string
 }
 
 // slow returns a duration as the faults lengthen it.
@@ -206,6 +209,8 @@
 	switch {
 	case fa.Status != 0:
 		wr.WriteHeader(fa.Status)
+	case fa.CrashTarget != "" && fa.CrashTarget == ru.Target:
+		re.crashAfter(rq, crashDelay)
 	case sharesPart(ru.Header, fa.CrashPart):
 		re.crash(wr, rq)
 	case re.opt.Events > 0:
@@ -220,8 +225,8 @@
 	}
 }
 
-// crashDelay is the time from the head of a response to the crash that the request
-// causes.
+// crashDelay is the time from the head of a response, or from the begin of a run, to the
+// crash that the request causes.
 const crashDelay = 60 * time.Millisecond
 
 // SharesPart reports whether a request's prompt has a part, other than as its last one.
@@ -238,7 +243,15 @@
 // crash sends the head of a response and then crashes the replica.
 func (re *Replica) crash(wr http.ResponseWriter, rq *http.Request) {
 	wr.Header().Set("Content-Type", "text/event-stream")
-	if http.NewResponseController(wr).Flush() == nil && wait(rq, crashDelay) && re.setCrashed() {
+	if http.NewResponseController(wr).Flush() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	re.crashAfter(rq, crashDelay)
+}
+
+// crashAfter crashes the replica after a time, unless the client disconnects before.
+func (re *Replica) crashAfter(rq *http.Request, delay time.Duration) {
+	if wait(rq, delay) && re.setCrashed() {
 		re.opt.OnCrash()
 	}
 	panic(http.ErrAbortHandler)
