Quarantine a request that comes again and crashes endpoint after endpoint

Cause: nothing remembered a request across its comings. The quarantine counted the parts of prompts only, only after an answer's head, and asked for three different requests.

A quarantine now has a subject: a prompt part, or a request by its fingerprint (caller, method, host, target, body). Both are counted, recorded, probed, proven and refused by the same code. A request is barred at its third separate crash, also before the head; answers of the same service that go well are the contrast. TestEvidenceCountsSeparateCrashesAndRequests wanted one request sent again not to be barred: its prompt's parts still are not; that it is itself barred, and when, asks TestEvidenceCountsCrashesOfOneRequest, six cases.

--- a/measure/quarantine.go
+++ b/measure/quarantine.go
@@ -25,41 +25,55 @@
 	answerLength = 900 * time.Millisecond
 	// recordDelay is the time from a verdict until all routers refuse the part.
 	recordDelay = 1200 * time.Millisecond
-	// crashesToKnow, crashGrace and maxCrashing are those of the target: how many
-	// requests with the part reach replicas later than crashGrace after so many crashes.
-	crashesToKnow = 5
-	crashGrace    = 3 * time.Second
-	maxCrashing   = 3
+	// crashesToKnow, crashesOfRequest, crashGrace and maxCrashing are those of the targets:
+	// how many requests with the part, or comings of the request, reach replicas later than
+	// crashGrace after so many crashes.
+	crashesToKnow    = 5
+	crashesOfRequest = 3
+	crashGrace       = 3 * time.Second
+	maxCrashing      = 3
 	// firstParts and subjects are the numbers of first and middle parts of sound prompts.
 	firstParts = 3
 	subjects   = 300
 )
 
-// crashRun simulates requests of which some share a prompt part that crashes each replica
-// that begins to answer it.
+// crashRun simulates requests of which some share a subject that crashes each replica that
+// begins to answer it: a prompt part, or that they are one request that comes again.
 type crashRun struct {
 	*eventLoop
 	rng      *rand.Rand
 	started  time.Time
 	evidence *quarantine.Evidence
 	proofs   *quarantine.Proofs
+	crashing policy.Subject
+	// known is the number of crashes from which the crashing subject is to be refused.
+	known int
 	// quarantines is off in the baseline.
 	quarantines bool
-	refusedFrom map[policy.PromptPartID]time.Time
+	refusedFrom map[policy.Subject]time.Time
+	// causes holds the subjects under which replicas do crash.
+	causes map[policy.Subject]bool
 	// crashedAt holds the times of each replica's crashes, crashes those of all.
 	crashedAt [crashReplicas][]time.Time
 	crashes   []time.Time
-	// late counts the requests with the part that reached replicas too late.
+	// late counts the requests with the subject that reached replicas too late.
 	late          int
 	sound, served int
 }
 
-const crashingPart policy.PromptPartID = "crashing"
+// crashingPart and crashingRequest are the subjects of the two runs.
+var (
+	crashingPart    = policy.Subject{Part: "crashing"}
+	crashingRequest = policy.Subject{Request: "crashing"}
+)
+
+const crashService policy.ServiceID = "service"
 
-func newCrashRun(seed uint64, quarantines bool) *crashRun {
+func newCrashRun(seed uint64, crashing policy.Subject, known int, quarantines bool) *crashRun {
 	cr := &crashRun{
 		eventLoop: newEventLoop(), rng: rand.New(rand.NewPCG(seed, 23)), evidence: quarantine.NewEvidence(), proofs: quarantine.NewProofs(),
-		quarantines: quarantines, refusedFrom: map[policy.PromptPartID]time.Time{},
+		crashing: crashing, known: known, quarantines: quarantines, refusedFrom: map[policy.Subject]time.Time{},
+		causes: map[policy.Subject]bool{crashing: true},
 	}
 	cr.started = cr.now
 	return cr
@@ -67,61 +81,73 @@
 
 // simulate runs the requests.
 func (cr *crashRun) simulate() {
-	cr.arrive(0, requestRate, cr.soundPrompt)
-	cr.arrive(crashStart, crashRate, cr.crashingPrompt)
+	cr.arrive(0, requestRate, cr.soundSubjects)
+	cr.arrive(crashStart, crashRate, cr.crashingSubjects)
 	cr.run(crashRunLength)
 }
 
 // arrive starts a stream of requests.
-func (cr *crashRun) arrive(from time.Duration, rate float64, prompt func() []policy.PromptPartID) {
+func (cr *crashRun) arrive(from time.Duration, rate float64, subjects func(id policy.Fingerprint) []policy.Subject) {
 	cr.after(from, func() {
-		id := policy.PromptPartID(fmt.Sprint(cr.rng.Uint64()))
-		cr.send(id, prompt(), 1)
-		cr.arrive(time.Duration(cr.rng.ExpFloat64()/rate*float64(time.Second)), rate, prompt)
+		id := fmt.Sprint(cr.rng.Uint64())
+		cr.send(policy.PromptPartID(id), subjects(policy.Fingerprint(id)), 1)
+		cr.arrive(time.Duration(cr.rng.ExpFloat64()/rate*float64(time.Second)), rate, subjects)
 	})
 }
 
-func (cr *crashRun) soundPrompt() []policy.PromptPartID {
+func (cr *crashRun) firstPart() policy.Subject {
+	return policy.Subject{Part: policy.PromptPartID(fmt.Sprint("first", cr.rng.IntN(firstParts)))}
+}
+
+func (cr *crashRun) soundSubjects(id policy.Fingerprint) []policy.Subject {
 	cr.sound++
-	return []policy.PromptPartID{policy.PromptPartID(fmt.Sprint("first", cr.rng.IntN(firstParts))), policy.PromptPartID(fmt.Sprint("subject", cr.rng.IntN(subjects)))}
+	subject := policy.Subject{Part: policy.PromptPartID(fmt.Sprint("subject", cr.rng.IntN(subjects)))}
+	return []policy.Subject{cr.firstPart(), subject, {Request: id}}
 }
 
-func (cr *crashRun) crashingPrompt() []policy.PromptPartID {
-	return []policy.PromptPartID{policy.PromptPartID(fmt.Sprint("first", cr.rng.IntN(firstParts))), crashingPart}
+// crashingSubjects returns the subjects of a request that crashes replicas. One with the
+// crashing part is itself a cause of the crashes under it.
+func (cr *crashRun) crashingSubjects(id policy.Fingerprint) []policy.Subject {
+	out := []policy.Subject{cr.firstPart(), cr.crashing}
+	if cr.crashing.Request == "" {
+		out = append(out, policy.Subject{Request: id})
+		cr.causes[out[2]] = true
+	}
+	return out
 }
 
 // send makes one attempt at a request.
-func (cr *crashRun) send(id policy.PromptPartID, parts []policy.PromptPartID, attempt int) {
+func (cr *crashRun) send(id policy.PromptPartID, sus []policy.Subject, attempt int) {
 	re := cr.rng.IntN(crashReplicas)
-	if attempt > maxAttempts || cr.refused(parts) {
+	if attempt > maxAttempts || cr.refused(sus) {
 		return
 	}
 	if cr.down(re) {
 		// A refused connection is no attempt; look for another replica.
-		cr.after(time.Millisecond, func() { cr.send(id, parts, attempt) })
+		cr.after(time.Millisecond, func() { cr.send(id, sus, attempt) })
 		return
 	}
-	crashing := parts[1] == crashingPart
-	if crashing && len(cr.crashes) >= crashesToKnow && cr.now.After(cr.crashes[crashesToKnow-1].Add(crashGrace)) {
+	crashing := sus[1] == cr.crashing
+	if crashing && len(cr.crashes) >= cr.known && cr.now.After(cr.crashes[cr.known-1].Add(crashGrace)) {
 		cr.late++
 	}
 	sentAt := cr.now
 	if crashing {
 		cr.after(headDelay+crashDelay, func() { cr.crash(re) })
-		cr.after(headDelay+crashDelay, func() { cr.brokeOff(id, parts, re, attempt) })
+		cr.after(headDelay+crashDelay, func() { cr.brokeOff(id, sus, re, attempt) })
 		return
 	}
 	cr.after(headDelay+answerLength, func() {
 		if !cr.crashedSince(re, sentAt) {
 			cr.served++
-			cr.proofs.Add(cr.now, parts)
+			cr.proofs.Add(cr.now, crashService, sus)
 			return
 		}
 		// The break is noticed at once, though only simulated here.
 		if at := cr.firstCrashAfter(re, sentAt).Sub(sentAt); at > headDelay && at < headDelay+crashDelay {
-			cr.report(id, parts, re)
+			cr.report(id, sus, re)
 		}
-		cr.send(id, parts, attempt+1)
+		cr.send(id, sus, attempt+1)
 	})
 }
 
@@ -132,27 +158,27 @@
 	}
 }
 
-func (cr *crashRun) brokeOff(id policy.PromptPartID, parts []policy.PromptPartID, re, attempt int) {
-	cr.report(id, parts, re)
-	cr.send(id, parts, attempt+1)
+func (cr *crashRun) brokeOff(id policy.PromptPartID, sus []policy.Subject, re, attempt int) {
+	cr.report(id, sus, re)
+	cr.send(id, sus, attempt+1)
 }
 
 // report adds the evidence of an answer that broke off soon after its head.
-func (cr *crashRun) report(id policy.PromptPartID, parts []policy.PromptPartID, re int) {
-	for _, part := range parts {
-		if !cr.quarantines || !cr.proofs.Contrast(cr.now) || cr.proofs.Proven(cr.now, part) {
+func (cr *crashRun) report(id policy.PromptPartID, sus []policy.Subject, re int) {
+	for _, su := range sus {
+		if !cr.quarantines || !cr.proofs.Contrast(cr.now, crashService) || cr.proofs.Proven(cr.now, su) {
 			continue
 		}
-		_, ok := cr.evidence.Add(cr.now, quarantine.Crash{Part: part, Endpoint: policy.EndpointID(fmt.Sprint("replica-", re)), Request: id})
-		if _, known := cr.refusedFrom[part]; ok && !known {
-			cr.refusedFrom[part] = cr.now.Add(recordDelay)
+		_, ok := cr.evidence.Add(cr.now, quarantine.Crash{Subject: su, Service: crashService, Endpoint: policy.EndpointID(fmt.Sprint("replica-", re)), Request: id})
+		if _, known := cr.refusedFrom[su]; ok && !known {
+			cr.refusedFrom[su] = cr.now.Add(recordDelay)
 		}
 	}
 }
 
-func (cr *crashRun) refused(parts []policy.PromptPartID) bool {
-	for _, part := range parts {
-		if from, ok := cr.refusedFrom[part]; ok && !cr.now.Before(from) {
+func (cr *crashRun) refused(sus []policy.Subject) bool {
+	for _, su := range sus {
+		if from, ok := cr.refusedFrom[su]; ok && !cr.now.Before(from) {
 			return true
 		}
 	}
@@ -180,19 +206,21 @@
 	return time.Time{}
 }
 
-// measureQuarantine measures how many requests with a crashing part reach replicas after
-// enough crashes, beside what becomes of the sound ones.
-func measureQuarantine(seed uint64) Row {
-	none, production := newCrashRun(seed, false), newCrashRun(seed, true)
+// measureQuarantine measures how many requests with a subject that crashes replicas reach
+// them after known crashes, beside what becomes of the sound ones. what names the subject.
+func measureQuarantine(seed uint64, what string, crashing policy.Subject, known int) Row {
+	none, production := newCrashRun(seed, crashing, known, false), newCrashRun(seed, crashing, known, true)
 	none.simulate()
 	production.simulate()
-	soundRefused := len(production.refusedFrom)
-	if _, ok := production.refusedFrom[crashingPart]; ok {
-		soundRefused--
+	soundRefused := 0
+	for su := range production.refusedFrom {
+		if !production.causes[su] {
+			soundRefused++
+		}
 	}
 	share := func(cr *crashRun) float64 { return float64(cr.served) / float64(cr.sound) }
 	return Row{
-		Measure:   "requests with a prompt part that crashes replicas, later than 3 s after the fifth crash; sound parts refused; sound requests served",
+		Measure:   fmt.Sprintf("%s that crashes replicas, sent later than 3 s after crash %d; sound subjects refused; sound requests served", what, known),
 		Baselines: fmt.Sprintf("none: %d, %.2f served, %d crashes", none.late, share(none), len(none.crashes)),
 		Figure:    fmt.Sprintf("%d; %d; %.2f, %d crashes", production.late, soundRefused, share(production), len(production.crashes)),
 		Target:    "<= 3; none; more than without",
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -26,7 +26,7 @@
 	}{
 		{"four crashes, three requests", []crash{{0, "a", "x"}, {later, "b", "x"}, {2 * later, "c", "y"}, {3 * later, "d", "z"}}, true},
 		{"one endpoint that starts again", []crash{{0, "a", "x"}, {later, "a", "y"}, {2 * later, "a", "z"}, {3 * later, "a", "w"}}, true},
-		{"one request sent again", []crash{{0, "a", "x"}, {later, "b", "x"}, {2 * later, "c", "x"}, {3 * later, "d", "x"}, {4 * later, "e", "x"}}, false},
+		{"one request sent again: not its parts", []crash{{0, "a", "x"}, {later, "b", "x"}, {2 * later, "c", "x"}, {3 * later, "d", "x"}, {4 * later, "e", "x"}}, false},
 		{"two requests", []crash{{0, "a", "x"}, {later, "b", "y"}, {2 * later, "c", "x"}, {3 * later, "d", "y"}}, false},
 		{"endpoints that crash together", []crash{{0, "a", "x"}, {1, "b", "y"}, {2, "c", "z"}, {3, "d", "w"}, {4, "e", "v"}}, false},
 		{"several reports of one crash", []crash{{0, "a", "x"}, {later / 5, "a", "y"}, {2 * later / 5, "a", "z"}, {3 * later / 5, "a", "w"}, {4 * later / 5, "a", "v"}}, false},
@@ -35,10 +35,37 @@
 		t.Run(te.name, func(t *testing.T) {
 			ev, start, got := quarantine.NewEvidence(), time.Now(), false
 			for _, cr := range te.crashes {
-				_, ok := ev.Add(start.Add(cr.at), quarantine.Crash{Part: "p", Endpoint: cr.endpoint, Request: cr.request})
+				_, ok := ev.Add(start.Add(cr.at), quarantine.Crash{Subject: policy.Subject{Part: "p"}, Endpoint: cr.endpoint, Request: cr.request})
 				got = got || ok
 			}
 			qt.Assert(t, got, qt.Equals, te.want)
 		})
 	}
 }
+
+// TestEvidenceCountsCrashesOfOneRequest asks when a request that comes again is barred itself.
+func TestEvidenceCountsCrashesOfOneRequest(t *testing.T) {
+	const later = time.Second
+	for _, te := range []struct {
+		name    string
+		crashes []crash
+		want    int
+	}{
+		{"three endpoints", []crash{{0, "a", "x"}, {later, "b", "x"}, {2 * later, "c", "x"}, {3 * later, "d", "x"}}, 3},
+		{"one endpoint that starts again", []crash{{0, "a", "x"}, {4 * later, "a", "x"}, {8 * later, "a", "x"}}, 3},
+		{"two endpoints", []crash{{0, "a", "x"}, {later, "b", "x"}}, 0},
+		{"endpoints that crash together", []crash{{0, "a", "x"}, {1, "b", "x"}, {2, "c", "x"}, {3, "d", "x"}}, 0},
+		{"several reports of one crash", []crash{{0, "a", "x"}, {later / 5, "a", "x"}, {2 * later / 5, "a", "x"}, {3 * later / 5, "a", "x"}}, 0},
+		{"crashes long ago", []crash{{0, "a", "x"}, {later, "b", "x"}, {time.Hour, "c", "x"}}, 0},
+	} {
+		t.Run(te.name, func(t *testing.T) {
+			ev, start, got := quarantine.NewEvidence(), time.Now(), 0
+			for n, cr := range te.crashes {
+				if _, ok := ev.Add(start.Add(cr.at), quarantine.Crash{Subject: policy.Subject{Request: "f"}, Endpoint: cr.endpoint, Request: cr.request}); ok && got == 0 {
+					got = n + 1
+				}
+			}
+			qt.Assert(t, got, qt.Equals, te.want)
+		})
+	}
+}
--- a/quarantine/probe.go
+++ b/quarantine/probe.go
@@ -12,8 +12,8 @@
 )
 
 // probeDelays are the times from the begin of a quarantine to its first probe, and from
-// each probe to the next. A probe is one request with the part that is let through: if the
-// part was blamed for another's crashes, its answer ends the quarantine. There are few, as
+// each probe to the next. A probe is one request with the subject that is let through: if
+// the subject was blamed for another's crashes, its answer ends the quarantine. There are few, as
 // each may crash one more endpoint.
 var probeDelays = []time.Duration{10 * time.Second, time.Minute}
 
@@ -25,17 +25,17 @@
 	probePause = 3 * time.Second
 )
 
-// Probe reports whether a request whose prompt has these parts is let through although
-// one of them is in quarantine. The caller must send it once at most. Of all routers one
+// Probe reports whether a request with these subjects is let through although one of them
+// is in quarantine. The caller must send it once at most. Of all routers one
 // gets the store's consent.
-func (li *List) Probe(ctx context.Context, now time.Time, parts []policy.PromptPartID) bool {
-	part, ok := li.onlyRefused(now, parts)
+func (li *List) Probe(ctx context.Context, now time.Time, sus []policy.Subject) bool {
+	su, ok := li.onlyRefused(now, sus)
 	if !ok {
 		return false
 	}
-	se, id := li.holder.Set(), policy.QuarantineIDOf(part)
+	se, id := li.holder.Set(), policy.QuarantineIDOf(su)
 	qu, known := se.Quarantines.ByID(id)
-	if !known || qu.ProbeAtMs == 0 || now.Before(time.UnixMilli(qu.ProbeAtMs)) || !li.tryProbe(now, part) {
+	if !known || qu.ProbeAtMs == 0 || now.Before(time.UnixMilli(qu.ProbeAtMs)) || !li.tryProbe(now, su) {
 		return false
 	}
 	_, revision, _ := se.Record(policy.KindQuarantine, string(id))
@@ -43,22 +43,22 @@
 	defer cancel()
 	applied, err := li.recorder.Replace(ctx, probed(now, qu.Quarantine), revision)
 	if err != nil {
-		li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
+		li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"subject": su})
 		return false
 	}
 	if applied {
-		li.log.Info(event.QuarantineProbed, event.Fields{"part": part, "probes": qu.Probes + 1})
+		li.log.Info(event.QuarantineProbed, event.Fields{"subject": su, "probes": qu.Probes + 1})
 	}
 	return applied
 }
 
-// onlyRefused returns the part that is refused, and false if there are none or several.
-func (li *List) onlyRefused(now time.Time, parts []policy.PromptPartID) (policy.PromptPartID, bool) {
-	var found policy.PromptPartID
+// onlyRefused returns the subject that is refused, and false if there are none or several.
+func (li *List) onlyRefused(now time.Time, sus []policy.Subject) (policy.Subject, bool) {
+	var found policy.Subject
 	count := 0
-	for _, part := range parts {
-		if _, ok := li.Refuses(now, []policy.PromptPartID{part}); ok {
-			found = part
+	for _, su := range sus {
+		if _, ok := li.Refuses(now, []policy.Subject{su}); ok {
+			found = su
 			count++
 		}
 	}
@@ -67,13 +67,13 @@
 
 // tryProbe reports whether this router may try now to let a request through, and notes
 // that it does.
-func (li *List) tryProbe(now time.Time, part policy.PromptPartID) bool {
+func (li *List) tryProbe(now time.Time, su policy.Subject) bool {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	if at, ok := li.triedProbeAt[part]; ok && now.Sub(at) < probePause {
+	if at, ok := li.triedProbeAt[su]; ok && now.Sub(at) < probePause {
 		return false
 	}
-	li.triedProbeAt[part] = now
+	li.triedProbeAt[su] = now
 	return true
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,14 +1,15 @@
-// Package quarantine bars the parts of prompts that crash endpoints. A router that sees
-// an answer break off soon after it has begun reports the parts of the prompt to the
-// routers that hold them. A part with enough crashes, and without an answer that went
-// well, is quarantined: a holder records that in the store, and every router refuses
-// requests with the part.
+// Package quarantine bars what crashes endpoints: parts of prompts, and requests that come
+// again unchanged. A router that sees an answer break off reports the subjects of the
+// request to the routers that hold them. A subject with enough crashes, and without an
+// answer that went well, is quarantined: a holder records that in the store, and every
+// router refuses requests with the subject.
 package quarantine
 
 import (
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,13 +22,13 @@
 )
 
 const (
-	// Duration is how long a part is quarantined. It is the longest time to live of a
+	// Duration is how long a subject is quarantined. It is the longest time to live of a
 	// lease of the store.
 	Duration = 10 * time.Minute
-	// maxQuarantined is the largest number of parts in quarantine. If more crash
-	// endpoints, the prompts are not the cause.
+	// maxQuarantined is the largest number of subjects of a kind in quarantine. If more
+	// crash endpoints, the requests are not the cause.
 	maxQuarantined = 16
-	// reportedTTL is how long a part is refused here because a holder said that it is
+	// reportedTTL is how long a subject is refused here because a holder said that it is
 	// quarantined. The record of the quarantine arrives in that time, unless the store
 	// is unavailable.
 	reportedTTL = 30 * time.Second
@@ -37,16 +38,16 @@
 
 // Recorder keeps quarantines where all routers learn of them.
 type Recorder interface {
-	// Record sets a quarantine, unless the part has one.
+	// Record sets a quarantine, unless its subject has one.
 	Record(ctx context.Context, qu *rpc.Quarantine) error
 	// Replace replaces a quarantine that was last changed at a revision. It returns false
 	// if it has been changed since.
 	Replace(ctx context.Context, qu *rpc.Quarantine, revision store.Revision) (bool, error)
-	// Remove ends the quarantine of a part.
-	Remove(ctx context.Context, part policy.PromptPartID) error
+	// Remove ends the quarantine of a subject.
+	Remove(ctx context.Context, su policy.Subject) error
 }
 
-// List holds the prompt parts that are in quarantine, and what this router knows of
+// List holds the subjects that are in quarantine, and what this router knows of
 // others. It is safe for concurrent use.
 //
 // mu guards evidence, refused and triedProbeAt. The locks of proofs and of the holder are
@@ -60,18 +61,18 @@
 	reports  chan Crash
 	// recordAgainAt is when a quarantine that a restored store has lost is recorded again.
 	// Only the goroutine of record uses it.
-	recordAgainAt map[policy.PromptPartID]time.Time
+	recordAgainAt map[policy.Subject]time.Time
 
 	mu       sync.Mutex
 	evidence *Evidence
-	// refused holds the parts that are refused here although the policy may not show
+	// refused holds the subjects that are refused here although the policy may not show
 	// their quarantine yet.
-	refused map[policy.PromptPartID]refusal
+	refused map[policy.Subject]refusal
 	// triedProbeAt is when this router last tried to let a request through as a probe.
-	triedProbeAt map[policy.PromptPartID]time.Time
+	triedProbeAt map[policy.Subject]time.Time
 }
 
-// refusal says that a part is refused until a time. pending is the quarantine that this
+// refusal says that a subject is refused until a time. pending is the quarantine that this
 // router still has to record, nil if there is none.
 type refusal struct {
 	until   time.Time
@@ -82,79 +83,90 @@
 func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, lo *event.Log) *List {
 	return &List{
 		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), reports: make(chan Crash, maxReports),
-		recordAgainAt: map[policy.PromptPartID]time.Time{},
-		evidence:      NewEvidence(), refused: map[policy.PromptPartID]refusal{},
-		triedProbeAt: map[policy.PromptPartID]time.Time{},
+		recordAgainAt: map[policy.Subject]time.Time{},
+		evidence:      NewEvidence(), refused: map[policy.Subject]refusal{},
+		triedProbeAt: map[policy.Subject]time.Time{},
 	}
 }
 
-// Refuses reports whether a request with these prompt parts is refused, and when its
-// caller should try again.
-func (li *List) Refuses(now time.Time, parts []policy.PromptPartID) (retryAt time.Time, refused bool) {
-	for _, part := range parts {
-		at, ok := li.quarantined(now, part)
-		if ok && at.After(retryAt) && !li.proofs.Proven(now, part) {
-			retryAt, refused = at, true
+// Refusal says which subject of a request is refused, and when its caller should try again.
+type Refusal struct {
+	Subject policy.Subject
+	RetryAt time.Time
+}
+
+// Refuses reports whether a request with these subjects is refused.
+func (li *List) Refuses(now time.Time, sus []policy.Subject) (re Refusal, refused bool) {
+	for _, su := range sus {
+		at, ok := li.quarantined(now, su)
+		if ok && at.After(re.RetryAt) && !li.proofs.Proven(now, su) {
+			re, refused = Refusal{Subject: su, RetryAt: at}, true
 		}
 	}
-	return retryAt, refused
+	return re, refused
 }
 
-// quarantined reports whether a part is in quarantine, and when callers should try again.
-func (li *List) quarantined(now time.Time, part policy.PromptPartID) (retryAt time.Time, ok bool) {
-	if qu, ok := li.holder.Set().QuarantineOf(part); ok {
+// quarantined reports whether a subject is in quarantine, and when callers should try
+// again.
+func (li *List) quarantined(now time.Time, su policy.Subject) (retryAt time.Time, ok bool) {
+	if qu, ok := li.holder.Set().QuarantineOf(su); ok {
 		return qu.RetryAt(now), true
 	}
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	re, ok := li.refused[part]
+	re, ok := li.refused[su]
 	return re.until, ok && now.Before(re.until)
 }
 
-// Proven records that an answer to a prompt with these parts went well.
-func (li *List) Proven(now time.Time, parts []policy.PromptPartID) {
-	li.proofs.Add(now, parts)
+// Proven records that an answer of a service to a request with these subjects went well.
+func (li *List) Proven(now time.Time, id policy.ServiceID, sus []policy.Subject) {
+	li.proofs.Add(now, id, sus)
 }
 
-// Crashed records that an answer broke off soon after it had begun. request is the last
-// part of the prompt, parts are the others.
-func (li *List) Crashed(now time.Time, en policy.EndpointID, request policy.PromptPartID, parts []policy.PromptPartID) {
-	contrast := li.proofs.Contrast(now)
-	for _, part := range parts {
-		if li.proofs.Proven(now, part) {
+// Crashed records that an endpoint of a service broke off its answer to a request with these
+// subjects. request is the last part of its prompt, if it has one.
+func (li *List) Crashed(now time.Time, id policy.ServiceID, en policy.EndpointID, request policy.PromptPartID, sus []policy.Subject) {
+	contrast := li.proofs.Contrast(now, id)
+	for _, su := range sus {
+		if li.proofs.Proven(now, su) {
 			continue
 		}
 		select {
-		case li.reports <- Crash{Part: part, Endpoint: en, Request: request, Contrast: contrast}:
+		case li.reports <- Crash{Subject: su, Service: id, Endpoint: en, Request: request, Contrast: contrast}:
 		default:
-			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"part": part, "endpoint": en})
+			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"subject": su, "endpoint": en})
 		}
 	}
 }
 
-// ReportCrashes implements peer.Crashes for parts that this router holds. It does not
-// count a crash if answers went well neither here nor at the router that reports it.
+// ReportCrashes implements peer.Crashes for subjects that this router holds. It does not
+// count a crash if answers of the service went well neither here nor at the router that
+// reports it.
 func (li *List) ReportCrashes(_ context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error) {
 	now, rs := time.Now(), &rpc.ReportCrashesResponse{}
-	for _, cr := range rq.GetCrashes() {
-		part := policy.PromptPartID(cr.GetPart())
-		if li.proofs.Proven(now, part) {
+	for _, ms := range rq.GetCrashes() {
+		cr := crashOf(ms)
+		if li.proofs.Proven(now, cr.Subject) {
 			continue
 		}
-		contrast := cr.GetOthersWentWell() || li.proofs.Contrast(now)
-		if _, ok := li.quarantined(now, part); !ok && contrast {
-			li.addEvidence(now, Crash{
-				Part: part, Endpoint: policy.EndpointID(cr.GetEndpoint()), Request: policy.PromptPartID(cr.GetRequest()), Contrast: contrast,
-			})
+		cr.Contrast = cr.Contrast || li.proofs.Contrast(now, cr.Service)
+		if _, ok := li.quarantined(now, cr.Subject); !ok && cr.Contrast {
+			li.addEvidence(now, cr)
+		}
+		if _, ok := li.quarantined(now, cr.Subject); !ok {
+			continue
 		}
-		if _, ok := li.quarantined(now, part); ok {
-			rs.Quarantined = append(rs.Quarantined, cr.GetPart())
+		if cr.Subject.Request != "" {
+			rs.Fingerprints = append(rs.Fingerprints, string(cr.Subject.Request))
+		} else {
+			rs.Quarantined = append(rs.Quarantined, string(cr.Subject.Part))
 		}
 	}
 	return rs, nil
 }
 
-// addEvidence adds a crash, and quarantines its part if it has crashed enough endpoints.
+// addEvidence adds a crash, and quarantines its subject if that has crashed enough
+// endpoints.
 func (li *List) addEvidence(now time.Time, cr Crash) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -162,43 +174,49 @@
 	if !ok {
 		return
 	}
-	fi := event.Fields{"part": cr.Part, "crashes": ve.Crashes, "requests": ve.Requests, "endpoint": cr.Endpoint}
-	if li.holder.Set().Quarantines.Len()+li.pending() >= maxQuarantined {
+	fi := event.Fields{"subject": cr.Subject, "crashes": ve.Crashes, "requests": ve.Requests, "endpoint": cr.Endpoint}
+	if li.countLike(cr.Subject) >= maxQuarantined {
 		li.log.Warn(event.QuarantineLimited, nil, fi)
 		return
 	}
 	until := now.Add(Duration)
-	li.refused[cr.Part] = refusal{until: until, pending: &rpc.Quarantine{
-		Part: string(cr.Part), UntilMs: until.UnixMilli(), Crashes: ve.Crashes, Requests: ve.Requests,
+	li.refused[cr.Subject] = refusal{until: until, pending: &rpc.Quarantine{
+		Part: string(cr.Subject.Part), Fingerprint: string(cr.Subject.Request), UntilMs: until.UnixMilli(), Crashes: ve.Crashes, Requests: ve.Requests,
 		ProbeAtMs: now.Add(probeDelays[0]).UnixMilli(),
 	}}
 	li.log.Warn(event.PartQuarantined, nil, fi)
 }
 
-// Parts returns the prompt parts that are refused here, sorted.
-func (li *List) Parts(now time.Time) []policy.PromptPartID {
-	out := map[policy.PromptPartID]bool{}
+// Subjects returns what is refused here, prompt parts first, each kind sorted.
+func (li *List) Subjects(now time.Time) []policy.Subject {
+	out := map[policy.Subject]bool{}
 	for _, qu := range li.holder.Set().Quarantines.List() {
-		out[policy.PromptPartID(qu.Part)] = true
+		out[qu.Subject()] = true
 	}
 	li.mu.Lock()
-	for part := range li.refused {
-		out[part] = true
+	for su := range li.refused {
+		out[su] = true
 	}
 	li.mu.Unlock()
-	maps.DeleteFunc(out, func(part policy.PromptPartID, _ bool) bool {
-		_, ok := li.Refuses(now, []policy.PromptPartID{part})
+	maps.DeleteFunc(out, func(su policy.Subject, _ bool) bool {
+		_, ok := li.Refuses(now, []policy.Subject{su})
 		return !ok
 	})
-	return slices.Sorted(maps.Keys(out))
+	return slices.SortedFunc(maps.Keys(out), func(a, b policy.Subject) int { return strings.Compare(a.String(), b.String()) })
 }
 
-// pending returns the number of quarantines that this router still has to record. The
-// caller holds mu.
-func (li *List) pending() int {
+// countLike returns the number of quarantines of subjects of the same kind, those included
+// that this router still has to record. The caller holds mu.
+func (li *List) countLike(su policy.Subject) int {
+	like := func(other policy.Subject) bool { return (other.Request == "") == (su.Request == "") }
 	n := 0
-	for _, re := range li.refused {
-		if re.pending != nil {
+	for _, qu := range li.holder.Set().Quarantines.List() {
+		if like(qu.Subject()) {
+			n++
+		}
+	}
+	for other, re := range li.refused {
+		if re.pending != nil && like(other) {
 			n++
 		}
 	}
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// holdersPerPart is the number of routers that count the crashes of a part. Each
+	// holdersPerSubject is the number of routers that count the crashes of a subject. Each
 	// counts all of them, so that some have most when routers come and go.
-	holdersPerPart = 5
+	holdersPerSubject = 5
 	// reportDelay is how long a report waits for others: a crash breaks several answers.
 	reportDelay = 20 * time.Millisecond
 	// reportTimeout is the time limit of a call to a holder.
@@ -29,8 +29,8 @@
 	recordAgainDelay   = 2 * time.Second
 )
 
-// Run reports crashes to the holders of their parts, records quarantines, and ends those
-// of parts that this router knows to be harmless, until ctx is done.
+// Run reports crashes to the holders of their subjects, records quarantines, and ends those
+// of subjects that this router knows to be harmless, until ctx is done.
 func (li *List) Run(ctx context.Context) {
 	gr := worker.NewGroup()
 	defer gr.Close()
@@ -58,17 +58,15 @@
 	}
 }
 
-// report sends crashes to the holders of their parts, all at once.
+// report sends crashes to the holders of their subjects, all at once.
 func (li *List) report(ctx context.Context, crs []Crash) {
 	daemons, byHolder := li.group.Holders(), map[peer.Holder]*rpc.ReportCrashesRequest{}
 	for _, cr := range crs {
-		for _, ho := range peer.SelectHolders(daemons, string(cr.Part), holdersPerPart) {
+		for _, ho := range peer.SelectHolders(daemons, cr.Subject.String(), holdersPerSubject) {
 			if byHolder[ho] == nil {
 				byHolder[ho] = &rpc.ReportCrashesRequest{}
 			}
-			byHolder[ho].Crashes = append(byHolder[ho].Crashes, &rpc.Crash{
-				Part: string(cr.Part), Endpoint: string(cr.Endpoint), Request: string(cr.Request), OthersWentWell: cr.Contrast,
-			})
+			byHolder[ho].Crashes = append(byHolder[ho].Crashes, cr.message())
 		}
 	}
 	gr := worker.NewGroup()
@@ -78,7 +76,7 @@
 	gr.Wait()
 }
 
-// reportTo sends crashes to one holder, and refuses the parts that it has quarantined.
+// reportTo sends crashes to one holder, and refuses the subjects that it has quarantined.
 func (li *List) reportTo(ctx context.Context, ho peer.Holder, rq *rpc.ReportCrashesRequest) {
 	if ho.Address == "" {
 		_, _ = li.ReportCrashes(ctx, rq) // never fails
@@ -91,60 +89,67 @@
 		li.log.WarnLimited(event.CrashNotReported, err, event.Fields{"holder": ho.VM, "crashes": len(rq.GetCrashes())})
 		return
 	}
+	for _, text := range rs.GetQuarantined() {
+		li.refuseReported(policy.Subject{Part: policy.PromptPartID(text)})
+	}
+	for _, text := range rs.GetFingerprints() {
+		li.refuseReported(policy.Subject{Request: policy.Fingerprint(text)})
+	}
+}
+
+// refuseReported refuses a subject that a holder has quarantined.
+func (li *List) refuseReported(su policy.Subject) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	for _, text := range rs.GetQuarantined() {
-		part := policy.PromptPartID(text)
-		if _, ok := li.refused[part]; !ok {
-			li.refused[part] = refusal{until: time.Now().Add(reportedTTL)}
-		}
+	if _, ok := li.refused[su]; !ok {
+		li.refused[su] = refusal{until: time.Now().Add(reportedTTL)}
 	}
 }
 
 // record records the quarantines that are pending, forgets refusals that the policy
-// replaces, and ends the quarantines of parts that are proven.
+// replaces, and ends the quarantines of subjects that are proven.
 func (li *List) record(ctx context.Context) {
 	now, se := time.Now(), li.holder.Set()
-	for part, qu := range li.updateRefused(now, se) {
+	for su, qu := range li.updateRefused(now, se) {
 		if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Record(ctx, qu) }); err != nil {
-			li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
+			li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"subject": su})
 			continue
 		}
-		li.setRecorded(part)
+		li.setRecorded(su)
 	}
 	for _, qu := range se.Quarantines.List() {
-		part := policy.PromptPartID(qu.Part)
+		su := qu.Subject()
 		if se.Retains(policy.KindQuarantine, string(qu.ID)) {
 			li.recordAgain(ctx, now, qu)
 			continue
 		}
-		delete(li.recordAgainAt, part)
-		if !li.proofs.Proven(now, part) {
+		delete(li.recordAgainAt, su)
+		if !li.proofs.Proven(now, su) {
 			continue
 		}
-		if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Remove(ctx, part) }); err != nil {
-			li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
+		if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Remove(ctx, su) }); err != nil {
+			li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"subject": su})
 			continue
 		}
-		li.log.Info(event.QuarantineEnded, event.Fields{"part": part})
+		li.log.Info(event.QuarantineEnded, event.Fields{"subject": su})
 	}
 }
 
 // recordAgain records a quarantine that a restored store has lost. A few routers do so at
 // once, the others if it is still lost later.
 func (li *List) recordAgain(ctx context.Context, now time.Time, qu policy.Quarantine) {
-	part := policy.PromptPartID(qu.Part)
-	at, known := li.recordAgainAt[part]
+	su := qu.Subject()
+	at, known := li.recordAgainAt[su]
 	if !known && !li.group.Preferred(string(qu.ID), preferredRecorders) {
 		at, known = now.Add(recordAgainDelay), true
-		li.recordAgainAt[part] = at
+		li.recordAgainAt[su] = at
 	}
 	if known && now.Before(at) {
 		return
 	}
-	li.recordAgainAt[part] = now.Add(recordAgainDelay)
+	li.recordAgainAt[su] = now.Add(recordAgainDelay)
 	if err := li.call(ctx, func(ctx context.Context) error { return li.recorder.Record(ctx, qu.Quarantine) }); err != nil {
-		li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"part": part})
+		li.log.WarnLimited(event.StoreUnreachable, err, event.Fields{"subject": su})
 	}
 }
 
@@ -156,30 +161,30 @@
 
 // updateRefused drops the refusals that have ended, or that the policy replaces, and
 // returns the quarantines that are still to be recorded.
-func (li *List) updateRefused(now time.Time, se *policy.Set) map[policy.PromptPartID]*rpc.Quarantine {
+func (li *List) updateRefused(now time.Time, se *policy.Set) map[policy.Subject]*rpc.Quarantine {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	out := map[policy.PromptPartID]*rpc.Quarantine{}
-	for part, re := range li.refused {
-		_, inPolicy := se.QuarantineOf(part)
+	out := map[policy.Subject]*rpc.Quarantine{}
+	for su, re := range li.refused {
+		_, inPolicy := se.QuarantineOf(su)
 		switch {
 		case inPolicy || !now.Before(re.until):
-			delete(li.refused, part)
-			delete(li.triedProbeAt, part)
+			delete(li.refused, su)
+			delete(li.triedProbeAt, su)
 		case re.pending != nil:
-			out[part] = re.pending
+			out[su] = re.pending
 		}
 	}
 	return out
 }
 
-// setRecorded notes that a quarantine has been recorded. The part stays refused here
+// setRecorded notes that a quarantine has been recorded. The subject stays refused here
 // until the policy shows it.
-func (li *List) setRecorded(part policy.PromptPartID) {
+func (li *List) setRecorded(su policy.Subject) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	if re, ok := li.refused[part]; ok {
-		li.refused[part] = refusal{until: minTime(re.until, time.Now().Add(reportedTTL))}
+	if re, ok := li.refused[su]; ok {
+		li.refused[su] = refusal{until: minTime(re.until, time.Now().Add(reportedTTL))}
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -36,10 +36,10 @@
 	// it, and is empty if the stream has no events.
 	stream     *eventReader
 	firstEvent streamEvent
-	// provedPrompt reports whether the answer has shown that its prompt does not crash
+	// provedRequest reports whether the answer has shown that its request does not crash
 	// endpoints.
-	provedPrompt bool
-	source       *endpoint.ForwardAnswer
+	provedRequest bool
+	source        *endpoint.ForwardAnswer
 }
 
 // receive checks the head of the answer, then reads a stream's first event or a
@@ -103,7 +103,7 @@
 		return nil, &failure{err: errFailureStatus, answer: an, callerError: callerError}
 	}
 	an.recordStart()
-	an.provePrompt()
+	an.proveRequest()
 	an.finish(placement.Succeeded)
 	return an, nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -145,6 +145,7 @@
 		Repeatable: ca.route.Repeatable(), HeaderDeadline: at.headDeadline(), IdleTimeout: at.idleTimeout(),
 	})
 	if err != nil {
+		at.brokeBeforeHead(err)
 		fa := failureOf(err)
 		if fa.notRun {
 			// Nothing was sent, so this does not count towards the route's maximum.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -12,73 +12,115 @@
 	"tanagerpoint.example/tanager/quarantine"
 )
 
-var errQuarantined = eris.New("a part of the prompt is in quarantine")
+var errQuarantined = eris.New("a part of the prompt, or the request, is in quarantine")
 
-// quarantined returns the failure of a call whose prompt has a part in quarantine, nil if
-// it has none.
+// subjects returns what the call may be refused for, and what it may be blamed for if an
+// endpoint crashes under it.
+func (ca *call) subjects() []policy.Subject {
+	return append(ca.partSubjects(), policy.Subject{Request: ca.fingerprint})
+}
+
+// partSubjects returns the parts of the prompt that other requests may share.
+func (ca *call) partSubjects() []policy.Subject {
+	var out []policy.Subject
+	for _, part := range ca.request.sharedParts() {
+		out = append(out, policy.Subject{Part: part})
+	}
+	return out
+}
+
+// quarantined returns the failure of a call of which a subject is in quarantine, nil if none
+// is.
 func (ro *Router) quarantined(ca *call) *failure {
-	retryAt, ok := ro.barred.Refuses(time.Now(), ca.request.sharedParts())
+	re, ok := ro.barred.Refuses(time.Now(), ca.subjects())
 	if !ok {
 		return nil
 	}
-	return &failure{err: errQuarantined, notRun: true, quarantined: true, retryAt: retryAt}
+	reason := ReasonQuarantined
+	if re.Subject.Request != "" {
+		reason = ReasonRequestQuarantined
+	}
+	return &failure{err: errQuarantined, notRun: true, quarantined: true, refusal: reason, retryAt: re.RetryAt}
 }
 
-// probe reports whether a call that is refused for its prompt is sent all the same, once,
-// as a probe of the quarantine.
+// probe reports whether a call that is refused is sent all the same, once, as a probe of the
+// quarantine.
 func (ro *Router) probe(ctx context.Context, ca *call) bool {
 	if ca.sends > 0 || ca.probing {
 		return false
 	}
-	ca.probing = ro.barred.Probe(ctx, time.Now(), ca.request.sharedParts())
+	ca.probing = ro.barred.Probe(ctx, time.Now(), ca.subjects())
 	return ca.probing
 }
 
-// provePrompt records, once, that the parts of the answer's prompt do not crash endpoints.
-func (an *answer) provePrompt() {
-	if !an.provedPrompt {
-		an.provedPrompt = true
-		an.router.barred.Proven(time.Now(), an.call.request.sharedParts())
+// proveRequest records, once, that the answer's request does not crash endpoints.
+func (an *answer) proveRequest() {
+	if !an.provedRequest {
+		an.provedRequest = true
+		an.router.barred.Proven(time.Now(), an.call.service.ID, an.call.subjects())
 	}
 }
 
 // noteEvent notes that the stream goes on.
 func (an *answer) noteEvent() {
 	if time.Since(an.beganAt) >= quarantine.ProvenAfter {
-		an.provePrompt()
+		an.proveRequest()
 	}
 }
 
 // noteEnd notes that the stream is complete. One without events shows nothing.
 func (an *answer) noteEnd() {
 	if len(an.firstEvent.text) > 0 {
-		an.provePrompt()
+		an.proveRequest()
 	}
 }
 
 // suspectAfterEvent is how long after its head an answer that has sent events may break
-// off and still be blamed on its prompt. Such answers run beside the one that crashes the
-// endpoint far more often than answers without events.
+// off and still be blamed on its prompt's parts. Such answers run beside the one that
+// crashes the endpoint far more often than answers without events.
 const suspectAfterEvent = 100 * time.Millisecond
 
-// brokeOff records that reading the answer failed with err. The prompt can be the cause
+// brokeOff records that reading the answer failed with err. The request can be the cause
 // only if the endpoint broke the connection, shortly after the answer began; it is not if
 // the caller left or the time was up.
 func (an *answer) brokeOff(err error) {
-	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || an.source.ReadFailure(err).Cause != endpoint.CauseBroken {
+	now := time.Now()
+	if !isCrash(an.source.ReadFailure(err), err) || now.Sub(an.beganAt) >= quarantine.ProvenAfter {
 		return
 	}
-	now, rq := time.Now(), an.call.request
-	limit := quarantine.ProvenAfter
-	if len(an.firstEvent.text) > 0 {
-		limit = suspectAfterEvent
-	}
-	if len(rq.Prompt) == 0 || now.Sub(an.beganAt) >= limit {
+	if len(an.firstEvent.text) > 0 && now.Sub(an.beganAt) >= suspectAfterEvent {
+		an.blame(now, policy.Subject{Request: an.call.fingerprint})
 		return
 	}
-	an.router.barred.Crashed(now, an.endpoint.ID, rq.lastPart(), rq.sharedParts())
+	an.blame(now, an.call.subjects()...)
+}
+
+// brokeBeforeHead records that an attempt failed before the head of an answer arrived. The
+// parts of a prompt crash endpoints only after it.
+func (at *attempt) brokeBeforeHead(err error) {
+	var fa *endpoint.Failure
+	if errors.As(err, &fa) && fa.Sent && isCrash(fa, err) {
+		at.blame(time.Now(), policy.Subject{Request: at.call.fingerprint})
+	}
+}
+
+// isCrash reports whether a failure is that of an endpoint that broke the connection, and
+// not of a caller that left or of a deadline.
+func isCrash(fa *endpoint.Failure, err error) bool {
+	return fa.Cause == endpoint.CauseBroken && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+}
+
+// blame reports a crash of the attempt's endpoint under these subjects of the call.
+func (at *attempt) blame(now time.Time, sus ...policy.Subject) {
+	ca := at.call
+	at.router.barred.Crashed(now, ca.service.ID, at.endpoint.ID, ca.request.lastPart(), sus)
 }
 
 // lastPart returns the ID of the prompt's last part, which belongs to the request or to
-// its session.
-func (rq *Request) lastPart() policy.PromptPartID { return rq.Prompt[len(rq.Prompt)-1].ID }
+// its session, "" if the request has no prompt.
+func (rq *Request) lastPart() policy.PromptPartID {
+	if len(rq.Prompt) == 0 {
+		return ""
+	}
+	return rq.Prompt[len(rq.Prompt)-1].ID
+}
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -26,6 +26,7 @@
 	ReasonAnswerBroken         Reason = "answer_broken"
 	ReasonTimeout              Reason = "timeout"
 	ReasonQuarantined          Reason = "prompt_part_quarantined"
+	ReasonRequestQuarantined   Reason = "request_quarantined"
 )
 
 // Refusal is an answer made by the router itself. It ends a request.
--- a/relay/run.go
+++ b/relay/run.go
@@ -103,7 +103,7 @@
 		ro.writeEndpointFailure(wr, last.answer)
 		return nil
 	case !ca.mayHaveRun && last.quarantined:
-		return refuseNotRun(ReasonQuarantined, last.retryAt)
+		return refuseNotRun(last.refusal, last.retryAt)
 	case !ca.mayHaveRun && last.noEndpoint:
 		return refuseNotRun(ReasonEndpointsBusy, ro.retryAt(now, ca))
 	case !ca.mayHaveRun:
@@ -163,9 +163,10 @@
 	begun bool
 	// noEndpoint reports whether there was no endpoint to send to.
 	noEndpoint bool
-	// quarantined reports whether a part of the prompt is in quarantine, retryAt when the
-	// caller should then try again.
+	// quarantined reports whether a part of the prompt or the request is in quarantine,
+	// refusal which of them, and retryAt when the caller should then try again.
 	quarantined bool
+	refusal     Reason
 	retryAt     time.Time
 	// callerError reports whether the request itself is at fault, so that every
 	// endpoint would give the same answer.
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -276,7 +276,7 @@
 		running := worker.NewGroup()
 		running.Go(func(context.Context) { do(rs, request{id: "running", path: testsite.EngineRoute, header: prompt}) })
 		time.Sleep(200 * time.Millisecond)
-		rs.Store.Write("tanager/quarantine/"+string(policy.QuarantineIDOf("second")),
+		rs.Store.Write("tanager/quarantine/"+string(policy.QuarantineIDOf(policy.Subject{Part: "second"})),
 			fmt.Appendf(nil, `{"part":"second","until_ms":"%d"}`, time.Now().Add(time.Minute).UnixMilli()))
 		time.Sleep(500 * time.Millisecond)
 		an := do(rs, request{router: 2, id: "refused", path: testsite.EngineRoute, header: prompt})
@@ -285,7 +285,7 @@
 		rs.Eventually(3*time.Second, "the quarantine has ended", func() bool {
 			return do(rs, request{router: 2, id: "served", path: testsite.EngineRoute, header: prompt}).status == http.StatusOK
 		})
-		qt.Assert(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf("second"))), qt.IsNil)
+		qt.Assert(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf(policy.Subject{Part: "second"}))), qt.IsNil)
 	})
 }
 
@@ -310,7 +310,7 @@
 		time.Sleep(10 * time.Second)
 		stop()
 		qt.Check(t, runsWithPartAfter(rs, told) <= maxAfterFifthCrash, qt.IsTrue)
-		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf(crashingPart))), qt.Not(qt.IsNil))
+		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf(policy.Subject{Part: crashingPart}))), qt.Not(qt.IsNil))
 	})
 }
 
@@ -365,7 +365,7 @@
 	const routers = 8
 	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 4, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
 		now := time.Now()
-		rs.Store.Write("tanager/quarantine/"+string(policy.QuarantineIDOf("new")), fmt.Appendf(nil, `{"part":"new","until_ms":"%d","probe_at_ms":"%d"}`,
+		rs.Store.Write("tanager/quarantine/"+string(policy.QuarantineIDOf(policy.Subject{Part: "new"})), fmt.Appendf(nil, `{"part":"new","until_ms":"%d","probe_at_ms":"%d"}`,
 			now.Add(10*time.Minute).UnixMilli(), now.Add(5*time.Second).UnixMilli()))
 		time.Sleep(time.Second)
 		load := &promptLoad{site: rs, routers: routers, callers: 16, pause: 500 * time.Millisecond}
@@ -377,7 +377,7 @@
 		time.Sleep(3 * time.Second)
 		stop()
 		qt.Check(t, load.share(from, time.Now()), qt.Equals, 1.0)
-		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf("new"))), qt.IsNil)
+		qt.Check(t, rs.Store.Value("tanager/quarantine/"+string(policy.QuarantineIDOf(policy.Subject{Part: "new"}))), qt.IsNil)
 	})
 }
 
--- a/router/crashing_request_test.go
+++ b/router/crashing_request_test.go
@@ -33,7 +33,9 @@
 		defer wg.Close()
 		for n := 0; worker.Sleep(ctx, every); n++ {
 			to := 1 + rng.IntN(routers)
-			wg.Go(func(context.Context) { do(rs, request{router: to, id: fmt.Sprint("again", n), path: target, body: "same"}) })
+			wg.Go(func(context.Context) {
+				do(rs, request{router: to, id: fmt.Sprint("again", n), path: target, body: "same"})
+			})
 		}
 	})
 	return gr.Close
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -49,7 +49,7 @@
 }
 
 // Remove implements quarantine.Recorder.
-func (qr quarantineRecorder) Remove(ctx context.Context, part policy.PromptPartID) error {
-	_, err := qr.store.Apply(ctx, qr.layout.QuarantineEnd(part))
+func (qr quarantineRecorder) Remove(ctx context.Context, su policy.Subject) error {
+	_, err := qr.store.Apply(ctx, qr.layout.QuarantineEnd(su))
 	return eris.Wrap(err, "quarantineRecorder.Remove")
 }
--- a/router/restore_test.go
+++ b/router/restore_test.go
@@ -288,7 +288,7 @@
 		load := &promptLoad{site: rs, routers: routers, callers: 10, pause: 100 * time.Millisecond, crashEvery: 300 * time.Millisecond}
 		co := rs.Store.Copy()
 		defer load.start()()
-		key := "tanager/quarantine/" + string(policy.QuarantineIDOf(crashingPart))
+		key := "tanager/quarantine/" + string(policy.QuarantineIDOf(policy.Subject{Part: crashingPart}))
 		rs.Eventually(20*time.Second, "the part is quarantined", func() bool { return rs.Store.Value(key) != nil })
 		time.Sleep(2 * time.Second)
 		before := len(crashTimes(rs))
--- a/router/router.go
+++ b/router/router.go
@@ -72,7 +72,7 @@
 	peers    *peer.Group
 	registry *peer.Registry
 	pins     *session.Pins
-	// barred holds the prompt parts in quarantine.
+	// barred holds the prompt parts and the requests in quarantine.
 	barred *quarantine.List
 	client *endpoint.Client
 	relay  *relay.Router
@@ -267,17 +267,27 @@
 	Members        []peer.Member    `json:"members"`
 	Tasks          []lease.Hold     `json:"tasks"`
 	Relay          relay.State      `json:"relay"`
-	// Quarantined holds the prompt parts that this router refuses.
-	Quarantined []policy.PromptPartID `json:"quarantined"`
+	// Quarantined holds the prompt parts, and QuarantinedRequests the fingerprints of the
+	// requests, that this router refuses.
+	Quarantined         []policy.PromptPartID `json:"quarantined"`
+	QuarantinedRequests []policy.Fingerprint  `json:"quarantined_requests"`
 }
 
 // Dump returns the router's state as a State.
 func (da *Daemon) Dump() any {
-	return State{
+	st := State{
 		VM: da.peers.VM(), Incarnation: da.peers.Incarnation(), PolicyRevision: da.holder.Set().Revision,
 		StoreAnswered: da.watcher.LastAnswer(), Ready: da.relay.Ready(), InFlight: da.relay.InFlight(),
-		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(), Quarantined: da.barred.Parts(time.Now()),
+		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(),
 	}
+	for _, su := range da.barred.Subjects(time.Now()) {
+		if su.Request != "" {
+			st.QuarantinedRequests = append(st.QuarantinedRequests, su.Request)
+		} else {
+			st.Quarantined = append(st.Quarantined, su.Part)
+		}
+	}
+	return st
 }
 
 func (da *Daemon) addGauges() error {
