Restore the store from copies in the routers' soak

The soak takes copies of the store and brings it back from the last one, away for 0.2 to 2.2 s; operators and replicas write again up to 1.5 s later.

--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -63,7 +63,9 @@
 	// actions counts the restarts and pauses of routers that are under way.
 	actions sync.WaitGroup
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// storeCopy is the copy from which the store is restored.
+	storeCopy  standin.StoreCopy
 	version    int
 	requests   int
 	complete   int
@@ -139,6 +141,7 @@
 		rs.replica("desk", n, standin.ReplicaOptions{Delay: 5 * time.Millisecond})
 	}
 	rs.configure("key-0")
+	rs.copyStore()
 	for n := range soakRouters {
 		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+10*n+k) }
 		file := fmt.Sprintf("%s/router-%d.ini", rs.dir, n)
@@ -231,6 +234,8 @@
 		{"store loses responses", func() { rs.store.SetFaults(standin.Faults{LoseAnswers: 3}) }},
 		{"store recovered", func() { rs.store.SetFaults(standin.Faults{}) }},
 		{"store compacted", rs.store.Compact},
+		{"store copied", rs.copyStore},
+		{"store restored", rs.restoreStore},
 		// Listed twice, so that these faults come twice as often as each of the others.
 		{"replicas", rs.setReplicaFaults},
 		{"replicas", rs.setReplicaFaults},
@@ -243,6 +248,30 @@
 	fa.run()
 }
 
+// copyStore takes the copy of the store from which restoreStore restores it.
+func (rs *routerSite) copyStore() {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	rs.storeCopy = rs.store.Copy()
+}
+
+// restoreStore takes the store down and brings it back from its last copy, in the background.
+// The operator and the replicas write again what they wrote since.
+func (rs *routerSite) restoreStore() {
+	rs.mu.Lock()
+	co := rs.storeCopy
+	rs.mu.Unlock()
+	away, again := time.Duration(200+rs.rng.IntN(2000))*time.Millisecond, time.Duration(rs.rng.IntN(1500))*time.Millisecond
+	rs.actions.Go(func() {
+		rs.store.SetFaults(standin.Faults{Down: true})
+		time.Sleep(away)
+		rs.store.Restore(co)
+		rs.store.SetFaults(standin.Faults{})
+		time.Sleep(again)
+		rs.store.WriteAgain()
+	})
+}
+
 // setReplicaFaults sets a random fault, or none, for about a third of the replicas.
 func (rs *routerSite) setReplicaFaults() {
 	kinds := []standin.ReplicaFaults{{}, {}, {Status: 500}, {NotRun: true}, {CutAfter: 3}, {Silent: true}, {OtherRequestID: "other"}, {Truncated: true}, {Limit: "3"}, {EndsWithConnection: true}, {CutAtHead: true}}
