Send a request that crashes replicas again and again in the routers' soak

One in twelve safe requests of the soak's callers is for a target that crashes each replica which runs it; after the faults it may reach them three times.

--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -32,12 +32,14 @@
 	firstPort = 9100
 	routeHost = "soak.example"
 	// crashPart is a prompt part that crashes replicas. One in crashEvery streaming
-	// requests of a caller has it. A replica that crashed is away for crashedFor.
-	crashPart  = "bad"
-	crashEvery = 12
-	crashedFor = 1500 * time.Millisecond
-	// maxCrashing is how many requests with the part may reach replicas in the calm time
-	// after the faults (rule BUDGET of the users' platform).
+	// requests of a caller has it. One in crashEvery safe requests is for crashTarget, which
+	// crashes replicas too. A replica that crashed is away for crashedFor.
+	crashPart   = "bad"
+	crashTarget = "/p/bad"
+	crashEvery  = 12
+	crashedFor  = 1500 * time.Millisecond
+	// maxCrashing is how many requests with the part, and how many for the target, may reach
+	// replicas in the calm time after the faults (rule BUDGET of the users' platform).
 	maxCrashing = 3
 	// namedLimit is the limit, in requests a second, that one replica names after the
 	// faults. From contactLimit on it may get limitFactor times as much, and limitSlack
@@ -103,7 +105,7 @@
 	}
 	rs.endFaults()
 	limited := rs.replicas["i-scribes-0"]
-	limited.SetFaults(standin.ReplicaFaults{CrashPart: crashPart, Limit: fmt.Sprint(namedLimit)})
+	limited.SetFaults(standin.ReplicaFaults{CrashPart: crashPart, CrashTarget: crashTarget, Limit: fmt.Sprint(namedLimit)})
 	time.Sleep(contactLimit)
 	rs.mu.Lock()
 	before := rs.complete
@@ -177,7 +179,7 @@
 		})
 	}
 	re = standin.NewReplica(opt)
-	re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart})
+	re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart, CrashTarget: crashTarget})
 	rs.replicas[opt.ID] = re
 	address := rs.serve(re.Handler())
 	px = rs.proxies[len(rs.proxies)-1]
@@ -278,7 +280,7 @@
 	for _, re := range rs.replicas {
 		if rs.rng.IntN(3) == 0 {
 			fa := kinds[rs.rng.IntN(len(kinds))]
-			fa.CrashPart = crashPart
+			fa.CrashPart, fa.CrashTarget = crashPart, crashTarget
 			re.SetFaults(fa)
 		}
 	}
@@ -340,7 +342,7 @@
 func (rs *routerSite) endFaults() {
 	rs.store.SetFaults(standin.Faults{})
 	for _, re := range rs.replicas {
-		re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart})
+		re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart, CrashTarget: crashTarget})
 	}
 	for _, px := range rs.proxies {
 		px.setLink(false, 0)
@@ -350,21 +352,25 @@
 	time.Sleep(5 * time.Second)
 }
 
-// checkCrashing checks how many requests with the part that crashes replicas have
-// reached replicas since a time.
+// checkCrashing checks how many requests with the part that crashes replicas, and how many
+// for the target that does, have reached replicas since a time.
 func (rs *routerSite) checkCrashing(since time.Time) {
-	reached, crashes := 0, 0
+	reached, repeated, crashes := 0, 0, 0
 	for _, re := range rs.replicas {
 		crashes += len(re.Crashes())
 		for _, ru := range re.Runs() {
 			if ru.SharesPart(crashPart) && ru.At.After(since) {
 				reached++
 			}
+			if ru.Target == crashTarget && ru.At.After(since) {
+				repeated++
+			}
 		}
 	}
-	rs.t.Logf("%d crashes under one prompt part; %d requests with it reached replicas after the faults", crashes, reached)
+	rs.t.Logf("%d crashes under one prompt part and one request; %d and %d times it reached replicas after the faults", crashes, reached, repeated)
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
+	rs.check(repeated <= maxCrashing, "a request that had crashed replicas reached replicas %d times after the faults, %d are allowed", repeated, maxCrashing)
 	rs.check(reached <= maxCrashing, "%d requests with a prompt part that had crashed replicas %d times reached replicas after the faults, %d are allowed", reached, crashes, maxCrashing)
 }
 
@@ -429,6 +435,9 @@
 	for k := 0; ctx.Err() == nil; k++ {
 		id, n := fmt.Sprintf("c%d-%d", caller, k), (caller+k)%soakRouters
 		path := []string{"/s/x", "/u/x", "/p/x"}[k%3]
+		if path == "/p/x" && k/3%crashEvery == crashEvery-1 {
+			path = crashTarget
+		}
 		sentAt := time.Now()
 		status, body, err := rs.send(ctx, n, path, id, "own", promptOf(path, id, k))
 		rs.mu.Lock()
