--- a/router/restore_test.go
+++ b/router/restore_test.go
@@ -170,6 +170,9 @@
 		rs.Unregister(testsite.PlainService, 2, "v1")
 		time.Sleep(applyLimit)
 		before := []int{runs(1), runs(2)}
+		// What is known of their leaving outlives a restore that does not touch it.
+		rs.RestoreStore(rs.Store.Copy(), 200*time.Millisecond)
+		time.Sleep(applyLimit)
 		rs.RestoreStore(co, time.Second)
 		load("restored", applyLimit)
 		rs.Store.WriteAgain()
