Fence a task by a key that only its holder creates

The holder now creates a second key, with its own name, with the task's, under the same lease, and fences by that. One more pair in the write that takes a task.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,5 +1,5 @@
 // Package lease assigns each task to one daemon at a time by leases in the
-// store. A task's fencing token is the revision at which its key was created. The
+// store. A task's fencing token is the revision at which its keys were created. The
 // changes that a task makes are conditional on the token, so that a holder that
 // was paused until after its lease expired changes nothing. The protocol is
 // modelled in spec/lease.pml.
@@ -30,13 +30,17 @@
 	// ExpiresAt is the time by this process's clock until which the lease lasts
 	// for certain.
 	ExpiresAt time.Time
-	key       store.Key
+	// key is the task's key, which excludes other daemons. ownKey is created and ends with
+	// it, but only this daemon creates it.
+	key    store.Key
+	ownKey store.Key
 }
 
-// Fence returns the condition of configuration changes under this hold: the
-// task's key must still have the token as its revision.
+// Fence returns the condition of configuration changes under this hold: the hold's own key
+// must still have the token as its revision. After a restore of the store the task's key
+// may have it in the hands of another daemon.
 func (ho Hold) Fence() *configuration.Fence {
-	return &configuration.Fence{Key: ho.key, Token: ho.Token}
+	return &configuration.Fence{Key: ho.ownKey, Token: ho.Token}
 }
 
 // Manager acquires and releases the tasks of a daemon, all under one lease of
@@ -133,12 +137,13 @@
 		return false, eris.Wrap(err, "Manager.Acquire")
 	}
 	key := ma.prefix + store.Key(ta)
+	ownKey := key + "/" + store.Key(ma.owner)
 	// The value names the lease as well, so that a key under an earlier lease of
 	// this daemon does not count as held.
 	value := fmt.Sprintf("%s/%d", ma.owner, id)
 	co := store.Commit{
 		Compares: []store.Compare{{Key: key}},
-		Puts:     []store.Put{{Key: key, Value: []byte(value), Lease: id}},
+		Puts:     []store.Put{{Key: key, Value: []byte(value), Lease: id}, {Key: ownKey, Value: []byte(value), Lease: id}},
 	}
 	ou, err := store.ApplyResolved(ctx, ma.store, co, func(found []store.KeyValue) bool {
 		return len(found) == 1 && string(found[0].Value) == value
@@ -160,7 +165,7 @@
 		// The lease was dropped during the write, and the key ends with it.
 		return false, nil
 	}
-	ma.holds[ta] = Hold{Task: ta, Token: token, Since: time.Now(), key: key}
+	ma.holds[ta] = Hold{Task: ta, Token: token, Since: time.Now(), key: key, ownKey: ownKey}
 	ma.log.Info(event.LeaseTaken, event.Fields{"task": ta, "fencing_token": token})
 	return true, nil
 }
@@ -197,8 +202,8 @@
 		return nil
 	}
 	_, err := ma.store.Apply(ctx, store.Commit{
-		Compares: []store.Compare{{Key: ho.key, ModRevision: ho.Token}},
-		Deletes:  []store.Key{ho.key},
+		Compares: []store.Compare{{Key: ho.key, ModRevision: ho.Token}, {Key: ho.ownKey, ModRevision: ho.Token}},
+		Deletes:  []store.Key{ho.key, ho.ownKey},
 	})
 	return eris.Wrap(err, "Manager.Release")
 }
