Write a lost roll-out again more seldom in large groups

Read in the code: what a restored store has lost of a roll-out that is never ordered again was tried every 30 s by each of 420 routers, some 40 writes a second. The longest pause now grows with the group, as the exchange's does.

--- a/router/rollout.go
+++ b/router/rollout.go
@@ -25,7 +25,8 @@
 	// action before it looks at the store again.
 	repeatDelay = 3 * time.Second
 	// minRewriteDelay and maxRewriteDelay are the shortest and the longest time between
-	// two attempts to write again what a restored store has lost.
+	// two attempts to write again what a restored store has lost; the longest is that of a
+	// small group.
 	minRewriteDelay = 500 * time.Millisecond
 	maxRewriteDelay = 30 * time.Second
 )
@@ -76,7 +77,7 @@
 	if !da.lostByStore(ro) {
 		return repeatDelay
 	}
-	return min(max(now.Sub(da.dueSince[ro.ID]), minRewriteDelay), maxRewriteDelay)
+	return min(max(now.Sub(da.dueSince[ro.ID]), minRewriteDelay), da.peers.ScaleInterval(maxRewriteDelay))
 }
 
 // doneAction is an action of a roll-out whose result the store has.
