Remember removed endpoints over a complete read

Read in the code, then shown by a test that failed before: a complete read in mid-era, as after lost history, dropped the tombstones of endpoints, so that an older copy of the store brought a replica back that had left (DRAIN).

--- a/policy/restore.go
+++ b/policy/restore.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -145,6 +146,43 @@
 	}
 }
 
+// maxRemoved is the number of removed endpoints that a complete read keeps in memory.
+const maxRemoved = 1000
+
+// rememberRemoved keeps, as tombstones, the newest of those endpoints of an earlier set that
+// this one lacks after a complete read. An older copy of the store may bring them back.
+func (se *Set) rememberRemoved(earlier *Set) {
+	var removed []parsedRecord
+	for key, pr := range earlier.byKey {
+		if _, ok := se.byKey[key]; !ok && pr.kind() == KindEndpoint {
+			removed = append(removed, pr)
+		}
+	}
+	slices.SortFunc(removed, func(a, b parsedRecord) int {
+		return cmp.Compare(b.stored.ModRevision, a.stored.ModRevision)
+	})
+	for _, pr := range removed[:min(len(removed), maxRemoved)] {
+		if to, ok := pr.tombstone(se.Revision); ok {
+			se.byKey[string(to.stored.Key)] = to
+		}
+	}
+}
+
+// tombstone returns the tombstone of a record that is gone at a revision, or the record
+// itself if it is one.
+func (pr parsedRecord) tombstone(revision store.Revision) (parsedRecord, bool) {
+	if pr.deleted() {
+		return pr, true
+	}
+	re, err := NewTombstone(pr.kind(), pr.record.GetId())
+	if err != nil {
+		return parsedRecord{}, false
+	}
+	to := parseStored(StoredRecord{Key: re.Key(), Value: re.JSON, ModRevision: revision})
+	to.written = pr.written
+	return to, true
+}
+
 func (pr parsedRecord) kind() Kind {
 	if pr.record.Record == nil {
 		return ""
--- a/policy/restore_test.go
+++ b/policy/restore_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// TestRemovalIsRememberedOverACompleteRead removes a replica, reads everything anew in mid-era,
+// as after lost history, and restores the store from a copy that has the replica.
+func TestRemovalIsRememberedOverACompleteRead(t *testing.T) {
+	registered := func(writes int64, revision store.Revision) []policy.StoredRecord {
+		return []policy.StoredRecord{written(t, policy.KindEndpoint, "e", replica(1, false), writes, revision)}
+	}
+	for _, seen := range []bool{true, false} {
+		se := policy.NewSet().WithSnapshot(at(t, 1, 10), registered(5, at(t, 1, 10)))
+		if seen {
+			se = se.WithChanges(at(t, 1, 11), []policy.StoredRecord{written(t, policy.KindEndpoint, "e", nil, 0, at(t, 1, 11))})
+		}
+		se = se.WithSnapshot(at(t, 1, 20), nil)
+		_, ok := se.WithSnapshot(at(t, 2, 10), registered(5, at(t, 2, 10))).Endpoints.ByID("e")
+		qt.Assert(t, ok, qt.IsFalse, qt.Commentf("removal seen: %v", seen))
+		_, ok = se.WithSnapshot(at(t, 1, 21), registered(6, at(t, 1, 21))).Endpoints.ByID("e")
+		qt.Assert(t, ok, qt.IsTrue)
+	}
+}
+
 // TestQuarantineIsRetained restores the store from a copy without a quarantine, or with one
 // that has ended since.
 func TestQuarantineIsRetained(t *testing.T) {
--- a/policy/set.go
+++ b/policy/set.go
@@ -16,7 +16,7 @@
 	Revision store.Revision
 	// SnapshotRevision is the revision of the last complete read, 0 if there was
 	// none. Records removed after it are kept as tombstones; those removed before
-	// it are not in the set at all. A peer whose policy is older than it must
+	// it are in the set only as far as rememberRemoved keeps them. A peer whose policy is older than it must
 	// therefore be sent all records: ChangedAfter of the peer's revision would lack
 	// removals.
 	SnapshotRevision store.Revision
@@ -122,6 +122,7 @@
 		}
 	}
 	next.retain(se.earlierThan(revision.Era()))
+	next.rememberRemoved(se)
 	next.buildIndexes()
 	return next
 }
