--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -11,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -161,10 +162,12 @@
 	response *http.Response
 	cancel   context.CancelFunc
 	timer    *time.Timer
-	// silent is set if timer has cancelled the request.
-	silent *atomic.Bool
+	// silent is set if timer has cancelled the request, closed by close.
+	silent, closed atomic.Bool
 	// idleTimeout is the longest time without a byte of the body, after the first.
 	idleTimeout time.Duration
+	// giveUp is as in ForwardCall.
+	giveUp func() bool
 }
 
 // open sends a request and blocks until it has the answer's header. A timer cancels
@@ -172,12 +175,14 @@
 // after wait; each Read that returns data then restarts the timer with the
 // connection's idleTimeout. The connection must be closed.
 func (cl *Client) open(ctx context.Context, hc *http.Client, rq *http.Request, wait time.Duration) (*connection, *Failure) {
+	return cl.openConnection(ctx, &connection{idleTimeout: cl.idleTimeout}, hc, rq, wait)
+}
+
+// openConnection is open for a connection whose idleTimeout and giveUp are set.
+func (cl *Client) openConnection(ctx context.Context, co *connection, hc *http.Client, rq *http.Request, wait time.Duration) (*connection, *Failure) {
 	ctx, cancel := context.WithCancel(ctx)
-	co := &connection{cancel: cancel, silent: &atomic.Bool{}, idleTimeout: cl.idleTimeout}
-	co.timer = time.AfterFunc(wait, func() {
-		co.silent.Store(true)
-		cancel()
-	})
+	co.cancel = cancel
+	co.startTimer(wait)
 	var sent atomic.Bool
 	tc := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	//nolint:bodyclose // connection.close closes it
@@ -197,6 +202,27 @@
 	return co, nil
 }
 
+// startTimer makes expired run after a time.
+func (co *connection) startTimer(wait time.Duration) {
+	// The timer is set only when the field is, as expired uses it.
+	co.timer = time.AfterFunc(math.MaxInt64, co.expired)
+	co.timer.Reset(wait)
+}
+
+// expired ends the request, as nothing was received for too long, unless giveUp objects.
+// It is then asked again after idleTimeout.
+func (co *connection) expired() {
+	if co.closed.Load() {
+		return
+	}
+	if co.giveUp != nil && !co.giveUp() {
+		co.timer.Reset(co.idleTimeout)
+		return
+	}
+	co.silent.Store(true)
+	co.cancel()
+}
+
 // Read reads from the answer's body. Each read that returns data restarts the timer
 // with idleTimeout.
 func (co *connection) Read(buf []byte) (int, error) {
@@ -209,6 +235,7 @@
 
 // close cancels the request, if it is still in progress, and closes the body.
 func (co *connection) close() {
+	co.closed.Store(true)
 	co.timer.Stop()
 	co.cancel()
 	if co.response != nil {
--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -29,6 +29,10 @@
 	// IdleTimeout is the longest time without a byte of the answer's body, counted
 	// from its header on.
 	IdleTimeout time.Duration
+	// GiveUp is asked when HeaderDeadline or IdleTimeout has passed, and each IdleTimeout
+	// after that. As long as it returns false, the call goes on. It is called from a
+	// goroutine of its own. If it is nil, the call is given up.
+	GiveUp func() bool
 }
 
 // ForwardAnswer is an answer whose body has not been read yet. It is not safe for
@@ -56,11 +60,11 @@
 	if ca.Repeatable {
 		hc = cl.pooled
 	}
-	co, fa := cl.open(ctx, hc, rq, time.Until(ca.HeaderDeadline))
+	co := &connection{idleTimeout: ca.IdleTimeout, giveUp: ca.GiveUp}
+	co, fa := cl.openConnection(ctx, co, hc, rq, time.Until(ca.HeaderDeadline))
 	if fa != nil {
 		return nil, fa
 	}
-	co.idleTimeout = ca.IdleTimeout
 	co.timer.Reset(ca.IdleTimeout)
 	rs := co.response
 	return &ForwardAnswer{
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,6 +52,14 @@
 	sentAt    time.Time
 	// finished reports whether the result has been recorded.
 	finished bool
+	// mayMove reports whether the request may be sent once more, so that the attempt may
+	// be given up when its endpoint is silent; failedBefore holds the endpoints at which
+	// earlier attempts failed.
+	mayMove      bool
+	failedBefore []policy.EndpointID
+	// retryTaken reports whether the retry after this attempt has its place in the
+	// budget already.
+	retryTaken atomic.Bool
 }
 
 // attempt sends a request to one endpoint. It blocks until the answer is complete
@@ -67,6 +77,7 @@
 	if fa == nil {
 		return an, nil
 	}
+	fa.retryTaken = at.retryTaken.Load()
 	ca.failedEndpoints = append(ca.failedEndpoints, at.endpoint.ID)
 	ca.mayHaveRun = ca.mayHaveRun || !fa.notRun
 	at.fail(ctx, fa)
@@ -95,7 +106,10 @@
 		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, noEndpoint: true}
 	}
 	ro.releases.recordSend(now, ca, pl.Endpoint, se.reason)
-	return &attempt{router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, sentAt: now}, nil
+	return &attempt{
+		router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, sentAt: now,
+		failedBefore: slices.Clone(ca.failedEndpoints),
+	}, nil
 }
 
 // place chooses one of the endpoints for a call's job, and counts the request against the
@@ -132,6 +146,7 @@
 		Deadline: ca.deadline, LastEventID: after, Urgency: ca.urgency,
 	}, time.Now())
 	ca.sends++
+	at.mayMove = ca.route.Repeatable() && !ca.probing && ca.sends < ca.route.MaxAttempts
 	rate, _ := ro.limits.Rate(at.endpoint.ID)
 	ro.log.InfoLimited(event.RequestSent, event.Fields{
 		"limit_per_second": rate,
@@ -142,7 +157,7 @@
 	})
 	source, err := ro.client.Forward(ctx, endpoint.ForwardCall{
 		URL: at.endpoint.Url, Method: rq.Method, Target: rq.Target, Host: rq.Host, Header: he, Body: rq.Body,
-		Repeatable: ca.route.Repeatable(), HeaderDeadline: at.headDeadline(), IdleTimeout: at.idleTimeout(),
+		Repeatable: ca.route.Repeatable(), HeaderDeadline: at.headDeadline(), IdleTimeout: at.idleTimeout(), GiveUp: at.giveUp,
 	})
 	if err != nil {
 		at.brokeBeforeHead(err)
@@ -167,7 +182,7 @@
 // and could still be in time.
 func (at *attempt) headDeadline() time.Time {
 	ca := at.call
-	if !ca.route.Repeatable() || ca.sends >= ca.route.MaxAttempts {
+	if !at.mayMove {
 		return ca.deadline
 	}
 	factor := bufferedWaitFactor
@@ -181,6 +196,32 @@
 	return deadline
 }
 
+// giveUp reports whether an attempt whose endpoint is silent gives way to another one. It
+// does so only if there is another endpoint, and room for the retry in the budget, which it
+// takes: otherwise the answer would be lost that the endpoint may still give.
+func (at *attempt) giveUp() bool {
+	ro, now := at.router, time.Now()
+	if !at.mayMove || !ro.hasAlternative(now, at) || !ro.budgets.take(now, at.call.service.ID, failureShare) {
+		return false
+	}
+	at.retryTaken.Store(true)
+	return true
+}
+
+// hasAlternative reports whether an endpoint other than the attempt's, and than those that
+// failed before, may get a request.
+func (ro *Router) hasAlternative(now time.Time, at *attempt) bool {
+	for _, en := range ro.fleet.forService(now, at.call.service.ID) {
+		if en.ID == at.endpoint.ID || slices.Contains(at.failedBefore, en.ID) {
+			continue
+		}
+		if ro.balancer.Healthy(en.ID) && ro.limits.Allows(now, en.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // estimatedWait returns the estimated time until the endpoint's answer begins.
 func (at *attempt) estimatedWait() time.Duration {
 	return time.Duration(float64(at.placement.Estimate) * float64(time.Second))
--- a/relay/run.go
+++ b/relay/run.go
@@ -82,7 +82,7 @@
 	if ca.probing || ro.quarantined(ca) != nil {
 		return false
 	}
-	if !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
+	if !fa.retryTaken && !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
 		ro.log.WarnLimited(event.RetryBudgetSpent, nil, event.Fields{"request": ca.request.ID})
 		return false
 	}
@@ -173,6 +173,8 @@
 	callerError bool
 	// answer is the endpoint's failure answer, nil if there is none.
 	answer *answer
+	// retryTaken reports whether the retry has its place in the budget already.
+	retryTaken bool
 }
 
 func failureOf(err error) *failure {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -164,10 +164,12 @@
 	an.finish(placement.Failed)
 	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
 	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
-	for worker.Sleep(ctx, resumePause) && ca.route.Resumable && ro.mayRetry(ctx, ca, &failure{err: cause}) {
-		next, fa := ro.attempt(ctx, ca, sr.lastEventID)
+	fa := &failure{err: cause, retryTaken: an.retryTaken.Load()}
+	for worker.Sleep(ctx, resumePause) && ca.route.Resumable && ro.mayRetry(ctx, ca, fa) {
+		var next *answer
+		next, fa = ro.attempt(ctx, ca, sr.lastEventID)
 		if fa == nil && next.stream != nil {
-			ro.log.InfoLimited(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "cause": cause.Error()})
+			ro.log.InfoLimited(event.StreamResumed, event.Fields{"request": ca.request.ID, "from": an.endpoint.ID, "to": next.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "error": cause.Error(), "cause": string(an.source.ReadFailure(cause).Cause)})
 			return next
 		}
 		if fa == nil {
@@ -179,6 +181,6 @@
 			return nil
 		}
 	}
-	ro.log.WarnLimited(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends})
+	ro.log.WarnLimited(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends, "cause": string(an.source.ReadFailure(cause).Cause)})
 	return nil
 }
