Believe a refusal only with the request's id, an event only with its own

Reported by other operators: a replica writes an earlier refusal once more, and callers are told "not run" for what ran, or it runs at a second replica; the error of the next replica, or its whole head, stands in the middle of a stream; a head that is cut short becomes a success.

Here, shown by tests against replicas that write their answers byte by byte: - A refusal (Not-Executed, 421) without the request's id was believed: an unsafe request ran at both replicas. Those of another request's id never were. Now an id is needed, as replicas echo it in all responses; without it the outcome is unknown (502). - In a stream that can be resumed, text of another answer was passed on as an event without an id, also a whole head with its status line. Now such an event breaks the run off; comment lines are still passed on. Errors, redirects, refusals and other bodies never got in. - A head that stops after any of its bytes was never taken for an answer, on safe, unsafe and streaming routes, framed in each of the three ways. The test stays. - A second answer behind a whole one is dropped with its connection.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -50,6 +50,9 @@
 	case an.head.Request != "" && an.head.Request != ca.request.ID:
 		an.source.Close()
 		return nil, &failure{err: errWrongRequest}
+	case an.head.NotRun && an.head.Request == "":
+		an.source.Close()
+		return nil, &failure{err: errNoRequestID}
 	case an.head.NotRun:
 		an.source.Close()
 		return nil, &failure{err: errNotRun, notRun: true}
@@ -72,7 +75,7 @@
 }
 
 func (an *answer) readFirstEvent() (*answer, *failure) {
-	an.stream = newEventReader(an.source)
+	an.stream = newEventReader(an.source, an.call.route.Resumable)
 	ev, err := an.stream.next()
 	if errors.Is(err, io.EOF) && an.source.EndsWithConnection {
 		// The end of the connection does not tell a stream without events from one that
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,6 +36,7 @@
 
 var (
 	errWrongRequest    = eris.New("answer belongs to another request")
+	errNoRequestID     = eris.New("refusal without the request's id, so that it may be another request's")
 	errUnsigned        = eris.New("answer is not signed by the service")
 	errContentEncoding = eris.New("answer has a content encoding that was not requested")
 	errNotRun          = eris.New("endpoint did not run the request")
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -30,7 +30,10 @@
 	resumePause = 40 * time.Millisecond
 )
 
-var errTruncatedEvent = eris.New("stream ended within an event")
+var (
+	errTruncatedEvent  = eris.New("stream ended within an event")
+	errUnnumberedEvent = eris.New("event has no id, although the stream can be resumed")
+)
 
 // streamEvent is one event with its text as received.
 type streamEvent struct {
@@ -41,14 +44,17 @@
 // eventReader splits a stream into complete events.
 type eventReader struct {
 	rd *bufio.Reader
+	// numbered reports whether every event must have an id.
+	numbered bool
 }
 
-func newEventReader(rd io.Reader) *eventReader {
-	return &eventReader{rd: bufio.NewReaderSize(rd, readBufferSize)}
+func newEventReader(rd io.Reader, numbered bool) *eventReader {
+	return &eventReader{rd: bufio.NewReaderSize(rd, readBufferSize), numbered: numbered}
 }
 
-// next returns the next event. It returns io.EOF after the last one, and
-// errTruncatedEvent if the stream ends within an event.
+// next returns the next event. It returns io.EOF after the last one,
+// errTruncatedEvent if the stream ends within an event, and errUnnumberedEvent if an event
+// lacks its id: it may be text of another answer.
 func (er *eventReader) next() (streamEvent, error) {
 	var ev streamEvent
 	for {
@@ -73,10 +79,26 @@
 				ev.id = EventID(id)
 			}
 		}
-		if len(line) == 0 && len(bytes.TrimSpace(ev.text)) > 0 {
-			return ev, nil
+		if len(line) > 0 || len(bytes.TrimSpace(ev.text)) == 0 {
+			continue
+		}
+		if er.numbered && ev.id == 0 && !isComment(ev.text) {
+			return streamEvent{}, errUnnumberedEvent
+		}
+		return ev, nil
+	}
+}
+
+// isComment reports whether a text consists of comment lines only, which endpoints send to
+// keep a connection open.
+func isComment(text []byte) bool {
+	for line := range bytes.Lines(text) {
+		line = bytes.TrimSpace(line)
+		if len(line) > 0 && line[0] != ':' {
+			return false
 		}
 	}
+	return true
 }
 
 // streamRelay forwards a stream to the caller.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -148,6 +148,7 @@
 	re.mu.Unlock()
 	he := wr.Header()
 	he.Set("Instance-Id", re.opt.ID)
+	he.Set("Attempt-Id", rq.Header.Get("Attempt-Id"))
 	if want := rq.Header.Get("Expect-Instance"); want != "" && want != re.opt.ID {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -193,7 +194,6 @@
 
 func (re *Replica) respond(wr http.ResponseWriter, rq *http.Request, ru *ReplicaRun, fa ReplicaFaults) {
 	he := wr.Header()
-	he.Set("Attempt-Id", ru.Request)
 	if fa.Limit != "" {
 		he.Set("Server-Limit", fa.Limit)
 	}
