Heed that an endpoint leaves, or asks for a pause, in one decision

No line of code knew either: routers went on sending until the store's word, and tried a pausing endpoint again whenever the others were loaded.

- That an endpoint leaves has one source, the fleet: the store, an answer, or a peer that had such an answer.
It holds for one run of the endpoint (ID and start), so that an ID that is used again is new.
All choices ask it: new, retried, resumed, pinned, on trial, probes.
- A pause begins at once and ends as asked or up to a tenth (1 s) later, at random; of several the latest end holds.
Fractions and dates are read; zero, negative and malformed values ask for nothing; 10 minutes are the most.
- Whether an endpoint may be sent to now is one decision with its reason and the soonest time (relay/availability.go): leaving, paused, suspended, limited, full.
It takes the place of rules in attempt.go, limit.go and the balancer.
A refusal's Retry-After is the soonest of the service's endpoints, put off by up to a quarter at random. 408 counts the reasons, the dump names them by endpoint; events 423 and 424.

--- a/event/event.go
+++ b/event/event.go
@@ -67,6 +67,8 @@
 	LimitNamed           Number = 420
 	LimitEnded           Number = 421
 	QuarantineProbed     Number = 422
+	EndpointLeaving      Number = 423
+	EndpointPaused       Number = 424
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -135,6 +137,8 @@
 	LimitNamed:           "endpoint named a limit of its requests",
 	LimitEnded:           "endpoint names no limit any more",
 	QuarantineProbed:     "request let through to see whether its subject still crashes endpoints",
+	EndpointLeaving:      "endpoint said in an answer that it leaves; it gets no new requests",
+	EndpointPaused:       "endpoint asked for a pause; it gets no requests from this router until its end",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -144,12 +144,12 @@
 // It reports false when none may be used. Otherwise the caller must call
 // AnswerStarted when the answer begins, and Done when the job ends. tried lists
 // the endpoints that already failed this request; usable reports whether the
-// caller allows an endpoint with the given requests in flight.
-func (ba *Balancer) Choose(now time.Time, ens []policy.Endpoint, jo Job, tried []policy.EndpointID, usable func(en policy.Endpoint, ru Running) bool) (Assignment, bool) {
+// caller allows an endpoint in the given condition.
+func (ba *Balancer) Choose(now time.Time, ens []policy.Endpoint, jo Job, tried []policy.EndpointID, usable func(en policy.Endpoint, cn Condition) bool) (Assignment, bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	ens = slices.DeleteFunc(slices.Clone(ens), func(en policy.Endpoint) bool {
-		return slices.Contains(tried, en.ID) || !usable(en, ba.running(now, en.ID)) || !ba.state(en.ID).allows(now)
+		return slices.Contains(tried, en.ID) || !usable(en, ba.condition(now, en.ID))
 	})
 	if len(ens) == 0 {
 		return Assignment{}, false
@@ -301,28 +301,31 @@
 	return out
 }
 
-// Running is the number of requests in flight at an endpoint.
-type Running struct {
-	// Own counts this router's requests, All those of every router. While there are
-	// no valid reports of the other routers, All is equal to Own.
+// Condition is what is known of an endpoint before a choice.
+type Condition struct {
+	// Own counts this router's requests in flight, All those of every router. While there
+	// are no valid reports of the other routers, All is equal to Own.
 	Own, All int
+	// Suspended reports whether the endpoint gets no request after failures, and
+	// SuspendedUntil until when at least.
+	Suspended      bool
+	SuspendedUntil time.Time
 }
 
-// running returns the requests in flight at an endpoint.
-func (ba *Balancer) running(now time.Time, id policy.EndpointID) Running {
+// Condition returns the condition of an endpoint.
+func (ba *Balancer) Condition(now time.Time, id policy.EndpointID) Condition {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return ba.condition(now, id)
+}
+
+func (ba *Balancer) condition(now time.Time, id policy.EndpointID) Condition {
 	es := ba.state(id)
-	ru := Running{Own: es.own.Running, All: es.own.Running}
+	cn := Condition{Own: es.own.Running, All: es.own.Running, Suspended: !es.allows(now), SuspendedUntil: es.SuspendedUntil}
 	if now.Before(ba.peersUntil) {
-		ru.All += es.peers.Running
+		cn.All += es.peers.Running
 	}
-	return ru
-}
-
-// Healthy reports whether an endpoint is not suspended.
-func (ba *Balancer) Healthy(id policy.EndpointID) bool {
-	ba.mu.Lock()
-	defer ba.mu.Unlock()
-	return ba.state(id).healthy()
+	return cn
 }
 
 // Prune removes the state of endpoints that are not known any more and have no
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -22,7 +22,7 @@
 	return out
 }
 
-func anyEndpoint(policy.Endpoint, placement.Running) bool { return true }
+func anyEndpoint(policy.Endpoint, placement.Condition) bool { return true }
 
 // TestLongPromptsWithSharedPrefixAreSpread sends many long prompts with one
 // prefix at the same time. They must not all queue at the endpoint that has the
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// EndpointRun identifies one run of an endpoint: after a restart the endpoint may have the
+// same ID. StartedAtMs is 0 if the start is not known.
+type EndpointRun struct {
+	ID          EndpointID
+	StartedAtMs int64
+}
+
+// Run returns the endpoint's run.
+func (en Endpoint) Run() EndpointRun { return EndpointRun{ID: en.ID, StartedAtMs: en.StartedAtMs} }
+
 // Serves reports whether the endpoint's record lists a version among those that
 // the endpoint should serve. The engine may not have loaded it yet.
 func (en Endpoint) Serves(id VersionID) bool {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,10 +94,7 @@
 	work, cached := ro.latencies.estimate(key, rq.promptTokens(), rq.prefixTokens())
 	jo := placement.Job{Prefix: rq.prefix(ca.modelID()), Work: work, CacheSaving: cached}
 	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, se.endpoints)
-	routers := int(ro.routers.Load())
-	usable := func(en policy.Endpoint, ru placement.Running) bool {
-		return ro.fleet.hasCapacity(ca, en, ru, routers) && ro.limits.Allows(now, en.ID)
-	}
+	usable := func(en policy.Endpoint, cn placement.Condition) bool { return ro.availableTo(now, ca, en, cn).ok() }
 	pl, ok := ro.place(now, ca, jo, se.endpoints, usable)
 	if !ok {
 		se.reason = reasonNoCapacity
@@ -115,7 +112,7 @@
 
 // place chooses one of the endpoints for a call's job, and counts the request against the
 // endpoint's limit. Requests that are placed at the same time may have used up the limit.
-func (ro *Router) place(now time.Time, ca *call, jo placement.Job, ens []policy.Endpoint, usable func(policy.Endpoint, placement.Running) bool) (placement.Assignment, bool) {
+func (ro *Router) place(now time.Time, ca *call, jo placement.Job, ens []policy.Endpoint, usable func(policy.Endpoint, placement.Condition) bool) (placement.Assignment, bool) {
 	for {
 		pl, ok := ro.balancer.Choose(now, ens, jo, ca.failedEndpoints, usable)
 		if !ok || ro.limits.Take(now, pl.Endpoint.ID) {
@@ -170,11 +167,8 @@
 		return nil, fa
 	}
 	an := &answer{attempt: at, beganAt: time.Now(), status: source.Status, header: source.Header, source: source}
-	an.head = ro.options().Dialect.Head(source.Status, source.Header)
-	an.noteLimit()
-	if an.head.HasLoad {
-		ro.balancer.RecordLoad(time.Now(), at.endpoint.ID, an.head.Running+an.head.Waiting)
-	}
+	an.head = ro.options().Dialect.Head(source.Status, source.Header, an.beganAt)
+	an.noteHead()
 	return an.receive()
 }
 
@@ -216,7 +210,7 @@
 		if en.ID == at.endpoint.ID || slices.Contains(at.failedBefore, en.ID) {
 			continue
 		}
-		if ro.balancer.Healthy(en.ID) && ro.limits.Allows(now, en.ID) {
+		if ro.availability(now, en, ro.balancer.Condition(now, en.ID)).ok() {
 			return true
 		}
 	}
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -42,14 +42,22 @@
 	// together. It is set if HasLimit is true; otherwise the endpoint names none.
 	Limit    float64
 	HasLimit bool
+	// Leaving reports whether the endpoint states that it leaves.
+	Leaving bool
+	// RetryAt is until when the endpoint wants no request from this router, zero if it does
+	// not say.
+	RetryAt time.Time
+	// OtherInstance reports whether the answer comes from another endpoint than the one that
+	// the request was meant for.
+	OtherInstance bool
 }
 
 // Dialect defines the headers of requests to endpoints and of their answers.
 type Dialect interface {
 	// Header returns the headers of a request.
 	Header(se SendParams, now time.Time) http.Header
-	// Head parses the status and headers of an answer.
-	Head(status int, he http.Header) AnswerHead
+	// Head parses the status and headers of an answer that began to arrive at a time.
+	Head(status int, he http.Header, arrived time.Time) AnswerHead
 	// RemoveSignature removes the headers that show that the service itself made
 	// the answer.
 	RemoveSignature(he http.Header)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,11 +14,12 @@
 // load/VM.
 const loadPrefix = "load/"
 
-// Publish publishes this router's load, its results of roll-outs and the limits that
-// endpoints named to the other routers.
+// Publish publishes this router's load, its results of roll-outs, the limits that
+// endpoints named and the endpoints that leave to the other routers.
 func (ro *Router) Publish() {
 	ro.releases.publish()
 	ro.limits.Publish(time.Now())
+	ro.fleet.publishLeaving(time.Now())
 	if ro.peers.Large() {
 		// In large groups the load that the endpoints report in their answers is
 		// more recent than what the routers would exchange.
@@ -57,4 +58,6 @@
 	}
 	ro.releases.refresh()
 	ro.limits.Refresh(now)
+	ro.fleet.refreshLeaving(now)
+	ro.pauses.Prune(now)
 }
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -33,6 +33,10 @@
 	// lapsed holds endpoints that disappeared from the policy during or shortly
 	// after an outage of the store, with the time until which they are still used.
 	lapsed map[policy.EndpointID]lapsedEndpoint
+	// departures holds the endpoints that said in an answer, here or at another router, that
+	// they leave; published reports whether the last message to the peers had any.
+	departures map[policy.EndpointRun]departure
+	published  bool
 }
 
 type lapsedEndpoint struct {
@@ -41,10 +45,13 @@
 }
 
 func newFleet(ro *Router) *fleet {
-	return &fleet{router: ro, byService: map[policy.ServiceID][]policy.Endpoint{}, lapsed: map[policy.EndpointID]lapsedEndpoint{}}
+	return &fleet{
+		router: ro, byService: map[policy.ServiceID][]policy.Endpoint{}, lapsed: map[policy.EndpointID]lapsedEndpoint{},
+		departures: map[policy.EndpointRun]departure{},
+	}
 }
 
-// forService returns the endpoints of a service that are not draining, including
+// forService returns the endpoints of a service that are not leaving, including
 // lapsed ones that are still used.
 func (fl *fleet) forService(now time.Time, id policy.ServiceID) []policy.Endpoint {
 	fl.mu.Lock()
@@ -52,7 +59,7 @@
 	fl.rebuild(now)
 	ens := fl.byService[id]
 	for _, le := range fl.lapsed {
-		if le.endpoint.Service == string(id) && now.Before(le.until) {
+		if le.endpoint.Service == string(id) && now.Before(le.until) && !fl.leavesLocked(le.endpoint) {
 			ens = append(ens[:len(ens):len(ens)], le.endpoint)
 		}
 	}
@@ -76,7 +83,7 @@
 	fl.retainLapsed(now, se)
 	fl.byService = map[policy.ServiceID][]policy.Endpoint{}
 	for _, en := range se.Endpoints.List() {
-		if !en.Draining {
+		if !fl.leavesLocked(en) {
 			id := policy.ServiceID(en.Service)
 			fl.byService[id] = append(fl.byService[id], en)
 		}
@@ -114,15 +121,15 @@
 }
 
 // hasCapacity reports whether an endpoint may get one more request.
-func (fl *fleet) hasCapacity(ca *call, en policy.Endpoint, running placement.Running, routers int) bool {
-	if running.All >= maxLoadPerSlot*int(en.Slots) {
+func (fl *fleet) hasCapacity(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
+	if cn.All >= maxLoadPerSlot*int(en.Slots) {
 		return false
 	}
 	limit := ca.service.MaxConnections
 	if limit == 0 {
 		return true
 	}
-	return float64(running.Own+1) <= max(1, connectionShare*float64(limit)/float64(routers))
+	return float64(cn.Own+1) <= max(1, connectionShare*float64(limit)/float64(routers))
 }
 
 // retryAfter returns how long the caller of a request that found no free endpoint
--- a/relay/router.go
+++ b/relay/router.go
@@ -50,6 +50,7 @@
 	fleet     *fleet
 	latencies *latencies
 	limits    *limit.Limits
+	pauses    *limit.Pauses
 	// backlogs is used in large groups only.
 	backlogs *backlogAverages
 	budgets  *retryBudgets
@@ -76,7 +77,7 @@
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
 		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
-		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), backlogs: newBacklogAverages(),
+		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
 	ro.routers.Store(1)
@@ -255,9 +256,11 @@
 	Endpoints map[policy.EndpointID]placement.Load `json:"endpoints"`
 	// Limits are the requests a second that endpoints take from all routers together.
 	Limits map[policy.EndpointID]limit.Rate `json:"limits"`
+	// Blocked are the endpoints that get no request now.
+	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
 }
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Limits: ro.limits.Rates()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Limits: ro.limits.Rates(), Blocked: ro.Blocked()}
 }
--- a/relay/run.go
+++ b/relay/run.go
@@ -94,10 +94,14 @@
 // endpoint's own answer if there is one, and returns a refusal otherwise.
 func (ro *Router) writeFailure(ctx context.Context, wr http.ResponseWriter, ca *call, last *failure) *Refusal {
 	now := time.Now()
-	ro.log.WarnLimited(event.RequestFailed, last.err, event.Fields{
+	fields := event.Fields{
 		"request": ca.request.ID, "route": ca.route.ID, "sends": ca.sends, "may_have_run": ca.mayHaveRun,
 		"after_ms": now.Sub(ca.request.ReceivedAt).Milliseconds(),
-	})
+	}
+	if last.noEndpoint {
+		fields["blocked"] = ro.blockedEndpoints(now, ca)
+	}
+	ro.log.WarnLimited(event.RequestFailed, last.err, fields)
 	switch {
 	case last.answer != nil:
 		ro.writeEndpointFailure(wr, last.answer)
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -39,6 +39,11 @@
 	NotRun bool
 	// NotRunModel is a model whose requests are refused as with NotRun.
 	NotRunModel string
+	// RetryAfter, if not empty, is the value of the header Retry-After of the responses with
+	// which NotRun refuses requests.
+	RetryAfter string
+	// Leaving adds the header Server-Leaving to all responses.
+	Leaving bool
 	// CutAfter, if not 0, is the number of events after which a stream is aborted in
 	// the middle of the next one.
 	CutAfter int
@@ -101,12 +106,14 @@
 // Replica simulates a replica on the users' platform. Its methods may be called
 // concurrently.
 //
-// mu guards faults, runs, crashes and down. No other lock is taken while it is held.
+// mu guards faults, runs, refusals, crashes and down. No other lock is taken while it is held.
 type Replica struct {
 	opt    ReplicaOptions
 	mu     sync.Mutex
 	faults ReplicaFaults
 	runs   []*ReplicaRun
+	// refusals holds the times at which requests were refused.
+	refusals []time.Time
 	// crashes holds the times of the crashes; down is set from a crash until Restart.
 	crashes []time.Time
 	down    bool
@@ -149,12 +156,19 @@
 	he := wr.Header()
 	he.Set("Instance-Id", re.opt.ID)
 	he.Set("Attempt-Id", rq.Header.Get("Attempt-Id"))
+	if fa.Leaving {
+		he.Set("Server-Leaving", "1")
+	}
 	if want := rq.Header.Get("Expect-Instance"); want != "" && want != re.opt.ID {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if fa.NotRun || fa.NotRunModel != "" && fa.NotRunModel == rq.Header.Get("Model") {
+		re.setRefused()
 		he.Set("Not-Executed", "1")
+		if fa.RetryAfter != "" {
+			he.Set("Retry-After", fa.RetryAfter)
+		}
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -170,6 +184,20 @@
 	re.respond(wr, rq, ru, fa)
 }
 
+func (re *Replica) setRefused() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.refusals = append(re.refusals, time.Now())
+}
+
+// Refusals returns the times at which the replica refused requests because of NotRun or
+// NotRunModel.
+func (re *Replica) Refusals() []time.Time {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return slices.Clone(re.refusals)
+}
+
 func (re *Replica) setDisconnected(ru *ReplicaRun) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -164,15 +164,20 @@
 		if worker.Sleep(ctx, crashedFor) {
 			rs.Net.Revive(Host(id))
 			rs.Replicas[id].Restart()
-			rs.mu.Lock()
-			delete(rs.registered, id)
-			rs.mu.Unlock()
 			rs.Serve(Host(id), ReplicaAddress(service, n, release), rs.Replicas[id].Handler())
-			rs.Register(service, n, release, "ready")
+			rs.RestartReplica(service, n, release)
 		}
 	})
 }
 
+// RestartReplica registers a replica as a new run: with its ID and another time of birth.
+func (rs *RouterSite) RestartReplica(service string, n int, release string) {
+	rs.mu.Lock()
+	delete(rs.registered, ReplicaID(service, n, release))
+	rs.mu.Unlock()
+	rs.Register(service, n, release, "ready")
+}
+
 // registration is what changes in the registrations of one incarnation of a replica.
 type registration struct {
 	bornAt   time.Time
