Keep a lease's era beside its number: most leases were refused

The users' store gives out lease numbers of up to 47 bits or more, so that four of five grants failed with "era 0, number: want 0 to 524287 and 0 to": roll-outs began and ended later than they could, quarantines and members were recorded late, and each failed grant was a priced call, again every 0.3 s at every router whose action was due.

Revisions rise one by one and fit; the numbers of leases are whatever the store likes. Now LeaseID is a struct of era and number.

The stand-in gives out numbers of 60 bits. With it TestQuarantineOutlivesEveryRouter, TestQuarantineOutlivesARestore, TestGoodReleaseIsCompletedInTime and TestBadReleaseIsRolledBack failed on and pass now: a stand-in that counted leases from 1 hid it from every test.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -348,12 +348,12 @@
 func (cl *Claimer) currentLease(ctx context.Context) (store.LeaseID, error) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if cl.lease != 0 && time.Now().Before(cl.replaceAt) {
+	if !cl.lease.IsZero() && time.Now().Before(cl.replaceAt) {
 		return cl.lease, nil
 	}
 	id, err := cl.store.Grant(ctx, retention)
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	cl.lease, cl.replaceAt = id, time.Now().Add(leaseReplaceInterval)
 	return id, nil
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -100,7 +100,7 @@
 	ma.mu.Lock()
 	id, validUntil := ma.lease, ma.expiresAt
 	ma.mu.Unlock()
-	if id == 0 {
+	if id.IsZero() {
 		return
 	}
 	asked := time.Now()
@@ -123,7 +123,7 @@
 	for ta := range ma.holds {
 		ma.log.Warn(event.LeaseLost, err, event.Fields{"task": ta})
 	}
-	ma.lease, ma.expiresAt, ma.holds = 0, time.Time{}, map[Task]Hold{}
+	ma.lease, ma.expiresAt, ma.holds = store.LeaseID{}, time.Time{}, map[Task]Hold{}
 }
 
 // Acquire tries to acquire a task, and reports whether this daemon holds it
@@ -140,7 +140,7 @@
 	ownKey := key + "/" + store.Key(ma.owner)
 	// The value names the lease as well, so that a key under an earlier lease of
 	// this daemon does not count as held.
-	value := fmt.Sprintf("%s/%d", ma.owner, id)
+	value := fmt.Sprintf("%s/%d/%d", ma.owner, id.Era, id.Number)
 	co := store.Commit{
 		Compares: []store.Compare{{Key: key}},
 		Puts:     []store.Put{{Key: key, Value: []byte(value), Lease: id}, {Key: ownKey, Value: []byte(value), Lease: id}},
@@ -176,13 +176,13 @@
 	ma.mu.Lock()
 	id := ma.lease
 	ma.mu.Unlock()
-	if id != 0 {
+	if !id.IsZero() {
 		return id, nil
 	}
 	asked := time.Now()
 	id, err := ma.store.Grant(ctx, ma.ttl)
 	if err != nil {
-		return 0, err
+		return store.LeaseID{}, err
 	}
 	ma.mu.Lock()
 	defer ma.mu.Unlock()
@@ -214,9 +214,9 @@
 func (ma *Manager) Close(ctx context.Context) {
 	ma.mu.Lock()
 	id := ma.lease
-	ma.lease, ma.holds, ma.expiresAt = 0, map[Task]Hold{}, time.Time{}
+	ma.lease, ma.holds, ma.expiresAt = store.LeaseID{}, map[Task]Hold{}, time.Time{}
 	ma.mu.Unlock()
-	if id != 0 {
+	if !id.IsZero() {
 		_ = ma.store.Revoke(ctx, id)
 	}
 }
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -54,7 +54,7 @@
 // Run renews the registration until ctx is done and then revokes its lease, which
 // removes the registration.
 func (rg *Registry) Run(ctx context.Context) {
-	lease := store.LeaseID(0)
+	var lease store.LeaseID
 	for round := 0; ; round++ {
 		lease = rg.renew(ctx, lease)
 		if round%renewalsPerRead == 0 {
@@ -64,7 +64,7 @@
 			break
 		}
 	}
-	if lease != 0 {
+	if !lease.IsZero() {
 		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		if err := rg.store.Revoke(ending, lease); err != nil {
@@ -74,9 +74,9 @@
 }
 
 // renew renews the lease, or writes the registration under a new lease if the old
-// one has expired. It returns the lease in use, or 0 if there is none.
+// one has expired. It returns the lease in use, or none.
 func (rg *Registry) renew(ctx context.Context, lease store.LeaseID) store.LeaseID {
-	if lease != 0 {
+	if !lease.IsZero() {
 		alive, err := rg.store.KeepAlive(ctx, lease)
 		if err != nil {
 			rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
@@ -92,7 +92,7 @@
 	}
 	if err != nil {
 		rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
-		return 0
+		return store.LeaseID{}
 	}
 	return lease
 }
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -269,6 +269,10 @@
 	TTLMS int64 `json:"ttl_ms"`
 }
 
+// firstKVLease is added to the revision at which a lease is granted: the numbers of leases
+// use all bits that the platform's may use.
+const firstKVLease = 1 << 60
+
 func (st *Store) handleKVLease(wr http.ResponseWriter, rq *http.Request) {
 	var le kvLeaseBody
 	if !readJSON(wr, rq, &le) {
@@ -279,8 +283,9 @@
 	st.writes++
 	st.revision++
 	ttl := time.Duration(le.TTLMS) * time.Millisecond
-	st.leases[st.revision] = storedLease{ttl: int64(ttl / time.Second), expiresAt: time.Now().Add(ttl)}
-	writeJSON(wr, kvLeaseBody{Lease: st.revision, TTLMS: le.TTLMS})
+	id := firstKVLease + st.revision
+	st.leases[id] = storedLease{ttl: int64(ttl / time.Second), expiresAt: time.Now().Add(ttl)}
+	writeJSON(wr, kvLeaseBody{Lease: id, TTLMS: le.TTLMS})
 }
 
 func (st *Store) handleKVKeepAlive(wr http.ResponseWriter, rq *http.Request) {
--- a/store/client.go
+++ b/store/client.go
@@ -237,15 +237,15 @@
 	var le WireLease
 	rq := WireLeaseGrant{TTL: int64(math.Ceil(ttl.Seconds()))}
 	if _, err := cl.call(ctx, "/v3/lease/grant", rq, &le); err != nil {
-		return 0, eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Grant")
+		return LeaseID{}, eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Grant")
 	}
-	return LeaseID(le.ID), nil
+	return LeaseID{Number: le.ID}, nil
 }
 
 // KeepAlive implements Store. etcd returns a TTL of 0 for a lease that has expired.
 func (cl *Client) KeepAlive(ctx context.Context, id LeaseID) (bool, error) {
 	var ka WireKeepAlive
-	if _, err := cl.call(ctx, "/v3/lease/keepalive", WireLease{ID: int64(id)}, &ka); err != nil {
+	if _, err := cl.call(ctx, "/v3/lease/keepalive", WireLease{ID: id.Number}, &ka); err != nil {
 		return false, eris.Wrap(errors.Join(ErrUnavailable, err), "Client.KeepAlive")
 	}
 	return ka.Result.TTL > 0, nil
@@ -254,7 +254,7 @@
 // Revoke implements Store.
 func (cl *Client) Revoke(ctx context.Context, id LeaseID) error {
 	var ignored WireHeader
-	if _, err := cl.call(ctx, "/v3/lease/revoke", WireLease{ID: int64(id)}, &ignored); err != nil {
+	if _, err := cl.call(ctx, "/v3/lease/revoke", WireLease{ID: id.Number}, &ignored); err != nil {
 		return eris.Wrap(errors.Join(ErrUnavailable, err), "Client.Revoke")
 	}
 	return nil
@@ -269,7 +269,7 @@
 		tx.Failure = append(tx.Failure, WireOp{Range: &WireRange{Key: []byte(cm.Key)}})
 	}
 	for _, pu := range co.Puts {
-		tx.Success = append(tx.Success, WireOp{Put: &WirePut{Key: []byte(pu.Key), Value: pu.Value, Lease: int64(pu.Lease)}})
+		tx.Success = append(tx.Success, WireOp{Put: &WirePut{Key: []byte(pu.Key), Value: pu.Value, Lease: pu.Lease.Number}})
 	}
 	for _, ke := range co.Deletes {
 		tx.Success = append(tx.Success, WireOp{Delete: &WireRange{Key: []byte(ke)}})
--- a/store/store.go
+++ b/store/store.go
@@ -13,8 +13,15 @@
 // Key is a key in the store.
 type Key string
 
-// LeaseID identifies a lease granted by the store.
-type LeaseID int64
+// LeaseID identifies a lease granted by the store. A restored store may give out a lease's
+// number again, so that the era at the grant belongs to it. The zero value is no lease.
+type LeaseID struct {
+	Era    Era
+	Number int64
+}
+
+// IsZero reports whether the ID is that of no lease.
+func (li LeaseID) IsZero() bool { return li == LeaseID{} }
 
 // KeyValue is one stored pair, with the revisions at which it was created and last
 // changed.
