Let a few routers watch the store, and the others follow them

Now three routers watch for all. The order of the routers is the same everywhere: those with fast links first, then rendezvous hashing, the first ones in different failure domains. The others wait at a peer (WatchPolicy) for newer records, or newer evidence that theirs are the store's newest: in a small group at those three, in a large one at two relays of their failure domain, which wait at the three. Each follows two peers. There is still one source of changes, configuration.Watcher, with two ways into the holder; a router watches the store itself while it has no policy, while no peer can be reached, or while the evidence is older than 2.8 s, then one after the other in the order, 0.15 s apart; it stops when the first have word again. A store that fails is asked less and less often. Event 212 and the dump say why a router watches.

Five routers register, under a lease of 30 s, and a router that knows no other one reads the registrations, rather than all of them every 30 s.

TestRouterWithoutPeersWatchesTheStoreItself, TestFollowersLeaveTheStoreToItsWatchersAgain.

--- /dev/null
+++ b/configuration/follower.go
@@ -0,0 +1,249 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	// followedPeers is how many peers a daemon follows at once, so that one that fails is
+	// not missed.
+	followedPeers = 2
+	// turnInterval is how often a daemon looks whether it is to watch the store.
+	turnInterval = 100 * time.Millisecond
+	// joinTime is how long after its start a daemon that is no seed waits for word of its
+	// peers before it takes itself for one of the first.
+	joinTime = time.Second
+	// MaxPassedAge is the age of the evidence from peers from which these are taken to be
+	// without the store: somewhat more than a watch may be silent. The daemons then begin
+	// to watch the store one after the other, turnStep apart.
+	MaxPassedAge = 2800 * time.Millisecond
+	turnStep     = 150 * time.Millisecond
+	// minWatchTime is how long a daemon watches the store at least once it has begun to in
+	// place of others.
+	minWatchTime = 3 * time.Second
+	// followDelay is the pause after a peer that could not be followed, or has no word from
+	// the store. It doubles with each second one of them, maxFollowDoublings times at most.
+	followDelay        = 100 * time.Millisecond
+	maxFollowDoublings = 4
+	// minFollowInterval is the pause after any other answer of a peer: changes that are made
+	// close together arrive together.
+	minFollowInterval = 20 * time.Millisecond
+)
+
+// Passed is what a peer passes on besides the policy.
+type Passed struct {
+	// Evidence is when the peer's policy was known to be the store's newest.
+	Evidence time.Time
+	// StoreAnswered is when the store itself last answered the peer, zero if the peer is not
+	// one of those that watch it at all times.
+	StoreAnswered time.Time
+}
+
+// Upstream is what a Follower needs to know of its peers. Package peer implements it.
+type Upstream interface {
+	// Seed reports whether other daemons that start ask this one first.
+	Seed() bool
+	// WatchRank returns the place of this daemon in the order in which the daemons are to
+	// watch the store, from 0.
+	WatchRank() int
+	// Upstreams returns the addresses of the daemons to follow, the preferred ones first.
+	Upstreams() []string
+	// FollowPolicy waits at a peer for news of the policy and applies it.
+	FollowPolicy(ctx context.Context, address string) (Passed, error)
+}
+
+// Follower keeps the policy up to date from peers that watch the store, and decides whether
+// this daemon is to watch the store itself: the first few in the daemons' order do, and any
+// other one while its peers cannot be reached or have no word from the store themselves. Then
+// the daemons begin one after the other in that order, until one has word.
+//
+// mu guards all fields below it. No other lock is taken while it is held.
+type Follower struct {
+	upstream Upstream
+	holder   *Holder
+	log      *event.Log
+	// watchers is how many daemons watch the store at all times.
+	watchers  int
+	startedAt time.Time
+
+	mu sync.Mutex
+	// unreachable counts the peers in a row that could not be followed.
+	unreachable int
+	// storeAnsweredAt is when the store last answered this daemon, and peerAnsweredAt when
+	// it last answered a peer that this daemon follows.
+	storeAnsweredAt, peerAnsweredAt time.Time
+	// watchUntil is until when this daemon watches the store at least.
+	watchUntil time.Time
+	reason     WatchReason
+}
+
+// WatchReason says why a daemon watches the store. Logs and dumps show it.
+type WatchReason string
+
+// The values of WatchReason.
+const (
+	// WatchNot: the daemon follows peers.
+	WatchNot WatchReason = "follows_peers"
+	// WatchNoPolicy: the daemon has no policy yet.
+	WatchNoPolicy WatchReason = "no_policy"
+	// WatchRank: the daemon is one of the first.
+	WatchRank WatchReason = "rank"
+	// WatchUnreachable: no peer could be followed.
+	WatchUnreachable WatchReason = "peers_unreachable"
+	// WatchStale: the peers have had no word from the store for too long.
+	WatchStale WatchReason = "peers_without_store"
+	// WatchInPlace: the daemon has begun to watch the store in place of others, which have
+	// had no word from it since.
+	WatchInPlace WatchReason = "in_place_of_others"
+)
+
+// NewFollower returns a follower that leaves the store to the first watchers daemons.
+func NewFollower(up Upstream, ho *Holder, watchers int, lo *event.Log) *Follower {
+	return &Follower{upstream: up, holder: ho, watchers: watchers, log: lo, startedAt: time.Now()}
+}
+
+// Reason returns why this daemon watches the store, or that it follows peers.
+func (fo *Follower) Reason() WatchReason {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.reason
+}
+
+// watchesStore reports whether this daemon is to watch the store now.
+func (fo *Follower) watchesStore(now time.Time) bool {
+	rank, upstreams := fo.upstream.WatchRank(), len(fo.upstream.Upstreams())
+	se, evidence := fo.holder.Set(), fo.holder.Evidence()
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	reason := WatchNoPolicy
+	if se.Revision > 0 {
+		reason = fo.decide(now, rank, upstreams, evidence)
+	}
+	if reason != fo.reason {
+		fo.log.Info(event.WatchRoleChanged, event.Fields{"reason": reason, "before": fo.reason, "rank": rank, "evidence": evidence})
+		fo.reason = reason
+	}
+	return reason != WatchNot
+}
+
+// decide returns why a daemon that has a policy watches the store, given its rank, the number
+// of peers that it may follow, and its newest evidence. The caller holds mu.
+func (fo *Follower) decide(now time.Time, rank, upstreams int, evidence time.Time) WatchReason {
+	turn := MaxPassedAge + time.Duration(max(0, rank-fo.watchers))*turnStep
+	joined := now.Sub(fo.startedAt) >= joinTime
+	switch {
+	case rank < fo.watchers && (joined || fo.upstream.Seed()):
+		return WatchRank
+	case joined && upstreams > 0 && fo.unreachable >= followedPeers:
+		fo.watchUntil = now.Add(minWatchTime)
+		return WatchUnreachable
+	case now.Sub(evidence) > turn:
+		fo.watchUntil = now.Add(minWatchTime)
+		return WatchStale
+	case fo.watches() && (now.Before(fo.watchUntil) || now.Sub(fo.peerAnsweredAt) > MaxPassedAge):
+		return WatchInPlace
+	default:
+		return WatchNot
+	}
+}
+
+// watches reports whether this daemon watches the store in place of others. The caller holds
+// mu.
+func (fo *Follower) watches() bool {
+	return fo.reason == WatchStale || fo.reason == WatchUnreachable || fo.reason == WatchInPlace
+}
+
+// maxDelay returns the longest pause between two attempts at a store that fails. A daemon
+// that is not one of the first waits longer, as many may do as it does.
+func (fo *Follower) maxDelay() time.Duration {
+	if fo == nil || fo.Reason() == WatchRank || fo.Reason() == WatchNoPolicy {
+		return maxReopenDelay
+	}
+	return maxFollowerReopenDelay
+}
+
+func (fo *Follower) noteStoreAnswer(at time.Time) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.storeAnsweredAt = at
+}
+
+// WatcherAnswered returns when the store last answered this daemon, if it is one of the first,
+// which watch the store at all times. Otherwise it returns the zero time.
+func (fo *Follower) WatcherAnswered() time.Time {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.reason != WatchRank {
+		return time.Time{}
+	}
+	return fo.storeAnsweredAt
+}
+
+// needsPeers reports whether this daemon is to follow peers: unless it is one of the first
+// and has word from the store.
+func (fo *Follower) needsPeers(now time.Time) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.reason != WatchRank || now.Sub(fo.storeAnsweredAt) > MaxPassedAge
+}
+
+// Run follows peers until ctx is done.
+func (fo *Follower) Run(ctx context.Context) {
+	gr := worker.NewGroup()
+	for slot := range followedPeers {
+		gr.Go(func(context.Context) { fo.follow(ctx, slot) })
+	}
+	gr.Wait()
+}
+
+// follow follows one peer at a time until ctx is done. The slots of a daemon follow different
+// ones. A peer that cannot be reached, or has no word from the store, is left for the next.
+func (fo *Follower) follow(ctx context.Context, slot int) {
+	choice, failures := slot, 0
+	for ctx.Err() == nil {
+		addresses := fo.upstream.Upstreams()
+		if len(addresses) == 0 || !fo.needsPeers(time.Now()) {
+			worker.Sleep(ctx, turnInterval)
+			continue
+		}
+		pa, err := fo.upstream.FollowPolicy(ctx, addresses[choice%len(addresses)])
+		inPlace := fo.noteFollowed(pa, err)
+		switch {
+		case err != nil || time.Since(pa.Evidence) > MaxPassedAge:
+			choice++
+			worker.Sleep(ctx, followDelay<<min(failures/2, maxFollowDoublings))
+			failures++
+			continue
+		case inPlace:
+			// Another one may have word from the store itself again.
+			choice++
+		case choice >= len(addresses):
+			// The preferred ones may be back.
+			choice, failures = slot, 0
+		default:
+			failures = 0
+		}
+		worker.Sleep(ctx, minFollowInterval)
+	}
+}
+
+// noteFollowed records what a peer passed on, and reports whether this daemon watches the
+// store in place of others.
+func (fo *Follower) noteFollowed(pa Passed, err error) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if err != nil {
+		fo.unreachable++
+		return false
+	}
+	fo.unreachable = 0
+	if pa.StoreAnswered.After(fo.peerAnsweredAt) {
+		fo.peerAnsweredAt = pa.StoreAnswered
+	}
+	return fo.watches()
+}
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -17,14 +17,16 @@
 // Holder holds the policy set in force, whose revision never falls. Its methods
 // may be called concurrently.
 //
-// mu guards changed, evidence and availableSince and serialises changes of the
-// set, which is read without a lock.
+// mu guards changed, confirmed, evidence and availableSince and serialises changes of
+// the set, which is read without a lock.
 type Holder struct {
 	log *event.Log
 	set atomic.Pointer[policy.Set]
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// confirmed is closed when there is newer evidence.
+	confirmed chan struct{}
 	// evidence is the latest time at which the set in force is known to have been
 	// the store's newest.
 	evidence time.Time
@@ -36,7 +38,7 @@
 
 // NewHolder returns a holder of an empty set.
 func NewHolder(lo *event.Log) *Holder {
-	ho := &Holder{log: lo, changed: make(chan struct{})}
+	ho := &Holder{log: lo, changed: make(chan struct{}), confirmed: make(chan struct{})}
 	ho.set.Store(policy.NewSet())
 	return ho
 }
@@ -51,6 +53,14 @@
 	return ho.changed
 }
 
+// Confirmed returns a channel that is closed when there is newer evidence that the set in
+// force is the store's newest.
+func (ho *Holder) Confirmed() <-chan struct{} {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return ho.confirmed
+}
+
 // Update applies changes to the set in force and raises it to a revision. The
 // changes must include all those between the set's revision and the given one.
 // Update does nothing if the given revision is not newer than the set's.
@@ -149,6 +159,8 @@
 			ho.availableSince = at
 		}
 		ho.evidence = at
+		close(ho.confirmed)
+		ho.confirmed = make(chan struct{})
 	}
 }
 
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -13,8 +13,13 @@
 )
 
 // reopenDelay is the pause before the watch is opened again or the records are
-// loaded again.
-const reopenDelay = 200 * time.Millisecond
+// loaded again. While the store fails it doubles, up to maxReopenDelay, or to
+// maxFollowerReopenDelay at a daemon that watches in place of others.
+const (
+	reopenDelay            = 200 * time.Millisecond
+	maxReopenDelay         = time.Second
+	maxFollowerReopenDelay = 8 * time.Second
+)
 
 // Keys returns the keys of the configuration in the store, all of which begin with
 // Root. It implements Layout.
@@ -93,7 +98,9 @@
 	log    *event.Log
 	// batchDelay returns how long the watch pauses after it reported changes; see
 	// SetBatchDelay.
-	batchDelay    func() time.Duration
+	batchDelay func() time.Duration
+	// follower is nil if this daemon always watches the store itself.
+	follower      *Follower
 	watchesOpened atomic.Int64
 	// answeredAt is the time of the store's last answer and failedAt that of the
 	// last failure, in Unix nanoseconds.
@@ -119,7 +126,16 @@
 // has not answered yet.
 func (wa *Watcher) LastAnswer() time.Time { return time.Unix(0, wa.answeredAt.Load()) }
 
-func (wa *Watcher) recordAnswer() { wa.answeredAt.Store(time.Now().UnixNano()) }
+func (wa *Watcher) recordAnswer() {
+	wa.answeredAt.Store(time.Now().UnixNano())
+	if wa.follower != nil {
+		wa.follower.noteStoreAnswer(time.Now())
+	}
+}
+
+// SetFollower makes the watcher leave the store to others as long as these pass the policy
+// on. SetFollower must be called before Run.
+func (wa *Watcher) SetFollower(fo *Follower) { wa.follower = fo }
 
 // recordFailure records that a call to the store failed, and logs the first failure
 // after an answer.
@@ -130,18 +146,40 @@
 	wa.failedAt.Store(time.Now().UnixNano())
 }
 
-// Run loads the records and watches the store until ctx is done.
+// Run loads the records and watches the store until ctx is done. If there are peers to
+// follow, it does so only while it is this daemon's turn.
 func (wa *Watcher) Run(ctx context.Context) {
-	next := store.Revision(0)
-	for ctx.Err() == nil {
+	if wa.follower != nil {
+		gr := worker.NewGroup()
+		defer gr.Close()
+		gr.Go(wa.follower.Run)
+	}
+	next, delay := store.Revision(0), reopenDelay
+	for wa.awaitTurn(ctx) {
+		failedBefore := wa.failedAt.Load()
+		if next > 0 {
+			// The changes in between came from peers.
+			next = max(next, wa.holder.Set().Revision+1)
+		}
 		if next == 0 {
 			next = wa.load(ctx)
 		}
-		if next > 0 {
+		if next > 0 && wa.awaitTurn(ctx) {
 			next = wa.watch(ctx, next)
 		}
-		worker.Sleep(ctx, reopenDelay)
+		if delay = min(2*delay, wa.follower.maxDelay()); wa.failedAt.Load() == failedBefore {
+			delay = reopenDelay
+		}
+		worker.Sleep(ctx, delay)
+	}
+}
+
+// awaitTurn blocks until this daemon is to watch the store, and reports false if ctx is done.
+func (wa *Watcher) awaitTurn(ctx context.Context) bool {
+	for wa.follower != nil && ctx.Err() == nil && !wa.follower.watchesStore(time.Now()) {
+		worker.Sleep(ctx, turnInterval)
 	}
+	return ctx.Err() == nil
 }
 
 // load reads all records into the holder and returns the revision to watch from,
@@ -175,6 +213,8 @@
 func (wa *Watcher) watch(ctx context.Context, from store.Revision) store.Revision {
 	wa.watchesOpened.Add(1)
 	next := from
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	err := wa.store.Watch(ctx, wa.layout.Prefix(), from, func(no store.WatchUpdate) {
 		wa.recordAnswer()
 		if len(no.Changes) > 0 {
@@ -182,6 +222,10 @@
 		}
 		next = max(next, no.Revision+1)
 		wa.holder.Confirm(wa.holder.Set().Revision, time.Now())
+		if wa.follower != nil && !wa.follower.watchesStore(time.Now()) {
+			cancel()
+			return
+		}
 		if delay := wa.batchDelay(); delay > 0 && len(no.Changes) > 0 {
 			worker.Sleep(ctx, delay)
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -39,6 +39,7 @@
 	StoreEra             Number = 209
 	PolicyRetained       Number = 210
 	ConfigurationBehind  Number = 211
+	WatchRoleChanged     Number = 212
 	MemberJoined         Number = 300
 	MemberFailed         Number = 301
 	PeerUnreachable      Number = 302
@@ -108,6 +109,7 @@
 	StoreEra:             "store names a new era: it came back from an older copy",
 	PolicyRetained:       "policy records kept that the restored store has lost, or lost records are in it again",
 	ConfigurationBehind:  "store has an older version of the configuration; keeping the current one",
+	WatchRoleChanged:     "this daemon began to watch the store, or to follow peers that do",
 	IsolationEnded:       "isolation ended: policy is current again; accepting new requests",
 	MemberJoined:         "peer joined",
 	MemberFailed:         "peer timed out",
--- a/peer/group.go
+++ b/peer/group.go
@@ -49,6 +49,9 @@
 	// Describe sets the fields of the member record that change at run time.
 	// It may be nil.
 	Describe func(me *rpc.Member)
+	// StoreAnswered returns when the store itself last answered this daemon, zero if it is
+	// not one of those that watch it for all. It may be nil.
+	StoreAnswered func() time.Time
 }
 
 // Settings gives access to the setting sections that the exchange needs.
@@ -117,6 +120,8 @@
 	received int64
 	// sent is this daemon's change counter up to which the peer has its items.
 	sent int64
+	// acceptsKeyHashes reports whether the peer knows hashes in place of keys.
+	acceptsKeyHashes bool
 	// unreachable is set after a failed exchange, so that no further failure is
 	// logged until an exchange with the peer succeeds.
 	unreachable bool
@@ -241,11 +246,12 @@
 	gr.mu.Lock()
 	ss := gr.syncStates[address]
 	gr.mu.Unlock()
-	its, change := gr.table.changedSince(ss.sent, asked)
+	its, change := gr.table.changedSince(ss.sent, ss.acceptsKeyHashes, asked)
 	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
 		From: gr.self(), Items: its,
 		SeenChange: ss.received, SeenIncarnation: ss.incarnation,
 		PolicyRevision: int64(gr.holder.Set().Revision), PolicyRetained: uint64(gr.holder.Set().Retained), PolicyAgeMs: gr.policyAgeMS(asked),
+		AcceptsKeyHashes: true,
 	})
 	if err != nil {
 		gr.recordFailure(ctx, address, err)
@@ -253,7 +259,9 @@
 	}
 	gr.table.merge(rs.GetItems(), asked)
 	gr.mu.Lock()
-	gr.syncStates[address] = syncState{incarnation: rs.GetFrom().GetIncarnation(), received: rs.GetChange(), sent: change}
+	gr.syncStates[address] = syncState{
+		incarnation: rs.GetFrom().GetIncarnation(), received: rs.GetChange(), sent: change, acceptsKeyHashes: rs.GetAcceptsKeyHashes(),
+	}
 	if ss.incarnation != "" && ss.incarnation != rs.GetFrom().GetIncarnation() {
 		// The peer has restarted and does not have the items sent to its predecessor.
 		gr.syncStates[address] = syncState{incarnation: rs.GetFrom().GetIncarnation(), received: rs.GetChange()}
--- a/peer/holder.go
+++ b/peer/holder.go
@@ -17,13 +17,20 @@
 	Incarnation   Incarnation
 	FailureDomain policy.FailureDomain
 	Address       string
+	// Draining is false for this daemon.
+	Draining bool
+	// LinkMbps is the speed of the VM's network link in Mbit/s, 0 if it is not known.
+	LinkMbps float64
 }
 
 // Holders returns the live daemons that serve callers, this one included.
 func (gr *Group) Holders() []Holder {
-	out := []Holder{{VM: gr.VM(), Incarnation: gr.Incarnation(), FailureDomain: gr.FailureDomain()}}
+	out := []Holder{{VM: gr.VM(), Incarnation: gr.Incarnation(), FailureDomain: gr.FailureDomain(), LinkMbps: gr.opt.Self.GetLinkMbps()}}
 	for _, mb := range gr.Entries() {
-		out = append(out, Holder{VM: mb.VM, Incarnation: mb.Incarnation, FailureDomain: mb.FailureDomain, Address: mb.PeerAddress})
+		out = append(out, Holder{
+			VM: mb.VM, Incarnation: mb.Incarnation, FailureDomain: mb.FailureDomain, Address: mb.PeerAddress,
+			Draining: mb.Draining, LinkMbps: mb.LinkMbps,
+		})
 	}
 	return out
 }
--- a/peer/member.go
+++ b/peer/member.go
@@ -24,6 +24,7 @@
 	CallersAddress string
 	Draining       bool
 	InFlight       int64
+	LinkMbps       float64
 	// FailedAt is when the member counts as failed unless a newer heartbeat
 	// arrives.
 	FailedAt time.Time
@@ -100,7 +101,7 @@
 		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
 		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
 		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
-		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(),
+		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(),
 	}
 }
 
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -16,17 +16,26 @@
 const (
 	// registryLease is how long a daemon's registration remains after the daemon has
 	// stopped without removing it.
-	registryLease         = 10 * time.Second
+	registryLease         = 30 * time.Second
 	registryRenewInterval = registryLease / 3
-	// renewalsPerRead is the number of renewals between two reads of the other
-	// daemons' registrations. Reads can be rare: once the exchange knows some peers,
-	// the registrations only serve to rejoin parts of a partitioned site.
-	renewalsPerRead = 9
+	// registeredDaemons is how many daemons register. They are enough to find the others by:
+	// each knows them all.
+	registeredDaemons = 5
+	// registryTask is the key by which the daemons rank themselves for registering.
+	registryTask = "registry"
+	// registryCheckInterval is how often a daemon looks whether it is to register.
+	registryCheckInterval = time.Second
+	// registryReadInterval is how often a registered daemon reads the registrations, to
+	// rejoin parts of a site that were separated.
+	registryReadInterval = 90 * time.Second
+	// maxLonelyReadInterval is the longest time between two reads of a daemon that knows no
+	// other one.
+	maxLonelyReadInterval = 30 * time.Second
 )
 
-// Registry keeps this daemon's registration in the store and reads those of the
-// other daemons, so that peers can be found when no seed is alive. A registration
-// is a daemon's member record, stored under a lease.
+// Registry keeps the registrations in the store by which a daemon that starts finds the
+// others when no seed is alive. A registration is a daemon's member record, stored under a
+// lease. A few of the daemons register, the first by rendezvous hashing.
 //
 // mu guards addresses. No other lock is taken while it is held.
 type Registry struct {
@@ -34,6 +43,11 @@
 	store  store.Store
 	self   *rpc.Member
 	log    *event.Log
+	// lease is that of the registration, if there is one. It is renewed at renewAt, and the
+	// registrations are read at readAt. Only Run's goroutine uses these.
+	lease           store.LeaseID
+	renewAt, readAt time.Time
+	lonelyReads     int
 
 	mu        sync.Mutex
 	addresses []string
@@ -51,28 +65,52 @@
 	return rg.addresses
 }
 
-// Run renews the registration until ctx is done and then revokes its lease, which
-// removes the registration.
-func (rg *Registry) Run(ctx context.Context) {
-	var lease store.LeaseID
-	for round := 0; ; round++ {
-		lease = rg.renew(ctx, lease)
-		if round%renewalsPerRead == 0 {
-			rg.read(ctx)
-		}
-		if !worker.Sleep(ctx, registryRenewInterval) {
-			break
-		}
+// Run keeps the registration up to date until ctx is done, and then removes it.
+func (rg *Registry) Run(ctx context.Context, gr *Group) {
+	// The daemons that the seeds know are heard of meanwhile.
+	for worker.Sleep(ctx, registryCheckInterval) {
+		rg.check(ctx, time.Now(), gr.Preferred(registryTask, registeredDaemons), len(gr.Members()) == 0)
 	}
-	if !lease.IsZero() {
-		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-		defer cancel()
-		if err := rg.store.Revoke(ending, lease); err != nil {
-			rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
+	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	rg.remove(ending)
+}
+
+// check registers this daemon, or removes its registration, and reads the others', as is due.
+// registers reports whether it is one of those that register, lonely whether it knows no other
+// daemon.
+func (rg *Registry) check(ctx context.Context, now time.Time, registers, lonely bool) {
+	if registers && !now.Before(rg.renewAt) {
+		rg.lease = rg.renew(ctx, rg.lease)
+		rg.renewAt = now.Add(registryRenewInterval)
+	}
+	if !registers {
+		rg.remove(ctx)
+	}
+	if !lonely {
+		rg.lonelyReads = 0
+	}
+	if (registers || lonely) && !now.Before(rg.readAt) {
+		rg.read(ctx)
+		rg.readAt = now.Add(registryReadInterval)
+		if lonely {
+			rg.readAt = now.Add(min(maxLonelyReadInterval, registryCheckInterval<<min(rg.lonelyReads, 8)))
+			rg.lonelyReads++
 		}
 	}
 }
 
+// remove removes this daemon's registration, if it has one.
+func (rg *Registry) remove(ctx context.Context) {
+	if rg.lease.IsZero() {
+		return
+	}
+	if err := rg.store.Revoke(ctx, rg.lease); err != nil {
+		rg.log.Debug(event.StoreUnreachable, err, event.Fields{"entry": rg.prefix})
+	}
+	rg.lease, rg.renewAt = store.LeaseID{}, time.Time{}
+}
+
 // renew renews the lease, or writes the registration under a new lease if the old
 // one has expired. It returns the lease in use, or none.
 func (rg *Registry) renew(ctx context.Context, lease store.LeaseID) store.LeaseID {
--- a/peer/server.go
+++ b/peer/server.go
@@ -96,10 +96,11 @@
 	if rq.GetSeenIncarnation() != string(gr.Incarnation()) {
 		seen = 0
 	}
-	its, change := gr.table.changedSince(seen, now)
+	its, change := gr.table.changedSince(seen, rq.GetAcceptsKeyHashes(), now)
 	return &rpc.ExchangeResponse{
 		From: gr.self(), Items: its, Change: change,
 		PolicyRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained), PolicyAgeMs: gr.policyAgeMS(now),
+		AcceptsKeyHashes: true,
 	}, nil
 }
 
--- a/peer/table.go
+++ b/peer/table.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -61,10 +63,15 @@
 	mu     sync.Mutex
 	items  map[string]Item
 	change int64
+	// keys holds the keys of items by their hash.
+	keys map[uint64]string
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{items: map[string]Item{}} }
+func NewTable() *Table { return &Table{items: map[string]Item{}, keys: map[uint64]string{}} }
+
+// hashKey returns the hash that stands for a key in messages.
+func hashKey(key string) uint64 { return xxhash.Sum64String(key) }
 
 // Put stores an item and reports whether it did so. It does nothing if the
 // table has the same or a newer version of the key.
@@ -91,6 +98,7 @@
 		it.member = decodeMember(it.Value)
 	}
 	ta.items[it.Key] = it
+	ta.keys[hashKey(it.Key)] = it.Key
 }
 
 // refresh stores a newer version of an item whose value is unchanged. It does
@@ -141,15 +149,16 @@
 
 // changedSince returns the items that changed after a value of the change counter,
 // and the counter's current value. An item whose value has not changed since then
-// is returned without it and with SameValue set. changedSince deletes items older
-// than itemTTL.
-func (ta *Table) changedSince(change int64, now time.Time) ([]*rpc.Item, int64) {
+// is returned without it and with SameValue set, and with a hash in place of its key if
+// hashed is set. changedSince deletes items older than itemTTL.
+func (ta *Table) changedSince(change int64, hashed bool, now time.Time) ([]*rpc.Item, int64) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	var out []*rpc.Item
 	for key, it := range ta.items {
 		if now.Sub(it.WrittenAt) > itemTTL {
 			delete(ta.items, key)
+			delete(ta.keys, hashKey(key))
 			continue
 		}
 		if it.change <= change {
@@ -158,6 +167,9 @@
 		ms := &rpc.Item{Key: key, Fence: it.Version.Fence, Sequence: it.Version.Sequence, AgeMs: now.Sub(it.WrittenAt).Milliseconds()}
 		if it.valueChange <= change {
 			ms.SameValue = true
+			if hashed {
+				ms.Key, ms.KeyHash = "", hashKey(key)
+			}
 		} else {
 			ms.Value = it.Value
 		}
@@ -166,6 +178,17 @@
 	return out, ta.change
 }
 
+// keyOf returns the key of an item of a message, "" if only its hash is given and no item has
+// that.
+func (ta *Table) keyOf(it *rpc.Item) string {
+	if it.GetKeyHash() == 0 {
+		return it.GetKey()
+	}
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	return ta.keys[it.GetKeyHash()]
+}
+
 // merge stores a peer's items that are newer than the table's.
 func (ta *Table) merge(its []*rpc.Item, now time.Time) {
 	for _, it := range its {
@@ -174,7 +197,7 @@
 		switch {
 		case now.Sub(writtenAt) > itemTTL:
 		case it.GetSameValue():
-			ta.refresh(it.GetKey(), ve, writtenAt)
+			ta.refresh(ta.keyOf(it), ve, writtenAt)
 		default:
 			ta.Put(it.GetKey(), ve, it.GetValue(), writtenAt)
 		}
--- /dev/null
+++ b/peer/upstream.go
@@ -0,0 +1,199 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/store"
+)
+
+const (
+	// StoreWatchers is how many daemons watch the store for all.
+	StoreWatchers = 3
+	// domainRelays is how many daemons of each failure domain of a large group pass the
+	// policy on to the others of the domain.
+	domainRelays = 2
+	// watchTask is the key by which the daemons rank themselves for watching.
+	watchTask = "policy_watch"
+	// maxPolicyWait is the longest time for which a daemon waits at another one for news of
+	// the policy, and policyWaitMargin the time left for the answer after it.
+	maxPolicyWait    = 2 * time.Second
+	policyWaitMargin = 500 * time.Millisecond
+	// minEvidenceStep is how much newer evidence must be to be passed on at once.
+	minEvidenceStep = time.Second
+	// spareWatchers is how many daemons after the first are followed when those have no word
+	// from the store.
+	spareWatchers = 6
+)
+
+// watchOrder returns the live daemons of this daemon's role that do not drain, this one
+// included, in the order in which they are to watch the store. Daemons with fast links come
+// first, as they pass large policies on sooner, then those that rendezvous hashing ranks
+// first; the first ones are in as many failure domains as there are.
+func (gr *Group) watchOrder() []Holder {
+	all := gr.Holders()
+	all[0].Draining = gr.self().GetDraining()
+	all = slices.DeleteFunc(all, func(ho Holder) bool { return ho.Draining })
+	slices.SortFunc(all, func(a, b Holder) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(weight(b.VM, watchTask), weight(a.VM, watchTask)))
+	})
+	for n := 1; n < min(StoreWatchers, len(all)); n++ {
+		elsewhere := slices.IndexFunc(all[n:], func(ho Holder) bool {
+			return !slices.ContainsFunc(all[:n], func(before Holder) bool { return before.FailureDomain == ho.FailureDomain })
+		})
+		if elsewhere > 0 {
+			ho := all[n+elsewhere]
+			all = slices.Insert(slices.Delete(all, n+elsewhere, n+elsewhere+1), n, ho)
+		}
+	}
+	return all
+}
+
+// Seed implements configuration.Upstream.
+func (gr *Group) Seed() bool { return slices.Contains(gr.opt.Seeds, gr.opt.Self.GetPeerAddress()) }
+
+// WatchRank implements configuration.Upstream.
+func (gr *Group) WatchRank() int {
+	order := gr.watchOrder()
+	rank := slices.IndexFunc(order, gr.isSelf)
+	if rank < 0 {
+		return len(order)
+	}
+	return rank
+}
+
+// Upstreams implements configuration.Upstream. In a small group these are the daemons that
+// watch the store. In a large group the relays of each failure domain follow those, and the
+// other daemons of the domain follow its relays. The next in the order come last: they watch
+// the store when the first have no word from it.
+func (gr *Group) Upstreams() []string {
+	order := gr.watchOrder()
+	if len(order) <= 1 {
+		// No other daemon is known yet.
+		return slices.DeleteFunc(slices.Clone(gr.opt.Seeds), func(address string) bool { return address == gr.opt.Self.GetPeerAddress() })
+	}
+	watchers := order[:min(StoreWatchers, len(order))]
+	relays := relaysOf(order, gr.FailureDomain())
+	first, second := watchers, relays
+	if gr.Large() && !slices.ContainsFunc(relays, gr.isSelf) {
+		first, second = relays, watchers
+	}
+	out := gr.rotated(first)
+	spares := order[len(watchers):min(len(order), StoreWatchers+spareWatchers)]
+	for _, address := range append(gr.rotated(second), addressesOf(spares)...) {
+		if !slices.Contains(out, address) {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// relaysOf returns the first daemons of a failure domain in an order.
+func relaysOf(order []Holder, fd policy.FailureDomain) []Holder {
+	var out []Holder
+	for _, ho := range order {
+		if ho.FailureDomain == fd && len(out) < domainRelays {
+			out = append(out, ho)
+		}
+	}
+	return out
+}
+
+// rotated returns the addresses of the daemons without this one, from one on that differs
+// from daemon to daemon, so that each gets the same share of the others.
+func (gr *Group) rotated(daemons []Holder) []string {
+	var out []string
+	first := int(weight(gr.VM(), watchTask) % uint64(max(1, len(daemons))))
+	for n := range daemons {
+		if ho := daemons[(first+n)%len(daemons)]; !gr.isSelf(ho) {
+			out = append(out, ho.Address)
+		}
+	}
+	return out
+}
+
+// addressesOf returns the addresses of daemons, without this one's.
+func addressesOf(daemons []Holder) []string {
+	var out []string
+	for _, ho := range daemons {
+		if ho.Address != "" {
+			out = append(out, ho.Address)
+		}
+	}
+	return out
+}
+
+func (gr *Group) isSelf(ho Holder) bool { return ho.VM == gr.VM() }
+
+// FollowPolicy implements configuration.Upstream.
+func (gr *Group) FollowPolicy(ctx context.Context, address string) (configuration.Passed, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxPolicyWait+policyWaitMargin)
+	defer cancel()
+	mine, asked := gr.position(), time.Now()
+	rs, err := gr.Peer(address).WatchPolicy(ctx, &rpc.WatchPolicyRequest{
+		AfterRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained),
+		PolicyAgeMs: gr.policyAgeMS(asked), WaitMs: maxPolicyWait.Milliseconds(),
+	})
+	if err != nil {
+		gr.recordFailure(ctx, address, err)
+		return configuration.Passed{}, err
+	}
+	if rs.GetPolicy() != nil {
+		gr.applyPolicy(rs.GetPolicy())
+		gr.log.Debug(event.PolicyFromPeer, nil, event.Fields{"address": address, "revision": rs.GetPolicy().GetRevision()})
+	}
+	pa := configuration.Passed{Evidence: ago(rs.GetPolicyAgeMs()), StoreAnswered: ago(rs.GetStoreAgeMs())}
+	gr.holder.Confirm(store.Revision(rs.GetPolicyRevision()), pa.Evidence)
+	return pa, nil
+}
+
+// ago returns the time that was a number of milliseconds ago.
+func ago(ms int64) time.Time { return time.Now().Add(-time.Duration(ms) * time.Millisecond) }
+
+// WatchPolicy implements rpc.PeerService.
+func (se *Server) WatchPolicy(ctx context.Context, rq *rpc.WatchPolicyRequest) (*rpc.WatchPolicyResponse, error) {
+	gr := se.group
+	theirs := position{store.Revision(rq.GetAfterRevision()), policy.RetainedDigest(rq.GetPolicyRetained())}
+	gr.awaitNews(ctx, theirs, ago(rq.GetPolicyAgeMs()), min(maxPolicyWait, time.Duration(rq.GetWaitMs())*time.Millisecond))
+	rs := &rpc.WatchPolicyResponse{PolicyRevision: int64(gr.position().revision), PolicyAgeMs: gr.policyAgeMS(time.Now()), StoreAgeMs: gr.storeAgeMS(time.Now())}
+	if gr.position().offers(theirs) {
+		rs.Policy = gr.policyAfter(theirs)
+		rs.PolicyRevision = rs.GetPolicy().GetRevision()
+	}
+	return rs, nil
+}
+
+// awaitNews blocks until this daemon has newer policy records than one at a position, or newer
+// evidence than at a time, for wait at most. It does not block while this daemon has no word
+// from the store itself.
+func (gr *Group) awaitNews(ctx context.Context, theirs position, evidence time.Time, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for ctx.Err() == nil {
+		changed, confirmed, mine := gr.holder.Changed(), gr.holder.Confirmed(), gr.holder.Evidence()
+		newer := gr.position().revision >= theirs.revision && mine.Sub(evidence) >= minEvidenceStep
+		if newer || gr.position().urgent(theirs) || time.Since(mine) > configuration.MaxPassedAge {
+			return
+		}
+		select {
+		case <-changed:
+		case <-confirmed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// storeAgeMS returns the time in milliseconds since the store itself answered this daemon, as
+// far as Options.StoreAnswered tells.
+func (gr *Group) storeAgeMS(now time.Time) int64 {
+	if gr.opt.StoreAnswered == nil {
+		return now.UnixMilli()
+	}
+	return now.Sub(gr.opt.StoreAnswered()).Milliseconds()
+}
--- a/router/router.go
+++ b/router/router.go
@@ -41,13 +41,10 @@
 	// pinReplicationInterval is how often pins are sent to routers that have become
 	// their holders.
 	pinReplicationInterval = time.Second
-	// minBatchDelay is how long the watch pauses after an answer with changes, so
+	// batchDelay is how long the watch pauses after an answer with changes, so
 	// that changes made close together arrive in one answer of the store: each
-	// call to the store is paid for. In a large group the pause grows with the
-	// number of routers, up to maxBatchDelay: every router must know of a roll-out's
-	// start before the trial, and of the trial's end before it is in force.
-	minBatchDelay = 400 * time.Millisecond
-	maxBatchDelay = 1200 * time.Millisecond
+	// call to the store is paid for.
+	batchDelay = 400 * time.Millisecond
 	// endpointProgressTimeout is how long an endpoint may send nothing during an
 	// answer when its route sets no limit.
 	endpointProgressTimeout = 2 * time.Second
@@ -69,6 +66,7 @@
 	layout   *platform.Layout
 	holder   *configuration.Holder
 	watcher  *configuration.Watcher
+	follower *configuration.Follower
 	peers    *peer.Group
 	registry *peer.Registry
 	pins     *session.Pins
@@ -102,7 +100,9 @@
 	da.watcher = configuration.NewWatcher(da.layout, da.store, da.holder, lo)
 	opt := da.peerOptions()
 	da.peers = peer.NewGroup(opt, da.holder, ne, lo)
-	da.watcher.SetBatchDelay(da.batchDelay)
+	da.watcher.SetBatchDelay(func() time.Duration { return batchDelay })
+	da.follower = configuration.NewFollower(da.peers, da.holder, peer.StoreWatchers, lo)
+	da.watcher.SetFollower(da.follower)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
 	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, lo)
@@ -121,13 +121,14 @@
 	return peer.Options{
 		Self: &rpc.Member{
 			Vm: rs.GetVm().GetId(), Role: peer.RoleRouter, FailureDomain: rs.GetVm().GetFailureDomain(),
-			PeerAddress: ls.GetPeers(), AdminAddress: ls.GetAdmin(), CallersAddress: ls.GetCallers(),
+			PeerAddress: ls.GetPeers(), AdminAddress: ls.GetAdmin(), CallersAddress: ls.GetCallers(), LinkMbps: rs.GetServing().GetLinkMbps(),
 		},
 		SharedKey: ps.GetSharedKey(), Interval: ps.GetInterval().AsDuration(), Fanout: int(ps.GetFanout()),
 		FailedAfter: ps.GetFailedAfter().AsDuration(), Seeds: ps.GetSeeds(),
 		// da.registry is not set yet: it is created with these options' Self.
 		PeerAddresses: func() []string { return da.registry.Addresses() },
 		Describe:      da.describe,
+		StoreAnswered: func() time.Time { return da.follower.WatcherAnswered() },
 	}
 }
 
@@ -162,7 +163,7 @@
 	da.callers = da.servers[len(da.servers)-1]
 	da.group.Go(da.watcher.Run)
 	da.group.Go(da.peers.Run)
-	da.group.Go(da.registry.Run)
+	da.group.Go(func(ctx context.Context) { da.registry.Run(ctx, da.peers) })
 	da.group.Go(da.relay.Run)
 	da.group.Go(da.relay.PinSessions)
 	da.group.Go(func(ctx context.Context) { da.pins.Run(ctx, pinReplicationInterval) })
@@ -182,12 +183,6 @@
 	})
 }
 
-// batchDelay returns how long the watcher pauses after each answer of the store
-// that contains changes.
-func (da *Daemon) batchDelay() time.Duration {
-	return min(da.peers.ScaleInterval(minBatchDelay), maxBatchDelay)
-}
-
 // exchange publishes this router's load and release health to its peers, and
 // applies what they have published, until ctx ends.
 func (da *Daemon) exchange(ctx context.Context) {
@@ -262,11 +257,13 @@
 	Incarnation    peer.Incarnation `json:"incarnation"`
 	PolicyRevision store.Revision   `json:"policy_revision"`
 	StoreAnswered  time.Time        `json:"store_answered"`
-	Ready          bool             `json:"ready"`
-	InFlight       int64            `json:"in_flight"`
-	Members        []peer.Member    `json:"members"`
-	Tasks          []lease.Hold     `json:"tasks"`
-	Relay          relay.State      `json:"relay"`
+	// StoreWatch says why this router watches the store, or that it follows peers.
+	StoreWatch configuration.WatchReason `json:"store_watch"`
+	Ready      bool                      `json:"ready"`
+	InFlight   int64                     `json:"in_flight"`
+	Members    []peer.Member             `json:"members"`
+	Tasks      []lease.Hold              `json:"tasks"`
+	Relay      relay.State               `json:"relay"`
 	// Quarantined holds the prompt parts, and QuarantinedRequests the fingerprints of the
 	// requests, that this router refuses.
 	Quarantined         []policy.PromptPartID `json:"quarantined"`
@@ -277,7 +274,7 @@
 func (da *Daemon) Dump() any {
 	st := State{
 		VM: da.peers.VM(), Incarnation: da.peers.Incarnation(), PolicyRevision: da.holder.Set().Revision,
-		StoreAnswered: da.watcher.LastAnswer(), Ready: da.relay.Ready(), InFlight: da.relay.InFlight(),
+		StoreAnswered: da.watcher.LastAnswer(), StoreWatch: da.follower.Reason(), Ready: da.relay.Ready(), InFlight: da.relay.InFlight(),
 		Members: da.peers.Members(), Tasks: da.leases.List(), Relay: da.relay.State(),
 	}
 	for _, su := range da.barred.Subjects(time.Now()) {
--- /dev/null
+++ b/router/store_watch_test.go
@@ -0,0 +1,158 @@
+package router_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/router"
+	"tanagerpoint.example/tanager/testsite"
+)
+
+// watchers returns the routers that watch the store.
+func watchers(rs *testsite.RouterSite) []int {
+	var out []int
+	for n, da := range rs.Routers {
+		if da.Dump().(router.State).StoreWatch != configuration.WatchNot {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// inForceAfter writes a configuration without the safe route and returns how long it takes
+// until the routers given have it in force.
+func inForceAfter(rs *testsite.RouterSite, limit time.Duration, routers []int) time.Duration {
+	rs.Configure(func(co *testsite.Configuration) {
+		co.Routes = slices.DeleteFunc(co.Routes, func(rt testsite.RouteConfiguration) bool { return rt.Prefix == testsite.SafeRoute })
+	})
+	return rs.Eventually(limit, "the change is in force everywhere", func() bool {
+		for _, n := range routers {
+			if do(rs, request{router: n, id: fmt.Sprint("c", n), path: testsite.SafeRoute + "x"}).status != http.StatusNotFound {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// others returns the numbers from 1 to n without some.
+func others(n int, without []int) []int {
+	var out []int
+	for k := 1; k <= n; k++ {
+		if !slices.Contains(without, k) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// TestStoreCallsDoNotGrowWithTheRouters counts the calls of the store in a quiet time. Each
+// router made 0.7 of them a second.
+func TestStoreCallsDoNotGrowWithTheRouters(t *testing.T) {
+	const (
+		measured = 30 * time.Second
+		// fixedPerSecond and perRouterPerSecond bound the calls a second of all routers.
+		fixedPerSecond     = 2.5
+		perRouterPerSecond = 0.02
+	)
+	for _, routers := range []int{4, 8, 40, 80} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: routers, Domains: 5, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+				time.Sleep(20 * time.Second)
+				reads, writes := rs.Store.Calls()
+				time.Sleep(measured)
+				readsAfter, writesAfter := rs.Store.Calls()
+				perSecond := float64(readsAfter-reads+writesAfter-writes) / measured.Seconds()
+				t.Logf("%d routers make %.2f calls/s", routers, perSecond)
+				qt.Check(t, perSecond <= fixedPerSecond+perRouterPerSecond*float64(routers), qt.IsTrue)
+				qt.Check(t, len(watchers(rs)), qt.Equals, 3)
+			})
+		})
+	}
+}
+
+// TestChangeIsInForceWhileWatchersFail has the routers that watch the store fail all at once,
+// just before a change. All others must have it in force within the time that the platform
+// allows a site of that size.
+func TestChangeIsInForceWhileWatchersFail(t *testing.T) {
+	const limit = 4 * time.Second
+	for name, fail := range map[string]func(rs *testsite.RouterSite, n int){
+		"nothing fails": func(*testsite.RouterSite, int) {},
+		"killed":        (*testsite.RouterSite).KillRouter,
+		"cut from the store": func(rs *testsite.RouterSite, n int) {
+			rs.Net.Cut(testsite.Host(testsite.RouterName(n)), testsite.KVAddress)
+		},
+		"cut from their peers": func(rs *testsite.RouterSite, n int) { cutFromPeers(rs, n) },
+		"silent to everyone": func(rs *testsite.RouterSite, n int) {
+			rs.Net.Blackhole(testsite.Host(testsite.RouterName(n)), testsite.KVAddress)
+			for other := range rs.Routers {
+				rs.Net.Blackhole(testsite.Host(testsite.RouterName(other)), testsite.RouterAddress(n, 83))
+				rs.Net.Blackhole(testsite.Host(testsite.RouterName(n)), testsite.RouterAddress(other, 83))
+			}
+		},
+	} {
+		for _, routers := range []int{8, 40} {
+			t.Run(fmt.Sprintf("%s, %d routers", name, routers), func(t *testing.T) {
+				withSite(t, testsite.RouterOptions{Routers: routers, Domains: 3, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+					time.Sleep(20 * time.Second)
+					failed := watchers(rs)
+					for _, n := range failed {
+						fail(rs, n)
+					}
+					rest := others(routers, failed)
+					if name == "nothing fails" {
+						rest = others(routers, nil)
+					}
+					t.Logf("in force after %s", inForceAfter(rs, limit, rest))
+				})
+			})
+		}
+	}
+}
+
+// cutFromPeers cuts a router off from all others, both ways.
+func cutFromPeers(rs *testsite.RouterSite, n int) {
+	for other := range rs.Routers {
+		rs.Net.Cut(testsite.Host(testsite.RouterName(other)), testsite.RouterAddress(n, 83))
+		rs.Net.Cut(testsite.Host(testsite.RouterName(n)), testsite.RouterAddress(other, 83))
+	}
+}
+
+// TestRouterWithoutPeersWatchesTheStoreItself cuts a router that follows others off from all
+// of them. It must go on to have changes in force.
+func TestRouterWithoutPeersWatchesTheStoreItself(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 12, Domains: 3, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		time.Sleep(20 * time.Second)
+		alone := others(12, watchers(rs))[0]
+		cutFromPeers(rs, alone)
+		time.Sleep(2 * time.Second)
+		t.Logf("in force after %s", inForceAfter(rs, 2*time.Second, []int{alone}))
+	})
+}
+
+// TestFollowersLeaveTheStoreToItsWatchersAgain takes the store away from the routers that
+// watch it, for longer than it takes others to begin, and gives it back.
+func TestFollowersLeaveTheStoreToItsWatchersAgain(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 16, Domains: 3, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		time.Sleep(20 * time.Second)
+		first := watchers(rs)
+		for _, n := range first {
+			rs.Net.Cut(testsite.Host(testsite.RouterName(n)), testsite.KVAddress)
+		}
+		time.Sleep(8 * time.Second)
+		during := watchers(rs)
+		qt.Check(t, len(during) > len(first) && len(during) <= len(first)+4, qt.IsTrue, qt.Commentf("%v, then %v", first, during))
+		inForceAfter(rs, 2*time.Second, others(16, nil))
+		for _, n := range first {
+			rs.Net.Restore(testsite.Host(testsite.RouterName(n)), testsite.KVAddress)
+		}
+		rs.Eventually(30*time.Second, "only the first watch the store", func() bool { return slices.Equal(watchers(rs), first) })
+	})
+}
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -52,6 +52,9 @@
 	Plain  standin.ReplicaOptions
 	// Unconfigured starts the site without a configuration in the store.
 	Unconfigured bool
+	// Domains is the number of failure domains among which the routers are spread, one if it
+	// is 0.
+	Domains int
 	// Log writes the routers' logs to standard error.
 	Log bool
 }
@@ -254,16 +257,16 @@
 
 // RouterAddress returns the address of a port of router-N. Routers listen at port 80
 // for callers, 81 for readiness, 82 for the directory, 83 for peers and 84 for admin.
-func RouterAddress(n, port int) string { return fmt.Sprintf("10.9.0.%d:%d", n, port) }
+func RouterAddress(n, port int) string { return fmt.Sprintf("10.9.%d.%d:%d", n/250, n%250, port) }
 
 // StartRouter starts router-N, or starts it again after KillRouter.
 func (rs *RouterSite) StartRouter(n int) {
 	rs.tb.Helper()
 	ho := Host(RouterName(n))
 	rs.Net.Revive(ho)
-	text := fmt.Sprintf("[vm]\nid = %s\nsite = s\nfailure_domain = zone-a\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
+	text := fmt.Sprintf("[vm]\nid = %s\nsite = s\nfailure_domain = zone-%c\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
 		"[store]\nurls = http://%s\n[peers]\nshared_key = key-of-the-test-site\nfanout = 1\nfailed_after = 2500ms\nseeds = %s\n[serving]\nretry_ratio = 0.9\nretry_slack = 80\n",
-		RouterName(n), RouterAddress(n, 80), RouterAddress(n, 81), RouterAddress(n, 82), RouterAddress(n, 83), RouterAddress(n, 84),
+		RouterName(n), 'a'+n%max(1, rs.opt.Domains), RouterAddress(n, 80), RouterAddress(n, 81), RouterAddress(n, 82), RouterAddress(n, 83), RouterAddress(n, 84),
 		KVAddress, RouterAddress(1, 83))
 	file := filepath.Join(rs.dir, RouterName(n)+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
