Look at the members less often, and without sorting them

The table now keeps the members' keys in order, the exchange reads members without a copy of their items, ranks are hashed once a sort, and whom a router follows is worked out twice a second.

--- a/peer/group.go
+++ b/peer/group.go
@@ -77,8 +77,8 @@
 // Group runs this daemon's side of the exchange and holds what it has learnt from
 // peers.
 //
-// mu guards syncStates, lastContact, lastMembers, sequence, currentRevision and
-// previousRevision. It is taken before the table's and the holder's locks, never
+// mu guards syncStates, lastContact, lastMembers, sequence, currentRevision,
+// previousRevision and watch. It is taken before the table's and the holder's locks, never
 // after.
 type Group struct {
 	opt    Options
@@ -109,6 +109,8 @@
 	// round, previousRevision the one at the start of the round before.
 	currentRevision  store.Revision
 	previousRevision store.Revision
+	// watch is whom this daemon follows, or whether it watches the store itself.
+	watch watchPlan
 }
 
 // syncState records which items this daemon and the peer at one address have
@@ -220,9 +222,7 @@
 	if gr.opt.PeerAddresses != nil {
 		candidates = append(candidates, gr.opt.PeerAddresses()...)
 	}
-	for _, it := range gr.table.List(memberPrefix) {
-		candidates = append(candidates, it.member.PeerAddress)
-	}
+	gr.table.eachMember(func(mb Member, _ time.Time) { candidates = append(candidates, mb.PeerAddress) })
 	for _, ad := range candidates {
 		if ad != "" && ad != me && !slices.Contains(live, ad) && !slices.Contains(others, ad) {
 			others = append(others, ad)
--- a/peer/holder.go
+++ b/peer/holder.go
@@ -40,10 +40,8 @@
 // Ravishankar, 1998). If they are in several failure domains, the second holder is in
 // another one than the first.
 func SelectHolders(daemons []Holder, key string, n int) []Holder {
-	all := slices.Clone(daemons)
-	slices.SortFunc(all, func(a, b Holder) int {
-		return cmp.Compare(weight(b.VM, key), weight(a.VM, key))
-	})
+	all, weights := slices.Clone(daemons), weightsOf(daemons, key)
+	slices.SortFunc(all, func(a, b Holder) int { return cmp.Compare(weights[b.VM], weights[a.VM]) })
 	elsewhere := slices.IndexFunc(all, func(ho Holder) bool { return ho.FailureDomain != all[0].FailureDomain })
 	if elsewhere > 1 {
 		all[1], all[elsewhere] = all[elsewhere], all[1]
@@ -54,16 +52,25 @@
 // SelectNearest returns the n of the daemons, or all if there are fewer, that share a task
 // of a failure domain: those in it first, then by rendezvous hashing.
 func SelectNearest(daemons []Holder, fd policy.FailureDomain, key string, n int) []Holder {
-	all := slices.Clone(daemons)
+	all, weights := slices.Clone(daemons), weightsOf(daemons, key)
 	slices.SortFunc(all, func(a, b Holder) int {
 		if near := b.FailureDomain == fd; near != (a.FailureDomain == fd) {
 			return map[bool]int{true: 1, false: -1}[near]
 		}
-		return cmp.Compare(weight(b.VM, key), weight(a.VM, key))
+		return cmp.Compare(weights[b.VM], weights[a.VM])
 	})
 	return all[:min(n, len(all))]
 }
 
+// weightsOf returns the ranks of the daemons' VMs for a key.
+func weightsOf(daemons []Holder, key string) map[vm.ID]uint64 {
+	out := make(map[vm.ID]uint64, len(daemons))
+	for _, ho := range daemons {
+		out[ho.VM] = weight(ho.VM, key)
+	}
+	return out
+}
+
 // weight returns the rank of a VM for a key; the VMs with the greatest are chosen.
 func weight(id vm.ID, key string) uint64 {
 	return xxhash.Sum64String(string(id) + "\x00" + key)
--- a/peer/member.go
+++ b/peer/member.go
@@ -33,15 +33,14 @@
 // Members returns the other live daemons of all roles: those whose last
 // heartbeat is younger than FailedAfter scaled to the group's size.
 func (gr *Group) Members() []Member {
-	now := time.Now()
-	var out []Member
-	for _, it := range gr.table.List(memberPrefix) {
-		mb := it.member
-		mb.FailedAt = it.WrittenAt.Add(gr.ScaleInterval(gr.opt.FailedAfter))
+	now, lifetime := time.Now(), gr.ScaleInterval(gr.opt.FailedAfter)
+	out := make([]Member, 0, gr.size.Load())
+	gr.table.eachMember(func(mb Member, heardAt time.Time) {
+		mb.FailedAt = heardAt.Add(lifetime)
 		if mb.Incarnation != gr.Incarnation() && mb.FailedAt.After(now) {
 			out = append(out, mb)
 		}
-	}
+	})
 	return out
 }
 
@@ -67,12 +66,14 @@
 // LastHeard returns the time of the last heartbeat of an incarnation, received
 // directly or through other peers, and reports whether there is one.
 func (gr *Group) LastHeard(in Incarnation) (time.Time, bool) {
-	for _, it := range gr.table.List(memberPrefix) {
-		if it.member.Incarnation == in {
-			return it.WrittenAt, true
+	var at time.Time
+	found := false
+	gr.table.eachMember(func(mb Member, heardAt time.Time) {
+		if mb.Incarnation == in {
+			at, found = heardAt, true
 		}
-	}
-	return time.Time{}, false
+	})
+	return at, found
 }
 
 // ReachesMostEntries reports whether this daemon has had a direct exchange with
--- a/peer/table.go
+++ b/peer/table.go
@@ -65,6 +65,8 @@
 	change int64
 	// keys holds the keys of items by their hash.
 	keys map[uint64]string
+	// memberKeys are the keys of the members' items, sorted.
+	memberKeys []string
 }
 
 // NewTable returns an empty table.
@@ -98,7 +100,34 @@
 		it.member = decodeMember(it.Value)
 	}
 	ta.items[it.Key] = it
+	if ok {
+		return
+	}
 	ta.keys[hashKey(it.Key)] = it.Key
+	if strings.HasPrefix(it.Key, memberPrefix) {
+		n, _ := slices.BinarySearch(ta.memberKeys, it.Key)
+		ta.memberKeys = slices.Insert(ta.memberKeys, n, it.Key)
+	}
+}
+
+// removeLocked removes an item.
+func (ta *Table) removeLocked(key string) {
+	delete(ta.items, key)
+	delete(ta.keys, hashKey(key))
+	if n, ok := slices.BinarySearch(ta.memberKeys, key); ok {
+		ta.memberKeys = slices.Delete(ta.memberKeys, n, n+1)
+	}
+}
+
+// eachMember calls fn with each member and the time of its last heartbeat, in the order of
+// their keys. fn must not use the table.
+func (ta *Table) eachMember(fn func(mb Member, heardAt time.Time)) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	for _, key := range ta.memberKeys {
+		it := ta.items[key]
+		fn(it.member, it.WrittenAt)
+	}
 }
 
 // refresh stores a newer version of an item whose value is unchanged. It does
@@ -157,8 +186,7 @@
 	var out []*rpc.Item
 	for key, it := range ta.items {
 		if now.Sub(it.WrittenAt) > itemTTL {
-			delete(ta.items, key)
-			delete(ta.keys, hashKey(key))
+			ta.removeLocked(key)
 			continue
 		}
 		if it.change <= change {
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -27,11 +27,54 @@
 	policyWaitMargin = 500 * time.Millisecond
 	// minEvidenceStep is how much newer evidence must be to be passed on at once.
 	minEvidenceStep = time.Second
+	// planAge is the age up to which a daemon does not look at the others anew.
+	planAge = 500 * time.Millisecond
 	// spareWatchers is how many daemons after the first are followed when those have no word
 	// from the store.
 	spareWatchers = 6
 )
 
+// watchPlan is what a daemon derives from the order in which the daemons are to watch the
+// store.
+type watchPlan struct {
+	// rank is this daemon's place in the order.
+	rank int
+	// upstreams are the addresses of the daemons to follow.
+	upstreams []string
+	madeAt    time.Time
+}
+
+// Seed implements configuration.Upstream.
+func (gr *Group) Seed() bool { return slices.Contains(gr.opt.Seeds, gr.opt.Self.GetPeerAddress()) }
+
+// WatchRank implements configuration.Upstream.
+func (gr *Group) WatchRank() int { return gr.plan().rank }
+
+// Upstreams implements configuration.Upstream. In a small group these are the daemons that
+// watch the store. In a large group the relays of each failure domain follow those, and the
+// other daemons of the domain follow its relays. The next in the order come last: they watch
+// the store when the first have no word from it.
+func (gr *Group) Upstreams() []string { return gr.plan().upstreams }
+
+// plan returns the plan as of up to planAge ago.
+func (gr *Group) plan() watchPlan {
+	gr.mu.Lock()
+	pl := gr.watch
+	gr.mu.Unlock()
+	if time.Since(pl.madeAt) < planAge {
+		return pl
+	}
+	order := gr.watchOrder()
+	pl = watchPlan{rank: slices.IndexFunc(order, gr.isSelf), upstreams: gr.upstreamsOf(order), madeAt: time.Now()}
+	if pl.rank < 0 {
+		pl.rank = len(order)
+	}
+	gr.mu.Lock()
+	gr.watch = pl
+	gr.mu.Unlock()
+	return pl
+}
+
 // watchOrder returns the live daemons of this daemon's role that do not drain, this one
 // included, in the order in which they are to watch the store. Daemons with fast links come
 // first, as they pass large policies on sooner, then those that rendezvous hashing ranks
@@ -40,8 +83,9 @@
 	all := gr.Holders()
 	all[0].Draining = gr.self().GetDraining()
 	all = slices.DeleteFunc(all, func(ho Holder) bool { return ho.Draining })
+	weights := weightsOf(all, watchTask)
 	slices.SortFunc(all, func(a, b Holder) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(weight(b.VM, watchTask), weight(a.VM, watchTask)))
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(weights[b.VM], weights[a.VM]))
 	})
 	for n := 1; n < min(StoreWatchers, len(all)); n++ {
 		elsewhere := slices.IndexFunc(all[n:], func(ho Holder) bool {
@@ -55,25 +99,8 @@
 	return all
 }
 
-// Seed implements configuration.Upstream.
-func (gr *Group) Seed() bool { return slices.Contains(gr.opt.Seeds, gr.opt.Self.GetPeerAddress()) }
-
-// WatchRank implements configuration.Upstream.
-func (gr *Group) WatchRank() int {
-	order := gr.watchOrder()
-	rank := slices.IndexFunc(order, gr.isSelf)
-	if rank < 0 {
-		return len(order)
-	}
-	return rank
-}
-
-// Upstreams implements configuration.Upstream. In a small group these are the daemons that
-// watch the store. In a large group the relays of each failure domain follow those, and the
-// other daemons of the domain follow its relays. The next in the order come last: they watch
-// the store when the first have no word from it.
-func (gr *Group) Upstreams() []string {
-	order := gr.watchOrder()
+// upstreamsOf returns the addresses of the daemons to follow, given the order.
+func (gr *Group) upstreamsOf(order []Holder) []string {
 	if len(order) <= 1 {
 		// No other daemon is known yet.
 		return slices.DeleteFunc(slices.Clone(gr.opt.Seeds), func(address string) bool { return address == gr.opt.Self.GetPeerAddress() })
