--- a/relay/health.go
+++ b/relay/health.go
@@ -49,8 +49,8 @@
 }
 
 // refresh applies the other routers' results. A candidate that any router rejected
-// is rejected here too, and so is one whose failures are few at each router but
-// too many in total.
+// is rejected here too, and so is one whose failures or slow answers are few at each router
+// but too many in total.
 func (rs *releaseSelector) refresh() {
 	se, now := rs.router.holder.Set(), time.Now()
 	for _, ro := range se.Rollouts.List() {
@@ -62,11 +62,16 @@
 		st := rs.stateOf(now, ro)
 		st.peerAnswers = reports.candidate.Answers
 		candidate := reports.candidate.Add(rollout.Counts{Answers: st.health.Answers, Failures: st.health.Failures})
+		evidence, own := reports.evidence, st.health.Evidence()
+		evidence.Failures.Add(own.Failures.LogWealth())
+		evidence.Slow.Add(own.Slow.LogWealth())
 		switch {
 		case reports.rejectionReason != "":
 			rs.reject(ro, st, reports.rejectionReason)
 		case candidate.SignificantlyWorse(reports.stable.Add(st.stable)):
 			rs.reject(ro, st, "failures over all routers")
+		case evidence.RejectionReason() != "":
+			rs.reject(ro, st, evidence.RejectionReason()+" over all routers")
 		}
 		rs.mu.Unlock()
 	}
@@ -79,6 +84,7 @@
 	rejectionReason   string
 	candidate, stable rollout.Counts
 	stableInFlight    int64
+	evidence          rollout.Evidence
 }
 
 func (rs *releaseSelector) collectPeerReports(ro policy.Rollout) peerReports {
@@ -95,6 +101,8 @@
 		}
 		out.candidate = out.candidate.Add(rollout.Counts{Answers: he.GetAnswers(), Failures: he.GetFailures()})
 		out.stable = out.stable.Add(rollout.Counts{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()})
+		out.evidence.Failures.Add(he.GetFailureEvidence())
+		out.evidence.Slow.Add(he.GetSlowEvidence())
 		if time.Since(it.WrittenAt) < inFlightTTL {
 			out.stableInFlight += he.GetStableInFlight()
 		}
@@ -117,10 +125,12 @@
 		inFlight := rs.stableInFlight(ro)
 		rs.mu.Lock()
 		st := rs.stateOf(time.Now(), ro)
+		ev := st.health.Evidence()
 		he := &rpc.VersionHealth{
 			Version: ro.ToVersion, Answers: st.health.Answers, Failures: st.health.Failures,
 			StableAnswers: st.stable.Answers, StableFailures: st.stable.Failures,
 			Suspect: st.rejectionReason != "", Reason: st.rejectionReason, StableInFlight: inFlight,
+			FailureEvidence: ev.Failures.LogWealth(), SlowEvidence: ev.Slow.LogWealth(),
 		}
 		rs.mu.Unlock()
 		rs.router.peers.Publish(healthKey(ro.Service, string(rs.router.peers.VM())), he)
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -14,6 +14,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"tanagerpoint.example/tanager/policy"
 )
@@ -40,6 +41,23 @@
 	}
 }
 
+// LogWealth returns the logarithms of the wealth of each bet. They tell other daemons what this
+// one has observed; see Add.
+func (st *SequentialTest) LogWealth() []float64 { return slices.Clone(st.logWealth[:]) }
+
+// Add adds the evidence of another daemon's test, as LogWealth returned it there. Each test is
+// a bet that a good version does not win, and so is the product of all: together they reject a
+// good version no more often than one of them does. Evidence of another number of bets, from
+// another version of the program, is left out.
+func (st *SequentialTest) Add(logWealth []float64) {
+	if len(logWealth) != len(bets) {
+		return
+	}
+	for i, lw := range logWealth {
+		st.logWealth[i] += lw
+	}
+}
+
 // LogEvidence returns the logarithm of the mean wealth over all bets.
 func (st *SequentialTest) LogEvidence() float64 {
 	top := st.logWealth[0]
@@ -149,13 +167,25 @@
 	return ou.TimedOut || ht.meanFirstToken > 0 && ou.FirstToken > slowFactor*ht.meanFirstToken
 }
 
+// Evidence is the evidence against a candidate, of one daemon or of several.
+type Evidence struct {
+	Failures, Slow SequentialTest
+}
+
+// Evidence returns the evidence against the candidate.
+func (ht *HealthTest) Evidence() Evidence { return Evidence{Failures: ht.failures, Slow: ht.slow} }
+
 // RejectionReason says why the candidate is bad; it returns "" while it is not
 // rejected.
-func (ht *HealthTest) RejectionReason() string {
+func (ht *HealthTest) RejectionReason() string { return ht.Evidence().RejectionReason() }
+
+// RejectionReason says why the candidate is bad; it returns "" while the evidence does not
+// suffice to reject it.
+func (ev Evidence) RejectionReason() string {
 	switch {
-	case ht.failures.Rejects():
+	case ev.Failures.Rejects():
 		return "errors or silence"
-	case ht.slow.Rejects():
+	case ev.Slow.Rejects():
 		return "slow first token"
 	}
 	return ""
