Read the store once at a router's start, and cheaply

Such a read is no evidence of the newest policy, and its pages may be of different ages: the revision is that of the oldest page. (Pages of newest reads only rise.)

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -142,7 +142,7 @@
 	case joined && upstreams > 0 && fo.unreachable >= followedPeers:
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchUnreachable
-	case now.Sub(evidence) > turn:
+	case now.Sub(evidence) > turn && now.Sub(fo.startedAt) > turn:
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchStale
 	case fo.watches() && (now.Before(fo.watchUntil) || now.Sub(fo.peerAnsweredAt) > MaxPassedAge):
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -184,9 +184,15 @@
 
 // load reads all records into the holder and returns the revision to watch from,
 // or 0 on failure. It counts as a failure if the store is behind the set in force.
+// Records that may be some seconds old do for an empty holder, if there are peers that know
+// the changes since.
 func (wa *Watcher) load(ctx context.Context) store.Revision {
-	asked := time.Now()
-	pa, err := wa.store.Range(ctx, wa.layout.Prefix())
+	asked, read := time.Now(), wa.store.Range
+	stale := wa.follower != nil && wa.holder.Set().Revision == 0
+	if stale {
+		read = wa.store.RangeStale
+	}
+	pa, err := read(ctx, wa.layout.Prefix())
 	if err != nil {
 		wa.recordFailure()
 		wa.log.Warn(event.StoreUnreachable, err, nil)
@@ -203,7 +209,9 @@
 	} else {
 		wa.holder.Update(newest, records)
 	}
-	wa.holder.Confirm(newest, asked)
+	if !stale {
+		wa.holder.Confirm(newest, asked)
+	}
 	return pa.Revision + 1
 }
 
--- a/standin/restore.go
+++ b/standin/restore.go
@@ -29,6 +29,13 @@
 	}
 }
 
+// AnswerStale makes reads that allow stale answers answer from a copy.
+func (st *Store) AnswerStale(co StoreCopy) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.stale = &co
+}
+
 // Restore brings the store back to the state of a copy. What was written since is gone,
 // leases too, revisions are given out again, and the era rises by one. The copy's leases
 // begin anew. A watch from a revision that the store does not have gets status 410, and so
--- a/standin/store.go
+++ b/standin/store.go
@@ -40,6 +40,8 @@
 	// events is the history of changes since the last compaction.
 	events []store.WireEvent
 	leases map[int64]storedLease
+	// stale is what reads that allow stale answers are answered from, nil for the newest.
+	stale *StoreCopy
 	// changed is closed, and replaced, when events are added or compacted.
 	changed chan struct{}
 	// reads and writes count the calls, see Calls.
--- a/store/client.go
+++ b/store/client.go
@@ -137,6 +137,12 @@
 	return cl.read(ctx, "Range", WireRange{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)})
 }
 
+// RangeStale implements Store by a serializable read, which one member of the cluster answers
+// alone.
+func (cl *Client) RangeStale(ctx context.Context, prefix Key) (ReadResult, error) {
+	return cl.read(ctx, "RangeStale", WireRange{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), Serializable: true})
+}
+
 // Get implements Store.
 func (cl *Client) Get(ctx context.Context, key Key) (ReadResult, error) {
 	return cl.read(ctx, "Get", WireRange{Key: []byte(key)})
--- a/store/store.go
+++ b/store/store.go
@@ -104,6 +104,9 @@
 type Store interface {
 	// Range reads all pairs whose key has a prefix.
 	Range(ctx context.Context, prefix Key) (ReadResult, error)
+	// RangeStale is a cheaper Range whose pairs may be some seconds old. They are those of a
+	// time at or after the result's revision.
+	RangeStale(ctx context.Context, prefix Key) (ReadResult, error)
 	// Get reads one pair. The result has no pairs if the key does not exist.
 	Get(ctx context.Context, key Key) (ReadResult, error)
 	// Apply applies one commit.
--- a/store/wire.go
+++ b/store/wire.go
@@ -20,6 +20,8 @@
 type WireRange struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	// Serializable allows an answer that is not the newest.
+	Serializable bool `json:"serializable,omitempty"`
 }
 
 // WireRangeResponse is etcd's RangeResponse.
