Add up the loads of a large group's routers over the relays

In a group of more than 24 routers each knew only its own load on an endpoint, and what the endpoint had last told it, some ten seconds before: placement was blind, and prompts queued behind each other while other endpoints were idle. The loads, and the backlog by which the cascade decides, were guessed from the router's own.

Now each router tells the first relay of its failure domain its load four times a second, and is told that of all; the first relays tell each other the sums of their domains. Six numbers of four bytes an endpoint, no gossip. The second relay stands in for the first. Many routers that compare all endpoints by loads 0.3 s old all choose the same few, so where there are more than 24 endpoints each compares the two homes of the prompt's prefix in its failure domain, two more of the domain and one of all, at random.

TestManyRoutersWithOldLoadsDoNotCrowd: 18 requests at once at the busiest endpoint, mean 10; 30 if all are compared, 21 to 30 with six at random.

--- a/peer/server.go
+++ b/peer/server.go
@@ -33,6 +33,11 @@
 	ReportCrashes(ctx context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error)
 }
 
+// LoadSharer answers other daemons' calls that share loads.
+type LoadSharer interface {
+	ShareLoad(ctx context.Context, rq *rpc.ShareLoadRequest) (*rpc.ShareLoadResponse, error)
+}
+
 // Server serves the calls of other daemons. It implements rpc.PeerService.
 type Server struct {
 	group *Group
@@ -40,6 +45,8 @@
 	pins  Pins
 	// crashes is nil on daemons that hold no reports.
 	crashes Crashes
+	// loads is nil on daemons that share no loads.
+	loads LoadSharer
 }
 
 // NewServer returns a server. bi and pi are nil on daemons that hold no copies
@@ -54,6 +61,12 @@
 	return se
 }
 
+// WithLoads makes the server answer calls that share loads, and returns it.
+func (se *Server) WithLoads(lo LoadSharer) *Server {
+	se.loads = lo
+	return se
+}
+
 // Handler returns the HTTP handler of the listener for peers. It answers
 // requests without the shared key with status 401.
 func (se *Server) Handler() http.Handler {
@@ -150,6 +163,14 @@
 	return se.crashes.ReportCrashes(ctx, rq)
 }
 
+// ShareLoad implements rpc.PeerService. A daemon that shares no loads knows none.
+func (se *Server) ShareLoad(ctx context.Context, rq *rpc.ShareLoadRequest) (*rpc.ShareLoadResponse, error) {
+	if se.loads == nil {
+		return &rpc.ShareLoadResponse{}, nil
+	}
+	return se.loads.ShareLoad(ctx, rq)
+}
+
 func equalSecret(a, b string) bool {
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -1,12 +1,8 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tanagerpoint.example/tanager/policy"
 )
 
@@ -17,11 +13,8 @@
 	// maxRecentPrefixes is the largest size of Balancer.sentAt, and the size of
 	// popularity.counts above which rarely requested prefixes are dropped.
 	maxRecentPrefixes = 4096
-	// preferredEndpoints is the number of endpoints that rendezvous hashing assigns
-	// to each prefix.
-	preferredEndpoints = 2
 	// secondPreferredShare is the part of a prefix that is expected in the cache
-	// of its second preferred endpoint.
+	// of its second home.
 	secondPreferredShare = 0.5
 )
 
@@ -32,27 +25,19 @@
 }
 
 // cachedShares returns for each endpoint the part of the job's prefix expected
-// in its cache, from 0 to 1: all of it at the first preferred endpoint and where
+// in its cache, from 0 to 1: all of it at the first of its homes and where
 // it was sent within cacheLifetime, and secondPreferredShare at the second.
-func (ba *Balancer) cachedShares(now time.Time, ens []policy.Endpoint, jo Job) []float64 {
+func (ba *Balancer) cachedShares(now time.Time, ens, homes []policy.Endpoint, jo Job) []float64 {
 	out := make([]float64, len(ens))
 	if jo.Prefix == 0 {
 		return out
 	}
-	order := make([]int, len(ens))
-	hashes := make([]uint64, len(ens))
-	for i, en := range ens {
-		order[i], hashes[i] = i, mix(xxhash.Sum64String(string(en.ID))^uint64(jo.Prefix))
-	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(hashes[b], hashes[a]) })
-	share := 1.0
-	for _, i := range order[:min(preferredEndpoints, len(order))] {
-		out[i] = share
-		share = secondPreferredShare
-	}
 	for i, en := range ens {
-		if at, ok := ba.sentAt[endpointPrefix{jo.Prefix, en.ID}]; ok && now.Sub(at) < cacheLifetime {
+		switch at, ok := ba.sentAt[endpointPrefix{jo.Prefix, en.ID}]; {
+		case ok && now.Sub(at) < cacheLifetime, len(homes) > 0 && homes[0].ID == en.ID:
 			out[i] = 1
+		case len(homes) > 1 && homes[1].ID == en.ID:
+			out[i] = secondPreferredShare
 		}
 	}
 	return out
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -148,13 +148,14 @@
 func (ba *Balancer) Choose(now time.Time, ens []policy.Endpoint, jo Job, tried []policy.EndpointID, usable func(en policy.Endpoint, cn Condition) bool) (Assignment, bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
-	ens = slices.DeleteFunc(slices.Clone(ens), func(en policy.Endpoint) bool {
+	unusable := func(en policy.Endpoint) bool {
 		return slices.Contains(tried, en.ID) || !usable(en, ba.condition(now, en.ID))
-	})
+	}
+	ens, home := ba.compared(ens, jo, unusable)
 	if len(ens) == 0 {
 		return Assignment{}, false
 	}
-	shares := ba.cachedShares(now, ens, jo)
+	shares := ba.cachedShares(now, ens, home, jo)
 	best, bestScore := 0, 0.0
 	for i, en := range ens {
 		score := ba.score(now, en, jo, shares[i]) * (1 + jitter*ba.rng.Float64())
@@ -273,6 +274,13 @@
 	return sum / Work(len(ens))
 }
 
+// KnowsPeers reports whether there are valid reports of the other routers.
+func (ba *Balancer) KnowsPeers(now time.Time) bool {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return now.Before(ba.peersUntil)
+}
+
 // SetPeerLoads replaces the sums of the loads that the other routers have placed
 // on each endpoint. They expire after peerReportLifetime.
 func (ba *Balancer) SetPeerLoads(now time.Time, peers map[policy.EndpointID]Load) {
@@ -301,6 +309,20 @@
 	return out
 }
 
+// PeerLoads returns the load of the other routers on each endpoint, as far as there are valid
+// reports.
+func (ba *Balancer) PeerLoads(now time.Time) map[policy.EndpointID]Load {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	out := map[policy.EndpointID]Load{}
+	for id, es := range ba.states {
+		if now.Before(ba.peersUntil) && es.peers.Running > 0 {
+			out[id] = es.peers
+		}
+	}
+	return out
+}
+
 // Condition is what is known of an endpoint before a choice.
 type Condition struct {
 	// Own counts this router's requests in flight, All those of every router. While there
--- a/placement/balancer_test.go
+++ b/placement/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -123,3 +124,74 @@
 	ba.Done(begin, as, placement.Succeeded)
 	qt.Assert(t, ba.Loads()["e0"], qt.Equals, placement.Load{Running: 1, Backlog: 1})
 }
+
+// TestManyRoutersWithOldLoadsDoNotCrowd has 60 routers before 90 endpoints know each other's
+// loads as they were up to 0.3 s ago. If all compared all endpoints, each time the
+// loads are told all would send to the few that were the least loaded.
+func TestManyRoutersWithOldLoadsDoNotCrowd(t *testing.T) {
+	const (
+		routers, endpoints = 60, 90
+		step               = 5 * time.Millisecond
+		perStep            = 3
+		lasts              = 1500 * time.Millisecond
+		told               = 300 * time.Millisecond
+		// maxAtOnce is twice the mean.
+		maxAtOnce = 20
+	)
+	ens := engines(endpoints)
+	var bas []*placement.Balancer
+	for n := range routers {
+		bas = append(bas, placement.NewBalancer(uint64(n+1), ""))
+	}
+	type job struct {
+		router int
+		as     placement.Assignment
+		ends   time.Time
+	}
+	var all []job
+	loads, most, now := map[policy.EndpointID]int{}, 0, begin
+	rng := rand.New(rand.NewPCG(7, 7))
+	for ; now.Before(begin.Add(20 * time.Second)); now = now.Add(step) {
+		for len(all) > 0 && !all[0].ends.After(now) {
+			jo := all[0]
+			all = all[1:]
+			bas[jo.router].AnswerStarted(jo.as, 50*time.Millisecond)
+			bas[jo.router].Done(now, jo.as, placement.Succeeded)
+			loads[jo.as.Endpoint.ID]--
+		}
+		if now.Sub(begin)%told == 0 {
+			tellLoads(now, bas)
+		}
+		for range perStep {
+			n := rng.IntN(routers)
+			as, ok := bas[n].Choose(now, ens, placement.Job{Work: 0.05}, nil, anyEndpoint)
+			qt.Assert(t, ok, qt.IsTrue)
+			all = append(all, job{n, as, now.Add(lasts)})
+			loads[as.Endpoint.ID]++
+			if now.Sub(begin) > 5*time.Second {
+				most = max(most, loads[as.Endpoint.ID])
+			}
+		}
+	}
+	mean := perStep * lasts.Seconds() / step.Seconds() / endpoints
+	t.Logf("%d at once at the busiest, %.1f in the mean", most, mean)
+	qt.Assert(t, most <= maxAtOnce, qt.IsTrue)
+}
+
+// tellLoads tells each balancer the loads of the others.
+func tellLoads(now time.Time, bas []*placement.Balancer) {
+	sum := map[policy.EndpointID]placement.Load{}
+	for _, ba := range bas {
+		for id, lo := range ba.Loads() {
+			sum[id] = placement.Load{Running: sum[id].Running + lo.Running, Backlog: sum[id].Backlog + lo.Backlog}
+		}
+	}
+	for _, ba := range bas {
+		others := map[policy.EndpointID]placement.Load{}
+		own := ba.Loads()
+		for id, lo := range sum {
+			others[id] = placement.Load{Running: lo.Running - own[id].Running, Backlog: lo.Backlog - own[id].Backlog}
+		}
+		ba.SetPeerLoads(now, others)
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -122,12 +122,12 @@
 	}
 }
 
-// meanBacklog returns the mean work queued at an endpoint by all routers. In a
-// group too large for routers to exchange their loads, every other router is
-// assumed to have queued as much as this router does on average over time.
+// meanBacklog returns the mean work queued at an endpoint by all routers. While
+// the loads of the others are not known, each of them is assumed to have queued as
+// much as this router does on average over time.
 func (ro *Router) meanBacklog(now time.Time, id policy.ServiceID, ens []policy.Endpoint) placement.Work {
 	mean := ro.balancer.MeanBacklog(now, ens)
-	if !ro.peers.Large() {
+	if !ro.peers.Large() || ro.balancer.KnowsPeers(now) {
 		return mean
 	}
 	return ro.backlogs.add(now, id, mean*placement.Work(ro.routers.Load()))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
@@ -21,8 +22,7 @@
 	ro.limits.Publish(time.Now())
 	ro.fleet.publishLeaving(time.Now())
 	if ro.peers.Large() {
-		// In large groups the load that the endpoints report in their answers is
-		// more recent than what the routers would exchange.
+		// In large groups the loads are added up, see OwnLoads.
 		return
 	}
 	us := &rpc.Usage{}
@@ -61,3 +61,23 @@
 	ro.fleet.refreshLeaving(now)
 	ro.pauses.Prune(now)
 }
+
+// OwnLoads returns this router's loads, for the routers of a large group.
+func (ro *Router) OwnLoads() peer.Loads {
+	out := peer.Loads{}
+	for id, lo := range ro.balancer.Loads() {
+		out[peer.HashEndpoint(id)] = peer.EndpointLoad{Running: int64(lo.Running), Backlog: time.Duration(float64(lo.Backlog) * float64(time.Second))}
+	}
+	return out
+}
+
+// ApplyLoads applies the loads of the other routers of a large group.
+func (ro *Router) ApplyLoads(others peer.Loads) {
+	loads := map[policy.EndpointID]placement.Load{}
+	for _, en := range ro.holder.Set().Endpoints.List() {
+		if el, ok := others[peer.HashEndpoint(en.ID)]; ok {
+			loads[en.ID] = placement.Load{Running: int(el.Running), Backlog: placement.Work(el.Backlog.Seconds())}
+		}
+	}
+	ro.balancer.SetPeerLoads(time.Now(), loads)
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -254,6 +254,8 @@
 type State struct {
 	Routers   int64                                `json:"routers"`
 	Endpoints map[policy.EndpointID]placement.Load `json:"endpoints"`
+	// Others are the loads that the other routers have placed on endpoints.
+	Others map[policy.EndpointID]placement.Load `json:"others"`
 	// Limits are the requests a second that endpoints take from all routers together.
 	Limits map[policy.EndpointID]limit.Rate `json:"limits"`
 	// Blocked are the endpoints that get no request now.
@@ -262,5 +264,5 @@
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Limits: ro.limits.Rates(), Blocked: ro.Blocked()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Blocked: ro.Blocked()}
 }
