Leave the store to its watchers while all routers start (store calls)

Callers of a large site pay for each call of the store.

Three causes, one class: a router decides by an order of which it does not know the others yet. - A router that knew no other one took itself for the first (rank 0) one second after its start, as the next exchange with its seeds came only after the scaled interval. Now it asks every 0.15 s until it knows one, and has no rank before; it registers after 3 s at the earliest. - Two peers in a row that could not be followed (seeds that were starting) made every router watch at once. Now they begin in their order, 0.15 s apart, 1.5 s later at the most. - A router that watched in place of others went on to the next peer after each answer, also of one that has word from the store, and so seldom saw that it was needed no more. Now it stays with that one.

TestRestartOfAllRoutersLeavesTheStoreToItsWatchers failed before.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -18,6 +18,9 @@
 	// joinTime is how long after its start a daemon that is no seed waits for word of its
 	// peers before it takes itself for one of the first.
 	joinTime = time.Second
+	// maxUnreachableTurn is the longest time for which a daemon that reaches no peer leaves
+	// the store to those before it in the order.
+	maxUnreachableTurn = 1500 * time.Millisecond
 	// MaxPassedAge is the age of the evidence from peers from which these are taken to be
 	// without the store: somewhat more than a watch may be silent. The daemons then begin
 	// to watch the store one after the other, turnStep apart.
@@ -48,6 +51,9 @@
 type Upstream interface {
 	// Seed reports whether other daemons that start ask this one first.
 	Seed() bool
+	// Alone reports whether this daemon knows no other one yet, although it has addresses to
+	// ask at: its place in the order is not known then.
+	Alone() bool
 	// WatchRank returns the place of this daemon in the order in which the daemons are to
 	// watch the store, from 0.
 	WatchRank() int
@@ -72,8 +78,10 @@
 	startedAt time.Time
 
 	mu sync.Mutex
-	// unreachable counts the peers in a row that could not be followed.
-	unreachable int
+	// unreachable counts the peers in a row that could not be followed, and unreachableAt is
+	// when followedPeers of them could not.
+	unreachable   int
+	unreachableAt time.Time
 	// storeAnsweredAt is when the store last answered this daemon, and peerAnsweredAt when
 	// it last answered a peer that this daemon follows.
 	storeAnsweredAt, peerAnsweredAt time.Time
@@ -134,12 +142,12 @@
 // decide returns why a daemon that has a policy watches the store, given its rank, the number
 // of peers that it may follow, and its newest evidence. The caller holds mu.
 func (fo *Follower) decide(now time.Time, rank, upstreams int, evidence time.Time) WatchReason {
-	turn := MaxPassedAge + time.Duration(max(0, rank-fo.watchers))*turnStep
-	joined := now.Sub(fo.startedAt) >= joinTime
+	wait := time.Duration(max(0, rank-fo.watchers)) * turnStep
+	turn, joined := MaxPassedAge+wait, now.Sub(fo.startedAt) >= joinTime
 	switch {
-	case rank < fo.watchers && (joined || fo.upstream.Seed()):
+	case rank < fo.watchers && (fo.upstream.Seed() || joined && !fo.upstream.Alone()):
 		return WatchRank
-	case joined && upstreams > 0 && fo.unreachable >= followedPeers:
+	case joined && upstreams > 0 && fo.unreachable >= followedPeers && now.Sub(fo.unreachableAt) >= min(wait, maxUnreachableTurn):
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchUnreachable
 	case now.Sub(evidence) > turn && now.Sub(fo.startedAt) > turn:
@@ -219,7 +227,7 @@
 			worker.Sleep(ctx, followDelay<<min(failures/2, maxFollowDoublings))
 			failures++
 			continue
-		case inPlace:
+		case inPlace && time.Since(pa.StoreAnswered) > MaxPassedAge:
 			// Another one may have word from the store itself again.
 			choice++
 		case choice >= len(addresses):
@@ -238,7 +246,9 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	if err != nil {
-		fo.unreachable++
+		if fo.unreachable++; fo.unreachable == followedPeers {
+			fo.unreachableAt = time.Now()
+		}
 		return false
 	}
 	fo.unreachable = 0
--- a/peer/registry.go
+++ b/peer/registry.go
@@ -23,6 +23,9 @@
 	registeredDaemons = 5
 	// registryTask is the key by which the daemons rank themselves for registering.
 	registryTask = "registry"
+	// registryDelay is how long after its start a daemon registers at the earliest: before,
+	// it does not know all the others.
+	registryDelay = 3 * time.Second
 	// registryCheckInterval is how often a daemon looks whether it is to register.
 	registryCheckInterval = time.Second
 	// registryReadInterval is how often a registered daemon reads the registrations, to
@@ -68,8 +71,11 @@
 // Run keeps the registration up to date until ctx is done, and then removes it.
 func (rg *Registry) Run(ctx context.Context, gr *Group) {
 	// The daemons that the seeds know are heard of meanwhile.
+	registersAt := time.Now().Add(registryDelay)
 	for worker.Sleep(ctx, registryCheckInterval) {
-		rg.check(ctx, time.Now(), gr.Preferred(registryTask, registeredDaemons), len(gr.Members()) == 0)
+		now := time.Now()
+		registers := !now.Before(registersAt) && gr.Preferred(registryTask, registeredDaemons)
+		rg.check(ctx, now, registers, len(gr.Members()) == 0)
 	}
 	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
@@ -146,7 +152,8 @@
 }
 
 func (rg *Registry) read(ctx context.Context) {
-	pa, err := rg.store.Range(ctx, rg.prefix)
+	// Registrations live on far longer than a stale answer is behind.
+	pa, err := rg.store.RangeStale(ctx, rg.prefix)
 	if err != nil {
 		rg.log.Debug(event.StoreUnreachable, err, event.Fields{"prefix": rg.prefix})
 		return
--- a/peer/run.go
+++ b/peer/run.go
@@ -17,17 +17,25 @@
 	// a new policy set without waiting for the next round. Since each of them does
 	// the same, nearly all daemons know of it after a few hops.
 	notifyFanout = 3
+	// joinInterval is the pause between exchanges of a daemon that has started within
+	// joinPeriod and knows no other one yet.
+	joinInterval = 150 * time.Millisecond
+	joinPeriod   = 5 * time.Second
 )
 
 // Run exchanges with peers until ctx is done, once per interval and at once
 // when a new policy set comes into force.
 func (gr *Group) Run(ctx context.Context) {
+	joinUntil := time.Now().Add(joinPeriod)
 	for ctx.Err() == nil {
 		changed := gr.holder.Changed()
 		tm := time.NewTimer(gr.ScaleInterval(gr.opt.Interval))
 		gr.publishSelf()
 		gr.exchangeRound(ctx)
 		gr.updateMembers()
+		if gr.Alone() && time.Now().Before(joinUntil) {
+			tm.Reset(joinInterval)
+		}
 		gr.waitRound(ctx, changed, tm.C)
 		tm.Stop()
 	}
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -37,8 +37,10 @@
 // watchPlan is what a daemon derives from the order in which the daemons are to watch the
 // store.
 type watchPlan struct {
-	// rank is this daemon's place in the order.
-	rank int
+	// rank is this daemon's place in the order, and alone reports whether there is no other
+	// daemon in it.
+	rank  int
+	alone bool
 	// upstreams are the addresses of the daemons to follow.
 	upstreams []string
 	madeAt    time.Time
@@ -47,6 +49,12 @@
 // Seed implements configuration.Upstream.
 func (gr *Group) Seed() bool { return slices.Contains(gr.opt.Seeds, gr.opt.Self.GetPeerAddress()) }
 
+// Alone implements configuration.Upstream.
+func (gr *Group) Alone() bool {
+	pl := gr.plan()
+	return pl.alone && len(pl.upstreams) > 0
+}
+
 // WatchRank implements configuration.Upstream.
 func (gr *Group) WatchRank() int { return gr.plan().rank }
 
@@ -65,7 +73,7 @@
 		return pl
 	}
 	order := gr.watchOrder()
-	pl = watchPlan{rank: slices.IndexFunc(order, gr.isSelf), upstreams: gr.upstreamsOf(order), madeAt: time.Now()}
+	pl = watchPlan{rank: slices.IndexFunc(order, gr.isSelf), alone: len(order) <= 1, upstreams: gr.upstreamsOf(order), madeAt: time.Now()}
 	if pl.rank < 0 {
 		pl.rank = len(order)
 	}
--- a/router/store_watch_test.go
+++ b/router/store_watch_test.go
@@ -78,6 +78,39 @@
 	}
 }
 
+// TestRestartOfAllRoutersLeavesTheStoreToItsWatchers kills all routers and starts them again,
+// the seeds last. Each knew no other one at first, took itself for the first of the site or
+// all its peers for dead, and watched the store and registered there, for ten seconds or more.
+func TestRestartOfAllRoutersLeavesTheStoreToItsWatchers(t *testing.T) {
+	const (
+		routers  = 30
+		measured = 12 * time.Second
+		// fixedPerSecond and perRouterPerSecond bound the calls a second of all routers, and
+		// perStart those of a router that starts.
+		fixedPerSecond     = 2.5
+		perRouterPerSecond = 0.02
+		perStart           = 2.0
+	)
+	withSite(t, testsite.RouterOptions{Routers: routers, Domains: 5, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		time.Sleep(10 * time.Second)
+		for n := 1; n <= routers; n++ {
+			rs.KillRouter(n)
+		}
+		time.Sleep(time.Second)
+		reads, writes := rs.Store.Calls()
+		for n := routers; n >= 1; n-- {
+			rs.StartRouter(n)
+			time.Sleep(500 * time.Millisecond / routers)
+		}
+		time.Sleep(measured)
+		readsAfter, writesAfter := rs.Store.Calls()
+		calls := float64(readsAfter - reads + writesAfter - writes)
+		t.Logf("%d routers make %.0f calls in %s after their start", routers, calls, measured)
+		qt.Check(t, calls <= perStart*routers+(fixedPerSecond+perRouterPerSecond*routers)*measured.Seconds(), qt.IsTrue)
+		qt.Check(t, len(watchers(rs)), qt.Equals, 3)
+	})
+}
+
 // TestChangeIsInForceWhileWatchersFail has the routers that watch the store fail all at once,
 // just before a change. All others must have it in force within the time that the platform
 // allows a site of that size.
