--- a/peer/server.go
+++ b/peer/server.go
@@ -33,7 +33,7 @@
 	ReportCrashes(ctx context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error)
 }
 
-// LoadSharer answers other daemons' calls that share loads.
+// LoadSharer answers other daemons' calls that exchange sums, such as an Aggregator.
 type LoadSharer interface {
 	ShareLoad(ctx context.Context, rq *rpc.ShareLoadRequest) (*rpc.ShareLoadResponse, error)
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,6 +8,7 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -22,7 +23,7 @@
 	ro.limits.Publish(time.Now())
 	ro.fleet.publishLeaving(time.Now())
 	if ro.peers.Large() {
-		// In large groups the loads are added up, see OwnLoads.
+		// In large groups the loads are added up, see Sums.
 		return
 	}
 	us := &rpc.Usage{}
@@ -62,22 +63,27 @@
 	ro.pauses.Prune(now)
 }
 
-// OwnLoads returns this router's loads, for the routers of a large group.
-func (ro *Router) OwnLoads() peer.Loads {
-	out := peer.Loads{}
+// Sums returns this router's loads and what it has observed of roll-outs, for the routers of a
+// large group.
+func (ro *Router) Sums() peer.Sums {
+	out := peer.Sums{Loads: peer.Loads{}, Releases: map[peer.ReleaseKey]rollout.Report{}}
 	for id, lo := range ro.balancer.Loads() {
-		out[peer.HashEndpoint(id)] = peer.EndpointLoad{Running: int64(lo.Running), Backlog: time.Duration(float64(lo.Backlog) * float64(time.Second))}
+		out.Loads[peer.HashEndpoint(id)] = peer.EndpointLoad{Running: int64(lo.Running), Backlog: time.Duration(float64(lo.Backlog) * float64(time.Second))}
+	}
+	for _, rec := range ro.releases.active() {
+		out.Releases[releaseKeyOf(rec)] = ro.releases.ownReport(time.Now(), rec)
 	}
 	return out
 }
 
-// ApplyLoads applies the loads of the other routers of a large group.
-func (ro *Router) ApplyLoads(others peer.Loads) {
+// ApplySums applies the loads of the other routers of a large group, and the reports of all.
+func (ro *Router) ApplySums(su peer.Sums) {
 	loads := map[policy.EndpointID]placement.Load{}
 	for _, en := range ro.holder.Set().Endpoints.List() {
-		if el, ok := others[peer.HashEndpoint(en.ID)]; ok {
+		if el, ok := su.Loads[peer.HashEndpoint(en.ID)]; ok {
 			loads[en.ID] = placement.Load{Running: int(el.Running), Backlog: placement.Work(el.Backlog.Seconds())}
 		}
 	}
 	ro.balancer.SetPeerLoads(time.Now(), loads)
+	ro.releases.applySums(time.Now(), su.Releases)
 }
--- a/relay/health.go
+++ b/relay/health.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
@@ -48,47 +50,71 @@
 	})
 }
 
-// refresh applies the other routers' results. A candidate that any router rejected
-// is rejected here too, and so is one whose failures or slow answers are few at each router
-// but too many in total.
+// active returns the roll-outs of services' releases that have not ended.
+func (rs *releaseSelector) active() []policy.Rollout {
+	return slices.DeleteFunc(slices.Clone(rs.router.holder.Set().Rollouts.List()), func(ro policy.Rollout) bool { return ro.Service == "" || !ro.Active() })
+}
+
+func releaseKeyOf(ro policy.Rollout) peer.ReleaseKey {
+	return peer.ReleaseKey{Service: policy.ServiceID(ro.Service), Candidate: policy.ReleaseID(ro.ToVersion)}
+}
+
+// refresh applies the other routers' results: a candidate that any router rejected, or that
+// all together find to be worse, is rejected here too.
 func (rs *releaseSelector) refresh() {
-	se, now := rs.router.holder.Set(), time.Now()
-	for _, ro := range se.Rollouts.List() {
-		if ro.Service == "" || !ro.Active() {
-			continue
-		}
-		reports := rs.collectPeerReports(ro)
+	now := time.Now()
+	for _, ro := range rs.active() {
+		re := rs.total(now, ro)
 		rs.mu.Lock()
 		st := rs.stateOf(now, ro)
-		st.peerAnswers = reports.candidate.Answers
-		candidate := reports.candidate.Add(rollout.Counts{Answers: st.health.Answers, Failures: st.health.Failures})
-		evidence, own := reports.evidence, st.health.Evidence()
-		evidence.Failures.Add(own.Failures.LogWealth())
-		evidence.Slow.Add(own.Slow.LogWealth())
-		switch {
-		case reports.rejectionReason != "":
-			rs.reject(ro, st, reports.rejectionReason)
-		case candidate.SignificantlyWorse(reports.stable.Add(st.stable)):
-			rs.reject(ro, st, "failures over all routers")
-		case evidence.RejectionReason() != "":
-			rs.reject(ro, st, evidence.RejectionReason()+" over all routers")
+		st.peerAnswers = re.Candidate.Answers - st.health.Answers
+		if reason := re.Verdict(); reason != "" {
+			rs.reject(ro, st, reason)
 		}
 		rs.mu.Unlock()
 	}
 }
 
-// peerReports holds the other routers' published results of a roll-out, summed
-// over them. rejectionReason is that of a router that rejected the candidate, ""
-// if none did.
-type peerReports struct {
-	rejectionReason   string
-	candidate, stable rollout.Counts
-	stableInFlight    int64
-	evidence          rollout.Evidence
+// applySums applies the reports of all routers of a large group.
+func (rs *releaseSelector) applySums(now time.Time, reports map[peer.ReleaseKey]rollout.Report) {
+	rs.mu.Lock()
+	rs.sums, rs.sumsUntil = reports, now.Add(sumsTTL)
+	rs.mu.Unlock()
+	rs.refresh()
+}
+
+// total returns what all routers have observed of a roll-out: as added up among the routers of
+// a large group, else as each has published it.
+func (rs *releaseSelector) total(now time.Time, ro policy.Rollout) rollout.Report {
+	own := rs.ownReport(now, ro)
+	rs.mu.Lock()
+	sum, ok := rs.sums[releaseKeyOf(ro)]
+	ok = ok && now.Before(rs.sumsUntil)
+	rs.mu.Unlock()
+	if !ok {
+		return own.Add(rs.published(ro))
+	}
+	if own.RejectionReason != "" {
+		sum.RejectionReason = own.RejectionReason
+	}
+	return sum
+}
+
+// ownReport returns what this router has observed of a roll-out.
+func (rs *releaseSelector) ownReport(now time.Time, ro policy.Rollout) rollout.Report {
+	inFlight := rs.stableInFlight(ro)
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	st := rs.stateOf(now, ro)
+	return rollout.Report{
+		Candidate: rollout.Counts{Answers: st.health.Answers, Failures: st.health.Failures}, Stable: st.stable,
+		StableInFlight: inFlight, RejectionReason: st.rejectionReason, Evidence: st.health.Evidence(),
+	}
 }
 
-func (rs *releaseSelector) collectPeerReports(ro policy.Rollout) peerReports {
-	var out peerReports
+// published returns the sum of what the other routers have published of a roll-out.
+func (rs *releaseSelector) published(ro policy.Rollout) rollout.Report {
+	var out rollout.Report
 	pe := rs.router.peers
 	own := healthKey(ro.Service, string(pe.VM()))
 	for _, it := range pe.Table().List(healthPrefix + ro.Service + "/") {
@@ -96,16 +122,11 @@
 		if it.Key == own || proto.Unmarshal(it.Value, &he) != nil || he.GetVersion() != ro.ToVersion {
 			continue
 		}
-		if he.GetSuspect() {
-			out.rejectionReason = he.GetReason()
-		}
-		out.candidate = out.candidate.Add(rollout.Counts{Answers: he.GetAnswers(), Failures: he.GetFailures()})
-		out.stable = out.stable.Add(rollout.Counts{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()})
-		out.evidence.Failures.Add(he.GetFailureEvidence())
-		out.evidence.Slow.Add(he.GetSlowEvidence())
-		if time.Since(it.WrittenAt) < inFlightTTL {
-			out.stableInFlight += he.GetStableInFlight()
+		re := rollout.ReportOf(&he)
+		if time.Since(it.WrittenAt) >= inFlightTTL {
+			re.StableInFlight = 0
 		}
+		out = out.Add(re)
 	}
 	return out
 }
@@ -114,26 +135,16 @@
 // Its counts of answers and failures do not expire.
 const inFlightTTL = 4 * time.Second
 
+// sumsTTL is how long the sums of a large group are used.
+const sumsTTL = 1500 * time.Millisecond
+
 func healthKey(service, vm string) string { return healthPrefix + service + "/" + vm }
 
 // publish publishes this router's results of all roll-outs.
 func (rs *releaseSelector) publish() {
-	for _, ro := range rs.router.holder.Set().Rollouts.List() {
-		if ro.Service == "" || !ro.Active() {
-			continue
-		}
-		inFlight := rs.stableInFlight(ro)
-		rs.mu.Lock()
-		st := rs.stateOf(time.Now(), ro)
-		ev := st.health.Evidence()
-		he := &rpc.VersionHealth{
-			Version: ro.ToVersion, Answers: st.health.Answers, Failures: st.health.Failures,
-			StableAnswers: st.stable.Answers, StableFailures: st.stable.Failures,
-			Suspect: st.rejectionReason != "", Reason: st.rejectionReason, StableInFlight: inFlight,
-			FailureEvidence: ev.Failures.LogWealth(), SlowEvidence: ev.Slow.LogWealth(),
-		}
-		rs.mu.Unlock()
-		rs.router.peers.Publish(healthKey(ro.Service, string(rs.router.peers.VM())), he)
+	for _, ro := range rs.active() {
+		re := rs.ownReport(time.Now(), ro)
+		rs.router.peers.Publish(healthKey(ro.Service, string(rs.router.peers.VM())), re.Message(ro.ToVersion))
 	}
 }
 
@@ -152,23 +163,14 @@
 
 // RolloutProgress returns the progress of a roll-out over all routers.
 func (ro *Router) RolloutProgress(now time.Time, rec policy.Rollout) rollout.Progress {
-	reports := ro.releases.collectPeerReports(rec)
-	inFlight := ro.releases.stableInFlight(rec)
+	total := ro.releases.total(now, rec)
 	ro.releases.mu.Lock()
 	defer ro.releases.mu.Unlock()
-	st := ro.releases.stateOf(now, rec)
-	pl := ro.releases.plan(rec, st)
+	pl := ro.releases.plan(rec, ro.releases.stateOf(now, rec))
 	if pl.TrialShare == 0 {
 		pl.TrialShare = ro.releases.trialShare(rec)
 	}
-	pr := rollout.Progress{
-		Plan: pl, Started: rec.StartedAtMs > 0, RejectionReason: st.rejectionReason,
-		Answers: reports.candidate.Answers + st.health.Answers, StableInFlight: reports.stableInFlight + inFlight,
-	}
-	if pr.RejectionReason == "" {
-		pr.RejectionReason = reports.rejectionReason
-	}
-	return pr
+	return rollout.Progress{Plan: pl, Started: rec.StartedAtMs > 0, Report: total}
 }
 
 // trialShare returns the share of sessions that the candidate is to get during the
--- a/relay/release.go
+++ b/relay/release.go
@@ -7,6 +7,7 @@
 
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/metric"
+	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
@@ -16,12 +17,15 @@
 // tests releases that are being rolled out. In a roll-out, the candidate is the
 // new release; "stable" in a name refers to the release in use.
 //
-// mu guards states. The locks of the sessions and of the fleet are taken after it.
+// mu guards states, sums and sumsUntil. The locks of the sessions and of the fleet are taken after it.
 type releaseSelector struct {
 	router   *Router
 	sessions *sessions
 	mu       sync.Mutex
 	states   map[policy.ServiceID]*rolloutState
+	// sums holds what all routers of a large group have observed, until sumsUntil.
+	sums      map[peer.ReleaseKey]rollout.Report
+	sumsUntil time.Time
 }
 
 // rolloutState is this router's state of a roll-out.
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -114,12 +114,7 @@
 	Plan
 	// Started reports whether the start time has been recorded.
 	Started bool
-	// RejectionReason says why the candidate was rejected; it is "" if it was not.
-	RejectionReason string
-	// Answers is the number of the candidate's answers, including failures.
-	Answers int64
-	// StableInFlight is the number of requests still running on the release in use.
-	StableInFlight int64
+	Report
 }
 
 // Next returns the action that is due.
@@ -175,9 +170,9 @@
 		return false
 	}
 	if now.Add(promotionDelay).After(pr.timeAt(forcedEnd)) {
-		return pr.Answers >= minAnswers
+		return pr.Candidate.Answers >= minAnswers
 	}
-	return pr.Answers >= sufficientAnswers
+	return pr.Candidate.Answers >= sufficientAnswers
 }
 
 // promotionTime returns when every request is to go to the candidate if that is
@@ -200,13 +195,13 @@
 	const exchangeDelay = 1500 * time.Millisecond
 	switch {
 	case now.After(pr.DeadlineAt):
-		return pr.Answers >= sufficientAnswers
+		return pr.Candidate.Answers >= sufficientAnswers
 	case !pr.promoted(now):
 		return false
 	case now.After(pr.timeAt(forcedEnd)):
-		return pr.Answers >= minAnswers
+		return pr.Candidate.Answers >= minAnswers
 	default:
-		return pr.Answers >= sufficientAnswers && pr.StableInFlight == 0 && !now.Before(pr.PromotedAt.Add(exchangeDelay))
+		return pr.Candidate.Answers >= sufficientAnswers && pr.StableInFlight == 0 && !now.Before(pr.PromotedAt.Add(exchangeDelay))
 	}
 }
 
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -39,7 +39,7 @@
 // enough for all routers to learn of it.
 func TestPromotionIsAnnouncedAhead(t *testing.T) {
 	for _, tc := range []struct{ decided, promoted float64 }{{9.98, 12.48}, {11, 13.5}, {16, 18.5}, {22, 23}, {23.5, 23.75}} {
-		pr := rollout.Progress{Plan: plan(), Started: true, Answers: 100}
+		pr := rollout.Progress{Plan: plan(), Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}
 		qt.Check(t, pr.Next(at(tc.decided)), qt.Equals, rollout.ActionPromote, qt.Commentf("%v", tc.decided))
 		next, _ := pr.Apply(at(tc.decided), rollout.ActionPromote, &rpc.Rollout{})
 		qt.Check(t, next.GetPromotedAtMs(), qt.Equals, at(tc.promoted).UnixMilli(), qt.Commentf("%v", tc.decided))
@@ -56,23 +56,23 @@
 		want     rollout.Action
 	}{
 		{"start not recorded", 1, 0, rollout.Progress{}, rollout.ActionStart},
-		{"on trial", 5, 0, rollout.Progress{Started: true, Answers: 100}, rollout.ActionNone},
-		{"bad", 5, 0, rollout.Progress{Started: true, RejectionReason: "errors", Answers: 9}, rollout.ActionAbort},
-		{"bad before the start was recorded", 1, 0, rollout.Progress{RejectionReason: "errors"}, rollout.ActionAbort},
-		{"bad after the promotion", 13, 12.5, rollout.Progress{Started: true, RejectionReason: "errors", Answers: 100}, rollout.ActionAbort},
-		{"enough answers", 10, 0, rollout.Progress{Started: true, Answers: 100}, rollout.ActionPromote},
-		{"too few answers", 16, 0, rollout.Progress{Started: true, Answers: 10}, rollout.ActionNone},
-		{"too few answers after a restart", 16, 12.5, rollout.Progress{Started: true, Answers: 10}, rollout.ActionNone},
-		{"promoted, but not yet in force", 11, 12.5, rollout.Progress{Started: true, Answers: 100}, rollout.ActionNone},
-		{"trial has just ended", 13, 12.5, rollout.Progress{Started: true, Answers: 100}, rollout.ActionNone},
-		{"old release has requests in flight", 16, 12.5, rollout.Progress{Started: true, Answers: 100, StableInFlight: 1}, rollout.ActionNone},
-		{"enough answers and promoted", 16, 12.5, rollout.Progress{Started: true, Answers: 100}, rollout.ActionComplete},
-		{"few answers shortly before the forced end", 19, 0, rollout.Progress{Started: true, Answers: 10}, rollout.ActionPromote},
-		{"few answers after the forced end, not promoted", 22, 0, rollout.Progress{Started: true, Answers: 10, StableInFlight: 3}, rollout.ActionPromote},
-		{"few answers after the forced end", 22, 21.5, rollout.Progress{Started: true, Answers: 10, StableInFlight: 3}, rollout.ActionComplete},
-		{"too few answers after the forced end", 22, 0, rollout.Progress{Started: true, Answers: 1}, rollout.ActionNone},
-		{"too few answers at the deadline", 25, 0, rollout.Progress{Started: true, Answers: 1}, rollout.ActionAbort},
-		{"enough answers, but no store until the deadline", 25, 0, rollout.Progress{Started: true, Answers: 100}, rollout.ActionComplete},
+		{"on trial", 5, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionNone},
+		{"bad", 5, 0, rollout.Progress{Started: true, Report: rollout.Report{RejectionReason: "errors", Candidate: rollout.Counts{Answers: 9}}}, rollout.ActionAbort},
+		{"bad before the start was recorded", 1, 0, rollout.Progress{Report: rollout.Report{RejectionReason: "errors"}}, rollout.ActionAbort},
+		{"bad after the promotion", 13, 12.5, rollout.Progress{Started: true, Report: rollout.Report{RejectionReason: "errors", Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionAbort},
+		{"enough answers", 10, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionPromote},
+		{"too few answers", 16, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 10}}}, rollout.ActionNone},
+		{"too few answers after a restart", 16, 12.5, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 10}}}, rollout.ActionNone},
+		{"promoted, but not yet in force", 11, 12.5, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionNone},
+		{"trial has just ended", 13, 12.5, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionNone},
+		{"old release has requests in flight", 16, 12.5, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}, StableInFlight: 1}}, rollout.ActionNone},
+		{"enough answers and promoted", 16, 12.5, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionComplete},
+		{"few answers shortly before the forced end", 19, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 10}}}, rollout.ActionPromote},
+		{"few answers after the forced end, not promoted", 22, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 10}, StableInFlight: 3}}, rollout.ActionPromote},
+		{"few answers after the forced end", 22, 21.5, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 10}, StableInFlight: 3}}, rollout.ActionComplete},
+		{"too few answers after the forced end", 22, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 1}}}, rollout.ActionNone},
+		{"too few answers at the deadline", 25, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 1}}}, rollout.ActionAbort},
+		{"enough answers, but no store until the deadline", 25, 0, rollout.Progress{Started: true, Report: rollout.Report{Candidate: rollout.Counts{Answers: 100}}}, rollout.ActionComplete},
 	} {
 		tc.pr.Plan = plan()
 		if tc.promoted > 0 {
--- a/router/large_group_test.go
+++ b/router/large_group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -61,3 +62,20 @@
 		qt.Check(t, known, qt.Equals, requests, qt.Commentf("router %d", n))
 	}
 }
+
+// TestFailingReleaseIsStoppedSoonInALargeGroup has a release fail all requests that ninety
+// routers send it: none of them sees enough failures by itself. Before, each heard of the
+// others' failures some ten seconds later.
+func TestFailingReleaseIsStoppedSoonInALargeGroup(t *testing.T) {
+	const routers, exposed = 90, 30
+	withSite(t, testsite.RouterOptions{Routers: routers, Domains: 3, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+		time.Sleep(5 * time.Second)
+		rs.OrderRollout(testsite.PlainService, "v2", rolloutLimit)
+		addRelease(rs, standin.ReplicaFaults{Status: http.StatusInternalServerError})
+		sendLoad(rs, 9*time.Second, routers)
+		bad := countRuns(rs, "v2")
+		qt.Check(t, bad > 5, qt.IsTrue, qt.Commentf("%d bad answers", bad))
+		qt.Check(t, bad <= exposed, qt.IsTrue, qt.Commentf("%d bad answers", bad))
+		qt.Check(t, rs.RolloutState(testsite.PlainService), qt.Equals, "rolled_back")
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -78,7 +78,7 @@
 	barred *quarantine.List
 	client *endpoint.Client
 	relay  *relay.Router
-	loads  *peer.LoadShare
+	sums   *peer.Aggregator
 	leases *lease.Manager
 	idle   *network.IdleConns
 	// dueSince is when this router first saw that a roll-out has an action due.
@@ -117,7 +117,7 @@
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
 		relay.Dependencies{Holder: da.holder, Client: da.client, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
 	)
-	da.loads = peer.NewLoadShare(da.peers, da.relay.OwnLoads, da.relay.ApplyLoads)
+	da.sums = peer.NewAggregator(da.peers, da.relay.Sums, da.relay.ApplySums)
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
 
@@ -155,7 +155,7 @@
 		address string
 		handler http.Handler
 	}{
-		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).WithLoads(da.loads).Handler()},
+		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).WithLoads(da.sums).Handler()},
 		{ls.GetAdmin(), admin.NewRouter(da.holder, da.metrics, da.Dump, nil)},
 		{ls.GetReadiness(), platform.NewReadinessHandler(da.relay.Ready)},
 		{ls.GetDirectory(), platform.NewDirectoryHandler(da.addresses, da.settings.GetServing().GetAddressKeep().AsDuration)},
@@ -170,7 +170,7 @@
 	da.group.Go(da.watcher.Run)
 	da.group.Go(da.peers.Run)
 	da.group.Go(func(ctx context.Context) { da.registry.Run(ctx, da.peers) })
-	da.group.Go(da.loads.Run)
+	da.group.Go(da.sums.Run)
 	da.group.Go(da.relay.Run)
 	da.group.Go(da.relay.PinSessions)
 	da.group.Go(func(ctx context.Context) { da.pins.Run(ctx, pinReplicationInterval) })
