--- a/relay/answer.go
+++ b/relay/answer.go
@@ -39,7 +39,9 @@
 	// provedRequest reports whether the answer has shown that its request does not crash
 	// endpoints.
 	provedRequest bool
-	source        *endpoint.ForwardAnswer
+	// pace measures the time between the stream's events.
+	pace   pace
+	source *endpoint.ForwardAnswer
 }
 
 // receive checks the head of the answer, then reads a stream's first event or a
--- a/relay/health.go
+++ b/relay/health.go
@@ -19,6 +19,19 @@
 
 // observe adds the outcome of an attempt at an endpoint.
 func (rs *releaseSelector) observe(id policy.ServiceID, en policy.Endpoint, ou rollout.Outcome) {
+	rs.update(id, en, func(st *rolloutState, candidate bool) {
+		if candidate {
+			st.health.Candidate(ou)
+			return
+		}
+		st.health.Stable(ou)
+		st.stable.Observe(ou)
+	})
+}
+
+// update lets add add an observation of an endpoint to the state of the service's roll-out, if
+// it has one, and rejects the candidate if it is bad. The lock is held during add.
+func (rs *releaseSelector) update(id policy.ServiceID, en policy.Endpoint, add func(st *rolloutState, candidate bool)) {
 	ro, ok := rs.router.holder.Set().ServiceRollout(id)
 	if !ok || !ro.Active() {
 		return
@@ -26,12 +39,11 @@
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	st := rs.stateOf(time.Now(), ro)
-	if policy.ReleaseID(en.Release) != st.candidate {
-		st.health.Stable(ou)
-		st.stable.Observe(ou)
+	candidate := policy.ReleaseID(en.Release) == st.candidate
+	add(st, candidate)
+	if !candidate {
 		return
 	}
-	st.health.Candidate(ou)
 	if reason := st.health.RejectionReason(); reason != "" {
 		rs.reject(ro, st, reason)
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -63,6 +63,7 @@
 
 // noteEvent notes that the stream goes on.
 func (an *answer) noteEvent() {
+	an.notePace()
 	if time.Since(an.beganAt) >= quarantine.ProvenAfter {
 		an.proveRequest()
 	}
@@ -70,6 +71,7 @@
 
 // noteEnd notes that the stream is complete. One without events shows nothing.
 func (an *answer) noteEnd() {
+	an.notePaceAtEnd()
 	if len(an.firstEvent.text) > 0 {
 		an.proveRequest()
 	}
--- a/relay/release.go
+++ b/relay/release.go
@@ -26,6 +26,7 @@
 	// sums holds what all routers of a large group have observed, until sumsUntil.
 	sums      map[peer.ReleaseKey]rollout.Report
 	sumsUntil time.Time
+	paces     *paces
 }
 
 // rolloutState is this router's state of a roll-out.
@@ -48,7 +49,7 @@
 }
 
 func newReleaseSelector(ro *Router) *releaseSelector {
-	return &releaseSelector{router: ro, sessions: newSessions(), states: map[policy.ServiceID]*rolloutState{}}
+	return &releaseSelector{router: ro, sessions: newSessions(), states: map[policy.ServiceID]*rolloutState{}, paces: newPaces()}
 }
 
 // selectionReason says why a release was selected for a request. Logs and metrics
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -25,6 +25,7 @@
 	}
 	re.Evidence.Failures.Add(he.GetFailureEvidence())
 	re.Evidence.Slow.Add(he.GetSlowEvidence())
+	re.Evidence.Pace.Add(he.GetPaceEvidence())
 	return re
 }
 
@@ -35,6 +36,7 @@
 		StableAnswers: re.Stable.Answers, StableFailures: re.Stable.Failures, StableInFlight: re.StableInFlight,
 		Suspect: re.RejectionReason != "", Reason: re.RejectionReason,
 		FailureEvidence: re.Evidence.Failures.LogWealth(), SlowEvidence: re.Evidence.Slow.LogWealth(),
+		PaceEvidence: re.Evidence.Pace.LogWealth(),
 	}
 }
 
@@ -47,6 +49,7 @@
 	}
 	re.Evidence.Failures.Add(other.Evidence.Failures.LogWealth())
 	re.Evidence.Slow.Add(other.Evidence.Slow.LogWealth())
+	re.Evidence.Pace.Add(other.Evidence.Pace.LogWealth())
 	return re
 }
 
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -109,6 +109,9 @@
 	// slowFactor is the multiple of the mean time to first token of the version
 	// in use above which an answer is slow.
 	slowFactor = 3
+	// slowPaceFactor is the multiple of the usual time between two events above which a
+	// stream is slow. It varies less than the time to first token, which includes queueing.
+	slowPaceFactor = 2
 )
 
 // Outcome is the result of one attempt, as seen by the entry or router.
@@ -122,14 +125,16 @@
 	TimedOut bool
 }
 
-// HealthTest rejects a candidate by failures and slow first tokens, which are
+// HealthTest rejects a candidate by failures, slow first tokens and slow streams, which are
 // known without waiting for ratings. Answers and Failures count the candidate's
 // outcomes; Answers includes the failures. It is not safe for concurrent use.
 type HealthTest struct {
 	failures       SequentialTest
 	slow           SequentialTest
+	pace           SequentialTest
 	stableFailures Baseline
 	stableSlow     Baseline
+	stablePace     Baseline
 	meanFirstToken float64
 	Answers        int64
 	Failures       int64
@@ -163,17 +168,30 @@
 	}
 }
 
+// StablePace adds the time between two events of a stream of the version in use, as a ratio
+// to the usual one.
+func (ht *HealthTest) StablePace(ratio float64) {
+	ht.stablePace.Observe(loss(ratio > slowPaceFactor))
+}
+
+// CandidatePace adds that of a stream of the candidate.
+func (ht *HealthTest) CandidatePace(ratio float64) {
+	ht.pace.Observe(loss(ratio > slowPaceFactor), ht.stablePace.AcceptedLoss(slowPrior, slowMargin))
+}
+
 func (ht *HealthTest) isSlow(ou Outcome) bool {
 	return ou.TimedOut || ht.meanFirstToken > 0 && ou.FirstToken > slowFactor*ht.meanFirstToken
 }
 
 // Evidence is the evidence against a candidate, of one daemon or of several.
 type Evidence struct {
-	Failures, Slow SequentialTest
+	Failures, Slow, Pace SequentialTest
 }
 
 // Evidence returns the evidence against the candidate.
-func (ht *HealthTest) Evidence() Evidence { return Evidence{Failures: ht.failures, Slow: ht.slow} }
+func (ht *HealthTest) Evidence() Evidence {
+	return Evidence{Failures: ht.failures, Slow: ht.slow, Pace: ht.pace}
+}
 
 // RejectionReason says why the candidate is bad; it returns "" while it is not
 // rejected.
@@ -187,6 +205,8 @@
 		return "errors or silence"
 	case ev.Slow.Rejects():
 		return "slow first token"
+	case ev.Pace.Rejects():
+		return "slow stream"
 	}
 	return ""
 }
--- a/router/rollout_test.go
+++ b/router/rollout_test.go
@@ -169,6 +169,18 @@
 // eight times slower, and so many routers that each sees few answers of the trial. The
 // roll-out is short, as on the day deploy/days/hasty.toml.
 func TestSlowReleaseIsRolledBackInLargeGroup(t *testing.T) {
+	checkSlowReleaseIsRolledBack(t, 3, standin.ReplicaFaults{Slowdown: 8})
+}
+
+// TestReleaseWithSlowStreamsIsRolledBackInLargeGroup has a release whose answers begin in time
+// and go on three times slower. Before, only the time to the first token was compared, which
+// varies with queues far more than the time between events does.
+func TestReleaseWithSlowStreamsIsRolledBackInLargeGroup(t *testing.T) {
+	checkSlowReleaseIsRolledBack(t, 6, standin.ReplicaFaults{GapFactor: 3})
+}
+
+// checkSlowReleaseIsRolledBack rolls out a release of which so many engines have faults.
+func checkSlowReleaseIsRolledBack(t *testing.T, faulty int, fa standin.ReplicaFaults) {
 	const routers, engines, limit = 40, 6, 15 * time.Second
 	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines}, func(t *testing.T, rs *testsite.RouterSite) {
 		sl := &sessionLoad{site: rs, routers: routers, callers: 40, requests: 4, pause: 200 * time.Millisecond}
@@ -176,8 +188,8 @@
 		time.Sleep(2 * time.Second)
 		rs.OrderRollout(testsite.EngineService, "v2", limit)
 		addEngines(rs, engines)
-		for n := 1; n <= engines/2; n++ {
-			rs.Replicas[testsite.ReplicaID(testsite.EngineService, n, "v2")].SetFaults(standin.ReplicaFaults{Slowdown: 8})
+		for n := 1; n <= faulty; n++ {
+			rs.Replicas[testsite.ReplicaID(testsite.EngineService, n, "v2")].SetFaults(fa)
 		}
 		time.Sleep(limit + time.Second)
 		stop()
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -66,6 +66,8 @@
 	EndsWithConnection bool
 	// Slowdown, if not 0, multiplies Delay and Gap of ReplicaOptions.
 	Slowdown int
+	// GapFactor, if not 0, multiplies Gap only: the first event comes in time.
+	GapFactor int
 	// CrashPart, if not empty, is the ID of a prompt part. A request with this part in
 	// its prompt, other than as the last one, crashes the replica crashDelay after
 	// the head of its response.
@@ -329,7 +331,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(wr, "id: %d\ndata: piece %d of %s\n\n", n, n, ru.Request)
-		if rc.Flush() != nil || !wait(rq, fa.slow(re.opt.Gap)) {
+		if rc.Flush() != nil || !wait(rq, fa.slow(re.opt.Gap)*time.Duration(max(1, fa.GapFactor))) {
 			re.setDisconnected(ru)
 			panic(http.ErrAbortHandler)
 		}
