Send a request on past unreachable endpoints at no cost to its model or budget

Nothing reached such an endpoint: sending the request to another one is not a repeat, and says nothing of the model.

TestUnreachableEnginesDoNotKeepRequestsOnTheSmallModel and TestRequestIsSentOnPastAllUnreachableReplicas failed before and pass now.

--- a/relay/run.go
+++ b/relay/run.go
@@ -38,8 +38,8 @@
 		if fa.noEndpoint || !ro.mayRetry(ctx, ca, fa) {
 			return ro.writeFailure(ctx, wr, ca, last)
 		}
-		if fa.notRun && ca.model > 0 {
-			// The endpoint did not run the larger model, as when it has no capacity
+		if fa.notRun && !fa.unsent && ca.model > 0 {
+			// The endpoint refused to run the larger model, as when it has no capacity
 			// for it: the small model's answer is better than none.
 			ca.model, ca.noEscalation = 0, true
 		}
@@ -82,7 +82,8 @@
 	if ca.probing || ro.quarantined(ca) != nil {
 		return false
 	}
-	if !fa.retryTaken && !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
+	// A request that reached no endpoint is not repeated when it is sent to another one.
+	if !fa.unsent && !fa.retryTaken && !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
 		ro.log.WarnLimited(event.RetryBudgetSpent, nil, event.Fields{"request": ca.request.ID})
 		return false
 	}
@@ -163,6 +164,8 @@
 	// notRun reports whether it is certain that the attempt did not run the
 	// request.
 	notRun bool
+	// unsent reports whether nothing was sent, as when the connection was refused.
+	unsent bool
 	// begun reports whether the head of an answer had arrived.
 	begun bool
 	// noEndpoint reports whether there was no endpoint to send to.
@@ -184,7 +187,7 @@
 func failureOf(err error) *failure {
 	var fa *endpoint.Failure
 	if errors.As(err, &fa) {
-		return &failure{err: err, notRun: !fa.Sent}
+		return &failure{err: err, notRun: !fa.Sent, unsent: !fa.Sent}
 	}
 	return &failure{err: err}
 }
--- a/router/serve_test.go
+++ b/router/serve_test.go
@@ -261,6 +261,50 @@
 	})
 }
 
+// TestUnreachableEnginesDoNotKeepRequestsOnTheSmallModel has engines that refuse all
+// connections, as after a crash. Requests that are sent on from them to the others must still
+// get the large model's answer. Before, a connection that was refused was taken for an engine
+// without room for the large model, and used up the budget of retries.
+func TestUnreachableEnginesDoNotKeepRequestsOnTheSmallModel(t *testing.T) {
+	const engines, dead, requests = 12, 7, 60
+	opt := standin.ReplicaOptions{Events: 3, Delay: 20 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "10", testsite.LargeModel: "90"}}
+	withSite(t, testsite.RouterOptions{Routers: 1, Engines: engines, Engine: opt}, func(t *testing.T, rs *testsite.RouterSite) {
+		for n := 1; n <= dead; n++ {
+			rs.Net.Kill(testsite.Host(testsite.ReplicaID(testsite.EngineService, n, "v1")))
+		}
+		for n := range requests {
+			id := fmt.Sprint("r", n)
+			an := do(rs, request{id: id, path: testsite.EngineRoute + "x"})
+			qt.Check(t, an.status, qt.Equals, http.StatusOK, qt.Commentf("%s", id))
+			var models []string
+			for _, ru := range runsOfRequest(rs, id) {
+				models = append(models, ru.Header.Get("Model"))
+			}
+			qt.Check(t, models, qt.Contains, testsite.LargeModel, qt.Commentf("%s", id))
+			// Escalations alone stay within the budget.
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
+// TestRequestIsSentOnPastAllUnreachableReplicas has all replicas but one refuse connections.
+// Nothing reaches them, so that a request is sent on until it finds the one that is left,
+// whatever the budget of retries.
+func TestRequestIsSentOnPastAllUnreachableReplicas(t *testing.T) {
+	const replicas = 14
+	withSite(t, testsite.RouterOptions{Routers: 1, Plains: replicas}, func(t *testing.T, rs *testsite.RouterSite) {
+		for n := 1; n < replicas; n++ {
+			rs.Net.Kill(testsite.Host(testsite.ReplicaID(testsite.PlainService, n, "v1")))
+		}
+		for n := range 5 {
+			id := fmt.Sprint("r", n)
+			an := do(rs, request{id: id, path: testsite.UnsafeRoute + "x"})
+			qt.Check(t, an.status, qt.Equals, http.StatusOK, qt.Commentf("%s", id))
+			qt.Check(t, runsOfRequest(rs, id), qt.HasLen, 1, qt.Commentf("%s", id))
+		}
+	})
+}
+
 // TestCallerDisconnectCancelsRun has the caller disconnect in the middle of a
 // stream. The run must end at once, not only when writing the next event fails,
 // and must not be repeated.
