--- a/peer/aggregator.go
+++ b/peer/aggregator.go
@@ -133,10 +133,10 @@
 // of its domain, and applies what is known of the others.
 func (ag *Aggregator) share(ctx context.Context, own Sums) {
 	gr := ag.group
-	order := gr.watchOrder()
-	for _, re := range relaysOf(order, gr.FailureDomain()) {
+	pl := gr.plan()
+	for _, re := range pl.relays {
 		if gr.isSelf(re) {
-			ag.shareDomain(ctx, order, own)
+			ag.shareDomain(ctx, pl.firstRelays, own)
 			break
 		}
 		if su, ok := ag.tell(ctx, re.Address, false, own); ok {
@@ -169,11 +169,11 @@
 }
 
 // shareDomain tells the first relay of each other failure domain the sums of this one.
-func (ag *Aggregator) shareDomain(ctx context.Context, order []Holder, own Sums) {
+func (ag *Aggregator) shareDomain(ctx context.Context, relays map[policy.FailureDomain]Holder, own Sums) {
 	mine := ag.domainSum()
 	mine.add(own)
 	wg := worker.NewGroup()
-	for fd, re := range firstRelays(order) {
+	for fd, re := range relays {
 		if fd == ag.group.FailureDomain() {
 			continue
 		}
@@ -194,17 +194,6 @@
 	ag.setAll(mine)
 }
 
-// firstRelays returns the first relay of each failure domain in an order.
-func firstRelays(order []Holder) map[policy.FailureDomain]Holder {
-	out := map[policy.FailureDomain]Holder{}
-	for _, ho := range order {
-		if _, ok := out[ho.FailureDomain]; !ok {
-			out[ho.FailureDomain] = ho
-		}
-	}
-	return out
-}
-
 // domainSum returns the sums of what daemons of this failure domain have told this one, and
 // forgets what is too old.
 func (ag *Aggregator) domainSum() Sums {
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -27,8 +27,10 @@
 	policyWaitMargin = 500 * time.Millisecond
 	// minEvidenceStep is how much newer evidence must be to be passed on at once.
 	minEvidenceStep = time.Second
-	// planAge is the age up to which a daemon does not look at the others anew.
-	planAge = 500 * time.Millisecond
+	// planAge is the age up to which a daemon of a small group does not look at the others
+	// anew. In larger groups it is longer, up to maxPlanAge: sorting them takes longer too.
+	planAge    = 500 * time.Millisecond
+	maxPlanAge = 1500 * time.Millisecond
 	// spareWatchers is how many daemons after the first are followed when those have no word
 	// from the store.
 	spareWatchers = 6
@@ -43,7 +45,11 @@
 	alone bool
 	// upstreams are the addresses of the daemons to follow.
 	upstreams []string
-	madeAt    time.Time
+	// relays are the relays of this daemon's failure domain, and firstRelays the first one of
+	// each failure domain.
+	relays      []Holder
+	firstRelays map[policy.FailureDomain]Holder
+	expiresAt   time.Time
 }
 
 // Seed implements configuration.Upstream.
@@ -64,16 +70,21 @@
 // the store when the first have no word from it.
 func (gr *Group) Upstreams() []string { return gr.plan().upstreams }
 
-// plan returns the plan as of up to planAge ago.
+// plan returns the plan, which may be a little old.
 func (gr *Group) plan() watchPlan {
 	gr.mu.Lock()
 	pl := gr.watch
 	gr.mu.Unlock()
-	if time.Since(pl.madeAt) < planAge {
+	now := time.Now()
+	if now.Before(pl.expiresAt) {
 		return pl
 	}
 	order := gr.watchOrder()
-	pl = watchPlan{rank: slices.IndexFunc(order, gr.isSelf), alone: len(order) <= 1, upstreams: gr.upstreamsOf(order), madeAt: time.Now()}
+	pl = watchPlan{
+		rank: slices.IndexFunc(order, gr.isSelf), alone: len(order) <= 1, upstreams: gr.upstreamsOf(order),
+		relays: relaysOf(order, gr.FailureDomain()), firstRelays: firstRelays(order),
+		expiresAt: now.Add(min(gr.ScaleInterval(planAge), maxPlanAge)),
+	}
 	if pl.rank < 0 {
 		pl.rank = len(order)
 	}
@@ -140,6 +151,17 @@
 	return out
 }
 
+// firstRelays returns the first relay of each failure domain in an order.
+func firstRelays(order []Holder) map[policy.FailureDomain]Holder {
+	out := map[policy.FailureDomain]Holder{}
+	for _, ho := range order {
+		if _, ok := out[ho.FailureDomain]; !ok {
+			out[ho.FailureDomain] = ho
+		}
+	}
+	return out
+}
+
 // rotated returns the addresses of the daemons without this one, from one on that differs
 // from daemon to daemon, so that each gets the same share of the others.
 func (gr *Group) rotated(daemons []Holder) []string {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -38,8 +38,21 @@
 // Refresh applies what the other routers have published.
 func (ro *Router) Refresh() {
 	now := time.Now()
-	others := map[policy.EndpointID]placement.Load{}
 	members := ro.peers.Entries()
+	ro.routers.Store(int64(len(members) + 1))
+	if !ro.peers.Large() {
+		ro.balancer.SetPeerLoads(now, ro.publishedLoads(members))
+	}
+	ro.releases.refresh()
+	ro.limits.Refresh(now)
+	ro.fleet.refreshLeaving(now)
+	ro.pauses.Prune(now)
+}
+
+// publishedLoads returns the sums of the loads that the other routers of a small group have
+// published.
+func (ro *Router) publishedLoads(members []peer.Member) map[policy.EndpointID]placement.Load {
+	out := map[policy.EndpointID]placement.Load{}
 	for _, mb := range members {
 		it, ok := ro.peers.Table().Get(loadPrefix + string(mb.VM))
 		var us rpc.Usage
@@ -47,20 +60,13 @@
 			continue
 		}
 		for _, eu := range us.GetEndpoints() {
-			lo := others[policy.EndpointID(eu.GetEndpoint())]
+			lo := out[policy.EndpointID(eu.GetEndpoint())]
 			lo.Running += int(eu.GetInFlight())
 			lo.Backlog += placement.Work(float64(eu.GetBacklogMs()) / 1000)
-			others[policy.EndpointID(eu.GetEndpoint())] = lo
+			out[policy.EndpointID(eu.GetEndpoint())] = lo
 		}
 	}
-	ro.routers.Store(int64(len(members) + 1))
-	if !ro.peers.Large() {
-		ro.balancer.SetPeerLoads(now, others)
-	}
-	ro.releases.refresh()
-	ro.limits.Refresh(now)
-	ro.fleet.refreshLeaving(now)
-	ro.pauses.Prune(now)
+	return out
 }
 
 // Sums returns this router's loads and what it has observed of roll-outs, for the routers of a
