--- a/spec/check.sh
+++ b/spec/check.sh
@@ -27,7 +27,7 @@
   cd "$here"
 }
 
-for spec in claim lease configuration bill; do
+for spec in claim lease configuration bill watch; do
   found="$(errors "$spec")"
   states="$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/$spec-none/pan.log")"
   if [ "$found" = 0 ]; then
