--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -24,8 +24,11 @@
 	// MaxPassedAge is the age of the evidence from peers from which these are taken to be
 	// without the store: somewhat more than a watch may be silent. The daemons then begin
 	// to watch the store one after the other, turnStep apart.
-	MaxPassedAge = 2800 * time.Millisecond
-	turnStep     = 150 * time.Millisecond
+	MaxPassedAge = 1450 * time.Millisecond
+	turnStep     = 100 * time.Millisecond
+	// lostAnswers is the number of answers in a row, of peers that have lost the store, from
+	// which all peers are taken to have lost it: each slot has asked two.
+	lostAnswers = 2 * followedPeers
 	// minWatchTime is how long a daemon watches the store at least once it has begun to in
 	// place of others.
 	minWatchTime = 3 * time.Second
@@ -45,6 +48,9 @@
 	// StoreAnswered is when the store itself last answered the peer, zero if the peer is not
 	// one of those that watch it at all times.
 	StoreAnswered time.Time
+	// StoreLost reports whether the peer is one of those, and its last call of the store
+	// failed.
+	StoreLost bool
 }
 
 // Upstream is what a Follower needs to know of its peers. Package peer implements it.
@@ -85,6 +91,13 @@
 	// storeAnsweredAt is when the store last answered this daemon, and peerAnsweredAt when
 	// it last answered a peer that this daemon follows.
 	storeAnsweredAt, peerAnsweredAt time.Time
+	// lost is closed while the last call of the store failed, as isLost tells.
+	lost   chan struct{}
+	isLost bool
+	// lostPeers counts the answers in a row of peers that have lost the store, and lostAt is
+	// when there were lostAnswers of them.
+	lostPeers int
+	lostAt    time.Time
 	// watchUntil is until when this daemon watches the store at least.
 	watchUntil time.Time
 	reason     WatchReason
@@ -112,7 +125,7 @@
 
 // NewFollower returns a follower that leaves the store to the first watchers daemons.
 func NewFollower(up Upstream, ho *Holder, watchers int, lo *event.Log) *Follower {
-	return &Follower{upstream: up, holder: ho, watchers: watchers, log: lo, startedAt: time.Now()}
+	return &Follower{upstream: up, holder: ho, watchers: watchers, log: lo, startedAt: time.Now(), lost: make(chan struct{})}
 }
 
 // Reason returns why this daemon watches the store, or that it follows peers.
@@ -150,6 +163,9 @@
 	case joined && upstreams > 0 && fo.unreachable >= followedPeers && now.Sub(fo.unreachableAt) >= min(wait, maxUnreachableTurn):
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchUnreachable
+	case fo.lostPeers >= lostAnswers && !evidence.After(fo.lostAt) && now.Sub(fo.lostAt) >= min(wait, maxUnreachableTurn):
+		fo.watchUntil = now.Add(minWatchTime)
+		return WatchStale
 	case now.Sub(evidence) > turn && now.Sub(fo.startedAt) > turn:
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchStale
@@ -179,6 +195,30 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.storeAnsweredAt = at
+	if fo.isLost {
+		fo.lost, fo.isLost = make(chan struct{}), false
+	}
+}
+
+// noteStoreFailure records that a call of the store failed.
+func (fo *Follower) noteStoreFailure() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if !fo.isLost {
+		close(fo.lost)
+		fo.isLost = true
+	}
+}
+
+// StoreLost returns a channel that is closed while the store fails this daemon, if it is one
+// of the first, which watch the store at all times. Otherwise it returns nil.
+func (fo *Follower) StoreLost() <-chan struct{} {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.reason != WatchRank {
+		return nil
+	}
+	return fo.lost
 }
 
 // WatcherAnswered returns when the store last answered this daemon, if it is one of the first,
@@ -197,7 +237,7 @@
 func (fo *Follower) needsPeers(now time.Time) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.reason != WatchRank || now.Sub(fo.storeAnsweredAt) > MaxPassedAge
+	return fo.reason != WatchRank || fo.isLost || now.Sub(fo.storeAnsweredAt) > MaxPassedAge
 }
 
 // Run follows peers until ctx is done.
@@ -222,7 +262,7 @@
 		pa, err := fo.upstream.FollowPolicy(ctx, addresses[choice%len(addresses)])
 		inPlace := fo.noteFollowed(pa, err)
 		switch {
-		case err != nil || time.Since(pa.Evidence) > MaxPassedAge:
+		case err != nil || pa.StoreLost || time.Since(pa.Evidence) > MaxPassedAge:
 			choice++
 			worker.Sleep(ctx, followDelay<<min(failures/2, maxFollowDoublings))
 			failures++
@@ -252,6 +292,14 @@
 		return false
 	}
 	fo.unreachable = 0
+	switch {
+	case time.Since(pa.StoreAnswered) < MaxPassedAge && !pa.StoreLost:
+		fo.lostPeers = 0
+	case pa.StoreLost:
+		if fo.lostPeers++; fo.lostPeers == lostAnswers {
+			fo.lostAt = time.Now()
+		}
+	}
 	if pa.StoreAnswered.After(fo.peerAnsweredAt) {
 		fo.peerAnsweredAt = pa.StoreAnswered
 	}
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -144,6 +144,9 @@
 		wa.log.Warn(event.StoreLost, nil, event.Fields{"last_answer": time.Unix(0, at)})
 	}
 	wa.failedAt.Store(time.Now().UnixNano())
+	if wa.follower != nil {
+		wa.follower.noteStoreFailure()
+	}
 }
 
 // Run loads the records and watches the store until ctx is done. If there are peers to
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -26,7 +26,7 @@
 	maxPolicyWait    = 2 * time.Second
 	policyWaitMargin = 500 * time.Millisecond
 	// minEvidenceStep is how much newer evidence must be to be passed on at once.
-	minEvidenceStep = time.Second
+	minEvidenceStep = 500 * time.Millisecond
 	// planAge is the age up to which a daemon of a small group does not look at the others
 	// anew. In larger groups it is longer, up to maxPlanAge: sorting them takes longer too.
 	planAge    = 500 * time.Millisecond
@@ -205,7 +205,7 @@
 		gr.applyPolicy(rs.GetPolicy())
 		gr.log.Debug(event.PolicyFromPeer, nil, event.Fields{"address": address, "revision": rs.GetPolicy().GetRevision()})
 	}
-	pa := configuration.Passed{Evidence: ago(rs.GetPolicyAgeMs()), StoreAnswered: ago(rs.GetStoreAgeMs())}
+	pa := configuration.Passed{Evidence: ago(rs.GetPolicyAgeMs()), StoreAnswered: ago(rs.GetStoreAgeMs()), StoreLost: rs.GetStoreLost()}
 	gr.holder.Confirm(store.Revision(rs.GetPolicyRevision()), pa.Evidence)
 	return pa, nil
 }
@@ -218,7 +218,7 @@
 	gr := se.group
 	theirs := position{store.Revision(rq.GetAfterRevision()), policy.RetainedDigest(rq.GetPolicyRetained())}
 	gr.awaitNews(ctx, theirs, ago(rq.GetPolicyAgeMs()), min(maxPolicyWait, time.Duration(rq.GetWaitMs())*time.Millisecond))
-	rs := &rpc.WatchPolicyResponse{PolicyRevision: int64(gr.position().revision), PolicyAgeMs: gr.policyAgeMS(time.Now()), StoreAgeMs: gr.storeAgeMS(time.Now())}
+	rs := &rpc.WatchPolicyResponse{PolicyRevision: int64(gr.position().revision), PolicyAgeMs: gr.policyAgeMS(time.Now()), StoreAgeMs: gr.storeAgeMS(time.Now()), StoreLost: isClosed(gr.storeLost())}
 	if gr.position().offers(theirs) {
 		rs.Policy = gr.policyAfter(theirs)
 		rs.PolicyRevision = rs.GetPolicy().GetRevision()
@@ -228,19 +228,22 @@
 
 // awaitNews blocks until this daemon has newer policy records than one at a position, or newer
 // evidence than at a time, for wait at most. It does not block while this daemon has no word
-// from the store itself.
+// from the store itself, or has lost it.
 func (gr *Group) awaitNews(ctx context.Context, theirs position, evidence time.Time, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for ctx.Err() == nil {
 		changed, confirmed, mine := gr.holder.Changed(), gr.holder.Confirmed(), gr.holder.Evidence()
+		lost := gr.storeLost()
 		newer := gr.position().revision >= theirs.revision && mine.Sub(evidence) >= minEvidenceStep
-		if newer || gr.position().urgent(theirs) || time.Since(mine) > configuration.MaxPassedAge {
+		if newer || gr.position().urgent(theirs) || isClosed(lost) || time.Since(mine) >= configuration.MaxPassedAge {
 			return
 		}
 		select {
 		case <-changed:
 		case <-confirmed:
+		case <-lost:
+		case <-time.After(time.Until(mine.Add(configuration.MaxPassedAge))):
 		case <-ctx.Done():
 		}
 	}
@@ -254,3 +257,22 @@
 	}
 	return now.Sub(gr.opt.StoreAnswered()).Milliseconds()
 }
+
+// storeLost returns a channel that is closed while the store fails this daemon, as far as
+// Options.StoreLost tells.
+func (gr *Group) storeLost() <-chan struct{} {
+	if gr.opt.StoreLost == nil {
+		return nil
+	}
+	return gr.opt.StoreLost()
+}
+
+// isClosed reports whether a channel on which nothing is sent is closed.
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -135,6 +135,7 @@
 		PeerAddresses: func() []string { return da.registry.Addresses() },
 		Describe:      da.describe,
 		StoreAnswered: func() time.Time { return da.follower.WatcherAnswered() },
+		StoreLost:     func() <-chan struct{} { return da.follower.StoreLost() },
 	}
 }
 
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -265,7 +265,7 @@
 	ho := Host(RouterName(n))
 	rs.Net.Revive(ho)
 	text := fmt.Sprintf("[vm]\nid = %s\nsite = s\nfailure_domain = zone-%c\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
-		"[store]\nurls = http://%s\n[peers]\nshared_key = key-of-the-test-site\nfanout = 1\nfailed_after = 2500ms\nseeds = %s\n[serving]\nretry_ratio = 0.9\nretry_slack = 80\n",
+		"[store]\nurls = http://%s\nwatch_progress = 1400ms\n[peers]\nshared_key = key-of-the-test-site\nfanout = 1\nfailed_after = 2500ms\nseeds = %s\n[serving]\nretry_ratio = 0.9\nretry_slack = 80\n",
 		RouterName(n), 'a'+n%max(1, rs.opt.Domains), RouterAddress(n, 80), RouterAddress(n, 81), RouterAddress(n, 82), RouterAddress(n, 83), RouterAddress(n, 84),
 		KVAddress, RouterAddress(1, 83))
 	file := filepath.Join(rs.dir, RouterName(n)+".ini")
