--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -429,6 +429,10 @@
 // net/http itself.
 var unpooled = network.Real().UnpooledClient()
 
+// refusedPause is how long a caller that was refused waits before its next request. Otherwise
+// the number of requests would depend on how fast refusals come.
+const refusedPause = 100 * time.Millisecond
+
 // runCaller sends streaming, unsafe and safe requests to the routers in turn until ctx
 // ends, and checks the answers.
 func (rs *routerSite) runCaller(ctx context.Context, caller int) {
@@ -456,6 +460,9 @@
 		rs.check(time.Since(sentAt) < 9*time.Second, "request %s: answered after %s, limit 9s", id, time.Since(sentAt))
 		rs.mu.Unlock()
 		time.Sleep(time.Duration(5+caller) * time.Millisecond)
+		if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+			time.Sleep(refusedPause)
+		}
 	}
 }
 
