Bound the loads that a relay tells, at 300 endpoints

The busiest router sent 6.2 MB/s on a link of 2.5 MB/s: the first relay of a failure domain told the loads of all endpoints in use to each of sixty routers four times a second, and changes came 8 to 17 s late behind that.

Now the 300 endpoints with the most requests are told, 2.4 KB; the others count as little loaded.

--- a/peer/aggregator.go
+++ b/peer/aggregator.go
@@ -21,6 +21,9 @@
 	shareTimeout = 200 * time.Millisecond
 	// sumsLifetime is how long received sums are used.
 	sumsLifetime = 1500 * time.Millisecond
+	// maxSharedLoads is the largest number of endpoints whose loads are told: a relay tells
+	// them to each router of its failure domain. Endpoints with less load are left out.
+	maxSharedLoads = 300
 )
 
 // ReleaseKey identifies a roll-out of a service's release.
@@ -172,13 +175,14 @@
 func (ag *Aggregator) shareDomain(ctx context.Context, relays map[policy.FailureDomain]Holder, own Sums) {
 	mine := ag.domainSum()
 	mine.add(own)
+	told := Sums{Loads: mine.Loads.Largest(maxSharedLoads), Releases: mine.Releases}
 	wg := worker.NewGroup()
 	for fd, re := range relays {
 		if fd == ag.group.FailureDomain() {
 			continue
 		}
 		wg.Go(func(context.Context) {
-			if su, ok := ag.tell(ctx, re.Address, true, mine); ok {
+			if su, ok := ag.tell(ctx, re.Address, true, told); ok {
 				ag.setDomain(fd, su)
 			}
 		})
@@ -211,6 +215,7 @@
 }
 
 func (ag *Aggregator) setAll(su Sums) {
+	su.Loads = su.Loads.Largest(maxSharedLoads)
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.all = sharedSums{su, time.Now()}
@@ -229,7 +234,7 @@
 		ag.setDomain(policy.FailureDomain(rq.GetFailureDomain()), told)
 		mine := ag.domainSum()
 		mine.add(ag.own())
-		return &rpc.ShareLoadResponse{Loads: mine.Loads.message(), Releases: mine.releaseMessages()}, nil
+		return &rpc.ShareLoadResponse{Loads: mine.Loads.Largest(maxSharedLoads).message(), Releases: mine.releaseMessages()}, nil
 	}
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
--- a/peer/load.go
+++ b/peer/load.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,6 +52,21 @@
 	return out
 }
 
+// Largest returns the n loads with the most requests in flight, or all if there are fewer.
+func (lo Loads) Largest(n int) Loads {
+	if len(lo) <= n {
+		return lo
+	}
+	hashes := slices.SortedFunc(maps.Keys(lo), func(a, b EndpointHash) int {
+		return cmp.Or(cmp.Compare(lo[b].Running, lo[a].Running), cmp.Compare(lo[b].Backlog, lo[a].Backlog), cmp.Compare(a, b))
+	})
+	out := make(Loads, n)
+	for _, ha := range hashes[:n] {
+		out[ha] = lo[ha]
+	}
+	return out
+}
+
 func (lo Loads) message() *rpc.EndpointLoads {
 	ms := &rpc.EndpointLoads{}
 	for ha, el := range lo {
