--- a/relay/health.go
+++ b/relay/health.go
@@ -29,8 +29,8 @@
 	})
 }
 
-// update lets add add an observation of an endpoint to the state of the service's roll-out, if
-// it has one, and rejects the candidate if it is bad. The lock is held during add.
+// update calls add with the state of the service's roll-out, if it has one, and whether the
+// endpoint is of the candidate. It then rejects a candidate that is bad. mu is held during add.
 func (rs *releaseSelector) update(id policy.ServiceID, en policy.Endpoint, add func(st *rolloutState, candidate bool)) {
 	ro, ok := rs.router.holder.Set().ServiceRollout(id)
 	if !ok || !ro.Active() {
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// paceEvents is the number of events after which a stream's pace is observed, and
-	// minPaceEvents the number from which it is if the stream ends before.
+	// paceEvents is the number of events after which a stream's pace is observed. In shorter
+	// streams it is observed at the end, from minPaceEvents on.
 	paceEvents    = 6
 	minPaceEvents = 3
 	// paceSmoothing is the weight of a measurement in the usual gap.
