--- a/spec/check.sh
+++ b/spec/check.sh
@@ -36,7 +36,7 @@
     echo "FAIL  $spec: Spin found an error"; failed=1
     cat "$work/$spec-none/pan.log"
   fi
-  for fault in $(grep -oE '#ifdef FAULT_[A-Z_]+' "$spec.pml" | cut -d' ' -f2 | sort -u); do
+  for fault in $(grep -oE '#ifn?def FAULT_[A-Z_]+' "$spec.pml" | cut -d' ' -f2 | sort -u); do
     found="$(errors "$spec" "$fault")"
     if [ "$found" -gt 0 ]; then
       echo "ok    $spec: $fault is found"
