Derive the age of evidence from the setting of the watch

Cause: tied the constant to one deployment's setting. Now the age is the setting and 50 ms, the same 1.45 s on the users' platform.

Only this and three other tests of the watch were run on it, without the race detector.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -21,11 +21,10 @@
 	// maxUnreachableTurn is the longest time for which a daemon that reaches no peer leaves
 	// the store to those before it in the order.
 	maxUnreachableTurn = 1500 * time.Millisecond
-	// MaxPassedAge is the age of the evidence from peers from which these are taken to be
-	// without the store: somewhat more than a watch may be silent. The daemons then begin
-	// to watch the store one after the other, turnStep apart.
-	MaxPassedAge = 1450 * time.Millisecond
-	turnStep     = 100 * time.Millisecond
+	// passedMargin is the time that evidence may take from peer to peer; see MaxPassedAge.
+	passedMargin = 50 * time.Millisecond
+	// turnStep is the time between two daemons that begin to watch the store in place of others.
+	turnStep = 100 * time.Millisecond
 	// lostAnswers is the number of answers in a row, of peers that have lost the store, from
 	// which all peers are taken to have lost it: each slot has asked two.
 	lostAnswers = 2 * followedPeers
@@ -41,6 +40,10 @@
 	minFollowInterval = 20 * time.Millisecond
 )
 
+// MaxPassedAge returns the age of the evidence from peers from which these are taken to be
+// without the store: somewhat more than the time that a watch may be silent.
+func MaxPassedAge(watchProgress time.Duration) time.Duration { return watchProgress + passedMargin }
+
 // Passed is what a peer passes on besides the policy.
 type Passed struct {
 	// Evidence is when the peer's policy was known to be the store's newest.
@@ -80,7 +83,9 @@
 	holder   *Holder
 	log      *event.Log
 	// watchers is how many daemons watch the store at all times.
-	watchers  int
+	watchers int
+	// maxAge is the result of MaxPassedAge.
+	maxAge    time.Duration
 	startedAt time.Time
 
 	mu sync.Mutex
@@ -123,9 +128,10 @@
 	WatchInPlace WatchReason = "in_place_of_others"
 )
 
-// NewFollower returns a follower that leaves the store to the first watchers daemons.
-func NewFollower(up Upstream, ho *Holder, watchers int, lo *event.Log) *Follower {
-	return &Follower{upstream: up, holder: ho, watchers: watchers, log: lo, startedAt: time.Now(), lost: make(chan struct{})}
+// NewFollower returns a follower that leaves the store to the first watchers daemons, whose
+// evidence may have an age of maxAge, see MaxPassedAge.
+func NewFollower(up Upstream, ho *Holder, watchers int, maxAge time.Duration, lo *event.Log) *Follower {
+	return &Follower{upstream: up, holder: ho, watchers: watchers, maxAge: maxAge, log: lo, startedAt: time.Now(), lost: make(chan struct{})}
 }
 
 // Reason returns why this daemon watches the store, or that it follows peers.
@@ -156,7 +162,7 @@
 // of peers that it may follow, and its newest evidence. The caller holds mu.
 func (fo *Follower) decide(now time.Time, rank, upstreams int, evidence time.Time) WatchReason {
 	wait := time.Duration(max(0, rank-fo.watchers)) * turnStep
-	turn, joined := MaxPassedAge+wait, now.Sub(fo.startedAt) >= joinTime
+	turn, joined := fo.maxAge+wait, now.Sub(fo.startedAt) >= joinTime
 	switch {
 	case rank < fo.watchers && (fo.upstream.Seed() || joined && !fo.upstream.Alone()):
 		return WatchRank
@@ -169,7 +175,7 @@
 	case now.Sub(evidence) > turn && now.Sub(fo.startedAt) > turn:
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchStale
-	case fo.watches() && (now.Before(fo.watchUntil) || now.Sub(fo.peerAnsweredAt) > MaxPassedAge):
+	case fo.watches() && (now.Before(fo.watchUntil) || now.Sub(fo.peerAnsweredAt) > fo.maxAge):
 		return WatchInPlace
 	default:
 		return WatchNot
@@ -237,7 +243,7 @@
 func (fo *Follower) needsPeers(now time.Time) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.reason != WatchRank || fo.isLost || now.Sub(fo.storeAnsweredAt) > MaxPassedAge
+	return fo.reason != WatchRank || fo.isLost || now.Sub(fo.storeAnsweredAt) > fo.maxAge
 }
 
 // Run follows peers until ctx is done.
@@ -262,12 +268,12 @@
 		pa, err := fo.upstream.FollowPolicy(ctx, addresses[choice%len(addresses)])
 		inPlace := fo.noteFollowed(pa, err)
 		switch {
-		case err != nil || pa.StoreLost || time.Since(pa.Evidence) > MaxPassedAge:
+		case err != nil || pa.StoreLost || time.Since(pa.Evidence) > fo.maxAge:
 			choice++
 			worker.Sleep(ctx, followDelay<<min(failures/2, maxFollowDoublings))
 			failures++
 			continue
-		case inPlace && time.Since(pa.StoreAnswered) > MaxPassedAge:
+		case inPlace && time.Since(pa.StoreAnswered) > fo.maxAge:
 			// Another one may have word from the store itself again.
 			choice++
 		case choice >= len(addresses):
@@ -293,7 +299,7 @@
 	}
 	fo.unreachable = 0
 	switch {
-	case time.Since(pa.StoreAnswered) < MaxPassedAge && !pa.StoreLost:
+	case time.Since(pa.StoreAnswered) < fo.maxAge && !pa.StoreLost:
 		fo.lostPeers = 0
 	case pa.StoreLost:
 		if fo.lostPeers++; fo.lostPeers == lostAnswers {
--- a/peer/group.go
+++ b/peer/group.go
@@ -52,6 +52,9 @@
 	// StoreAnswered returns when the store itself last answered this daemon, zero if it is
 	// not one of those that watch it for all. It may be nil.
 	StoreAnswered func() time.Time
+	// MaxPassedAge is the age up to which evidence of the policy is passed on, see
+	// configuration.MaxPassedAge.
+	MaxPassedAge time.Duration
 	// StoreLost returns a channel that is closed while the store fails this daemon, nil if it
 	// is not one of those that watch the store at all times. It may be nil.
 	StoreLost func() <-chan struct{}
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -236,14 +236,14 @@
 		changed, confirmed, mine := gr.holder.Changed(), gr.holder.Confirmed(), gr.holder.Evidence()
 		lost := gr.storeLost()
 		newer := gr.position().revision >= theirs.revision && mine.Sub(evidence) >= minEvidenceStep
-		if newer || gr.position().urgent(theirs) || isClosed(lost) || time.Since(mine) >= configuration.MaxPassedAge {
+		if newer || gr.position().urgent(theirs) || isClosed(lost) || time.Since(mine) >= gr.opt.MaxPassedAge {
 			return
 		}
 		select {
 		case <-changed:
 		case <-confirmed:
 		case <-lost:
-		case <-time.After(time.Until(mine.Add(configuration.MaxPassedAge))):
+		case <-time.After(time.Until(mine.Add(gr.opt.MaxPassedAge))):
 		case <-ctx.Done():
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -106,7 +106,7 @@
 	opt := da.peerOptions()
 	da.peers = peer.NewGroup(opt, da.holder, ne, lo)
 	da.watcher.SetBatchDelay(func() time.Duration { return batchDelay })
-	da.follower = configuration.NewFollower(da.peers, da.holder, peer.StoreWatchers, lo)
+	da.follower = configuration.NewFollower(da.peers, da.holder, peer.StoreWatchers, opt.MaxPassedAge, lo)
 	da.watcher.SetFollower(da.follower)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
@@ -135,6 +135,7 @@
 		PeerAddresses: func() []string { return da.registry.Addresses() },
 		Describe:      da.describe,
 		StoreAnswered: func() time.Time { return da.follower.WatcherAnswered() },
+		MaxPassedAge:  configuration.MaxPassedAge(rs.GetStore().GetWatchProgress().AsDuration()),
 		StoreLost:     func() <-chan struct{} { return da.follower.StoreLost() },
 	}
 }
--- a/router/store_watch_test.go
+++ b/router/store_watch_test.go
@@ -195,3 +195,21 @@
 		rs.Eventually(30*time.Second, "only the first watch the store", func() bool { return slices.Equal(watchers(rs), first) })
 	})
 }
+
+// TestFollowersTrustWatchersWhateverTheWatchProgress has watch calls that wait longer than those of
+// the users' platform, by the default setting and more. The age from which peers were taken to
+// be without the store did not follow the setting, so that all routers watched it by turns.
+func TestFollowersTrustWatchersWhateverTheWatchProgress(t *testing.T) {
+	for _, progress := range []time.Duration{2 * time.Second, 4 * time.Second} {
+		t.Run(progress.String(), func(t *testing.T) {
+			opt := testsite.RouterOptions{Routers: 10, Domains: 3, Plains: 1, WatchProgress: progress}
+			withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+				time.Sleep(40 * time.Second)
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					qt.Assert(t, watchers(rs), qt.HasLen, 3)
+				}
+			})
+		})
+	}
+}
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -1,6 +1,7 @@
 package testsite
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -42,7 +43,10 @@
 
 // RouterOptions describe a RouterSite.
 type RouterOptions struct {
-	Routers int
+	// WatchProgress is the routers' setting of that name; 1.4 s if it is zero, as in
+	// deploy/router.ini.
+	WatchProgress time.Duration
+	Routers       int
 	// Engines and Plains are the numbers of replicas of EngineService and
 	// PlainService.
 	Engines, Plains int
@@ -59,6 +63,8 @@
 	Log bool
 }
 
+const defaultWatchProgress = 1400 * time.Millisecond
+
 // RouterSite runs routers, the replicas to which they forward requests, and the store
 // of the users' platform, in one process.
 type RouterSite struct {
@@ -265,9 +271,9 @@
 	ho := Host(RouterName(n))
 	rs.Net.Revive(ho)
 	text := fmt.Sprintf("[vm]\nid = %s\nsite = s\nfailure_domain = zone-%c\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
-		"[store]\nurls = http://%s\nwatch_progress = 1400ms\n[peers]\nshared_key = key-of-the-test-site\nfanout = 1\nfailed_after = 2500ms\nseeds = %s\n[serving]\nretry_ratio = 0.9\nretry_slack = 80\n",
+		"[store]\nurls = http://%s\nwatch_progress = %s\n[peers]\nshared_key = key-of-the-test-site\nfanout = 1\nfailed_after = 2500ms\nseeds = %s\n[serving]\nretry_ratio = 0.9\nretry_slack = 80\n",
 		RouterName(n), 'a'+n%max(1, rs.opt.Domains), RouterAddress(n, 80), RouterAddress(n, 81), RouterAddress(n, 82), RouterAddress(n, 83), RouterAddress(n, 84),
-		KVAddress, RouterAddress(1, 83))
+		KVAddress, cmp.Or(rs.opt.WatchProgress, defaultWatchProgress), RouterAddress(1, 83))
 	file := filepath.Join(rs.dir, RouterName(n)+".ini")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		rs.tb.Fatal(err)
