Give the watchers of a new start time to bring evidence (calls of the store)

Cause, by the reasons and calls of each half second (trial): the first read may be old and is no evidence, the watchers begin 1 s after the start and have evidence 0.9 s later, but the others waited for 1.45 s alone; two to six of them watched the store for 4 s (peers_without_store). The 2.8 s before had covered that by chance. Now the wait after a start is the time after which the watchers begin and that age. Rules hold for routers that have run for 3 s and more.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -172,7 +172,8 @@
 	case fo.lostPeers >= lostAnswers && !evidence.After(fo.lostAt) && now.Sub(fo.lostAt) >= min(wait, maxUnreachableTurn):
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchStale
-	case now.Sub(evidence) > turn && now.Sub(fo.startedAt) > turn:
+	case now.Sub(evidence) > turn && now.Sub(fo.startedAt) > joinTime+turn:
+		// After a start of all daemons the first ones begin after joinTime.
 		fo.watchUntil = now.Add(minWatchTime)
 		return WatchStale
 	case fo.watches() && (now.Before(fo.watchUntil) || now.Sub(fo.peerAnsweredAt) > fo.maxAge):
