Say once what stood twice: candidate, bounded sums, evidence, a lost store

SumsLifetime serves relay too, which had a constant of its own. - rollout: evidence adds up in one method, without a copy of each list. - configuration: that the store is lost is told by the channel alone, not by a flag beside it. - network: two tests share their set-up; what they check is unchanged.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -96,9 +96,8 @@
 	// storeAnsweredAt is when the store last answered this daemon, and peerAnsweredAt when
 	// it last answered a peer that this daemon follows.
 	storeAnsweredAt, peerAnsweredAt time.Time
-	// lost is closed while the last call of the store failed, as isLost tells.
-	lost   chan struct{}
-	isLost bool
+	// lost is closed while the last call of the store failed.
+	lost chan struct{}
 	// lostPeers counts the answers in a row of peers that have lost the store, and lostAt is
 	// when there were lostAnswers of them.
 	lostPeers int
@@ -202,8 +201,8 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.storeAnsweredAt = at
-	if fo.isLost {
-		fo.lost, fo.isLost = make(chan struct{}), false
+	if fo.isLost() {
+		fo.lost = make(chan struct{})
 	}
 }
 
@@ -211,9 +210,18 @@
 func (fo *Follower) noteStoreFailure() {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if !fo.isLost {
+	if !fo.isLost() {
 		close(fo.lost)
-		fo.isLost = true
+	}
+}
+
+// isLost reports whether the last call of the store failed. The caller holds mu.
+func (fo *Follower) isLost() bool {
+	select {
+	case <-fo.lost:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -244,7 +252,7 @@
 func (fo *Follower) needsPeers(now time.Time) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	return fo.reason != WatchRank || fo.isLost || now.Sub(fo.storeAnsweredAt) > fo.maxAge
+	return fo.reason != WatchRank || fo.isLost() || now.Sub(fo.storeAnsweredAt) > fo.maxAge
 }
 
 // Run follows peers until ctx is done.
--- a/network/idle_test.go
+++ b/network/idle_test.go
@@ -89,18 +89,25 @@
 	return err == nil && string(body) == "served"
 }
 
-// TestRequestThatWaitsUnreadIsServedAtTheEnd ends an idle connection on which a request has
-// arrived that the busy VM has not read. The connection was closed without an answer.
-func TestRequestThatWaitsUnreadIsServedAtTheEnd(t *testing.T) {
+// idleConnection returns a connection to an idleServer that is idle after one request.
+func idleConnection(t *testing.T) (*network.IdleConns, *stalledVM, net.Conn) {
+	t.Helper()
 	ic, vm, address := idleServer(t)
 	co, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
 	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = co.Close() }()
+	t.Cleanup(func() { _ = co.Close() })
 	ask(t, co)
 	qt.Assert(t, answered(co), qt.IsTrue)
 	for ic.Len() == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	return ic, vm, co
+}
+
+// TestRequestThatWaitsUnreadIsServedAtTheEnd ends an idle connection on which a request has
+// arrived that the busy VM has not read. The connection was closed without an answer.
+func TestRequestThatWaitsUnreadIsServedAtTheEnd(t *testing.T) {
+	ic, vm, co := idleConnection(t)
 	vm.running.Lock()
 	// The read that waits fails by the deadline, before the request arrives.
 	ic.End(time.Now())
@@ -112,21 +119,13 @@
 }
 
 func TestIdleConnectionEnds(t *testing.T) {
-	ic, _, address := idleServer(t)
-	co, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = co.Close() }()
-	ask(t, co)
-	qt.Assert(t, answered(co), qt.IsTrue)
-	for ic.Len() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	ic, _, co := idleConnection(t)
 	ic.End(time.Now().Add(-time.Minute)) // it has not been idle for so long
 	time.Sleep(50 * time.Millisecond)
 	qt.Assert(t, ic.Len(), qt.Equals, 1)
 	ic.End(time.Now())
 	_ = co.SetReadDeadline(time.Now().Add(5 * time.Second))
-	_, err = co.Read(make([]byte, 1))
+	_, err := co.Read(make([]byte, 1))
 	qt.Assert(t, err, qt.Equals, io.EOF)
 	for ic.Len() > 0 {
 		time.Sleep(time.Millisecond)
--- a/peer/aggregator.go
+++ b/peer/aggregator.go
@@ -19,8 +19,8 @@
 	idleShareInterval = time.Second
 	// shareTimeout bounds such an exchange: later it is of no use.
 	shareTimeout = 200 * time.Millisecond
-	// sumsLifetime is how long received sums are used.
-	sumsLifetime = 1500 * time.Millisecond
+	// SumsLifetime is how long received sums are used.
+	SumsLifetime = 1500 * time.Millisecond
 	// maxSharedLoads is the largest number of endpoints whose loads are told: a relay tells
 	// them to each router of its failure domain. Endpoints with less load are left out.
 	maxSharedLoads = 300
@@ -52,6 +52,11 @@
 	}
 }
 
+// bounded returns the sums without the loads that are too many to be told.
+func (su Sums) bounded() Sums {
+	return Sums{Loads: su.Loads.Largest(maxSharedLoads), Releases: su.Releases}
+}
+
 func (su Sums) releaseMessages() []*rpc.ReleaseReport {
 	var out []*rpc.ReleaseReport
 	for key, re := range su.Releases {
@@ -150,7 +155,7 @@
 	ag.mu.Lock()
 	all := ag.all
 	ag.mu.Unlock()
-	if time.Since(all.at) < sumsLifetime {
+	if time.Since(all.at) < SumsLifetime {
 		ag.apply(Sums{Loads: all.Loads.without(own.Loads), Releases: all.Releases})
 	}
 }
@@ -173,9 +178,8 @@
 
 // shareDomain tells the first relay of each other failure domain the sums of this one.
 func (ag *Aggregator) shareDomain(ctx context.Context, relays map[policy.FailureDomain]Holder, own Sums) {
-	mine := ag.domainSum()
-	mine.add(own)
-	told := Sums{Loads: mine.Loads.Largest(maxSharedLoads), Releases: mine.Releases}
+	mine := ag.domainSum(own)
+	told := mine.bounded()
 	wg := worker.NewGroup()
 	for fd, re := range relays {
 		if fd == ag.group.FailureDomain() {
@@ -190,7 +194,7 @@
 	wg.Wait()
 	ag.mu.Lock()
 	for _, sh := range ag.domains {
-		if time.Since(sh.at) < sumsLifetime {
+		if time.Since(sh.at) < SumsLifetime {
 			mine.add(sh.Sums)
 		}
 	}
@@ -198,14 +202,15 @@
 	ag.setAll(mine)
 }
 
-// domainSum returns the sums of what daemons of this failure domain have told this one, and
-// forgets what is too old.
-func (ag *Aggregator) domainSum() Sums {
+// domainSum returns the sums of this daemon's own and of what the others of its failure domain
+// have told it, and forgets what is too old.
+func (ag *Aggregator) domainSum(own Sums) Sums {
 	out := newSums()
+	out.add(own)
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	for id, sh := range ag.members {
-		if time.Since(sh.at) >= sumsLifetime {
+		if time.Since(sh.at) >= SumsLifetime {
 			delete(ag.members, id)
 			continue
 		}
@@ -215,7 +220,7 @@
 }
 
 func (ag *Aggregator) setAll(su Sums) {
-	su.Loads = su.Loads.Largest(maxSharedLoads)
+	su = su.bounded()
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.all = sharedSums{su, time.Now()}
@@ -232,15 +237,14 @@
 	told := sumsOf(rq.GetLoads(), rq.GetReleases())
 	if rq.GetDomain() {
 		ag.setDomain(policy.FailureDomain(rq.GetFailureDomain()), told)
-		mine := ag.domainSum()
-		mine.add(ag.own())
-		return &rpc.ShareLoadResponse{Loads: mine.Loads.Largest(maxSharedLoads).message(), Releases: mine.releaseMessages()}, nil
+		mine := ag.domainSum(ag.own()).bounded()
+		return &rpc.ShareLoadResponse{Loads: mine.Loads.message(), Releases: mine.releaseMessages()}, nil
 	}
 	ag.mu.Lock()
 	defer ag.mu.Unlock()
 	ag.members[vm.ID(rq.GetVm())] = sharedSums{told, time.Now()}
 	all := ag.all
-	if time.Since(all.at) >= sumsLifetime {
+	if time.Since(all.at) >= SumsLifetime {
 		all.Sums = Sums{}
 	}
 	return &rpc.ShareLoadResponse{Loads: all.Loads.message(), Releases: all.releaseMessages()}, nil
--- a/relay/health.go
+++ b/relay/health.go
@@ -30,23 +30,22 @@
 }
 
 // update calls add with the state of the service's roll-out, if it has one, and whether the
-// endpoint is of the candidate. It then rejects a candidate that is bad. mu is held during add.
-func (rs *releaseSelector) update(id policy.ServiceID, en policy.Endpoint, add func(st *rolloutState, candidate bool)) {
+// endpoint is of the candidate, which it also reports. It then rejects a candidate that is bad.
+// mu is held during add.
+func (rs *releaseSelector) update(id policy.ServiceID, en policy.Endpoint, add func(st *rolloutState, candidate bool)) (candidate bool) {
 	ro, ok := rs.router.holder.Set().ServiceRollout(id)
 	if !ok || !ro.Active() {
-		return
+		return false
 	}
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
 	st := rs.stateOf(time.Now(), ro)
-	candidate := policy.ReleaseID(en.Release) == st.candidate
+	candidate = policy.ReleaseID(en.Release) == st.candidate
 	add(st, candidate)
-	if !candidate {
-		return
-	}
-	if reason := st.health.RejectionReason(); reason != "" {
+	if reason := st.health.RejectionReason(); candidate && reason != "" {
 		rs.reject(ro, st, reason)
 	}
+	return candidate
 }
 
 // reject makes this router send no more requests to a candidate. The caller holds
@@ -90,7 +89,7 @@
 // applySums applies the reports of all routers of a large group.
 func (rs *releaseSelector) applySums(now time.Time, reports map[peer.ReleaseKey]rollout.Report) {
 	rs.mu.Lock()
-	rs.sums, rs.sumsUntil = reports, now.Add(sumsTTL)
+	rs.sums, rs.sumsUntil = reports, now.Add(peer.SumsLifetime)
 	rs.mu.Unlock()
 	rs.refresh()
 }
@@ -147,9 +146,6 @@
 // Its counts of answers and failures do not expire.
 const inFlightTTL = 4 * time.Second
 
-// sumsTTL is how long the sums of a large group are used.
-const sumsTTL = 1500 * time.Millisecond
-
 func healthKey(service, vm string) string { return healthPrefix + service + "/" + vm }
 
 // publish publishes this router's results of all roll-outs.
--- a/relay/pace.go
+++ b/relay/pace.go
@@ -96,7 +96,7 @@
 func (rs *releaseSelector) observePace(id policy.ServiceID, en policy.Endpoint, model policy.ModelID, gap time.Duration) {
 	key := latencyKey{id, model}
 	ratio := rs.paces.ratio(key, gap)
-	rs.update(id, en, func(st *rolloutState, candidate bool) {
+	candidate := rs.update(id, en, func(st *rolloutState, candidate bool) {
 		switch {
 		case ratio == 0:
 		case candidate:
@@ -105,13 +105,7 @@
 			st.health.StablePace(ratio)
 		}
 	})
-	if !rs.isCandidate(id, en) {
+	if !candidate {
 		rs.paces.observe(key, gap)
 	}
 }
-
-// isCandidate reports whether an endpoint is of a release that is being rolled out.
-func (rs *releaseSelector) isCandidate(id policy.ServiceID, en policy.Endpoint) bool {
-	ro, ok := rs.router.holder.Set().ServiceRollout(id)
-	return ok && ro.Active() && en.Release == ro.ToVersion
-}
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -47,9 +47,7 @@
 	if re.RejectionReason == "" {
 		re.RejectionReason = other.RejectionReason
 	}
-	re.Evidence.Failures.Add(other.Evidence.Failures.LogWealth())
-	re.Evidence.Slow.Add(other.Evidence.Slow.LogWealth())
-	re.Evidence.Pace.Add(other.Evidence.Pace.LogWealth())
+	re.Evidence.add(other.Evidence)
 	return re
 }
 
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -188,6 +188,13 @@
 	Failures, Slow, Pace SequentialTest
 }
 
+// add adds the evidence of other daemons.
+func (ev *Evidence) add(other Evidence) {
+	ev.Failures.Add(other.Failures.logWealth[:])
+	ev.Slow.Add(other.Slow.logWealth[:])
+	ev.Pace.Add(other.Pace.logWealth[:])
+}
+
 // Evidence returns the evidence against the candidate.
 func (ht *HealthTest) Evidence() Evidence {
 	return Evidence{Failures: ht.failures, Slow: ht.slow, Pace: ht.pace}
