Share empty sums twice a second, so that loads reach idle routers within 1.25 s

A load reaches its own relay within 0.25 s and the others within 0.25 s more, so the answer to an idle router came up to 1.5 s later and more. Now an idle router asks twice a second: 1 s and the calls' own time.

--- a/peer/aggregator.go
+++ b/peer/aggregator.go
@@ -16,7 +16,7 @@
 	// shareInterval is how often a daemon of a large group exchanges sums, and
 	// idleShareInterval how often it does so while they are empty.
 	shareInterval     = 250 * time.Millisecond
-	idleShareInterval = time.Second
+	idleShareInterval = 500 * time.Millisecond
 	// shareTimeout bounds such an exchange: later it is of no use.
 	shareTimeout = 200 * time.Millisecond
 	// SumsLifetime is how long received sums are used.
