Suspend an endpoint once for requests that fail together

Callers saw: after a moment of trouble at the endpoints (their connections reset, or their answers silent), requests were refused (408, blocked: suspended) for seconds after the trouble was over, and streams that had to move found no endpoint.

Cause: the suspension doubled with every failure, also with those of requests that had been sent before it began. Twenty streams at one endpoint that break in one moment counted as twenty failures in a row. Likewise any result that came during a probe let a second probe go.

Now only a probe that fails lengthens a suspension. A request that was sent before the suspension and fails during it says nothing that the first failures have not said.

TestRequestsThatFailTogetherSuspendOnce failed on: suspended for 7.9 s by 20 failures at one moment, where the first suspension is 0.25 to 0.75 s. TestOnlyAProbeDecidesOnASuspension failed: a second probe after a neutral result. Both pass, and go test -race ./placement ./entry ./measure passes.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -107,6 +107,8 @@
 	// Estimate is the work that the endpoint does before the job's answer
 	// begins, including the job's own.
 	Estimate Work
+	// probe reports whether the job probes a suspended endpoint.
+	probe bool
 }
 
 // Balancer chooses the endpoint with the lowest estimated time until its answer
@@ -168,12 +170,12 @@
 	estimate := ba.estimateWait(now, en, jo, shares[best])
 	es.own.Running++
 	es.own.Backlog += jo.Work
-	es.recordSend()
+	probe := es.recordSend()
 	ba.lastJob++
 	dueAt := now.Add(time.Duration(overdueFactor * float64(estimate) * float64(time.Second)))
 	es.pending[ba.lastJob] = pendingJob{work: jo.Work, dueAt: dueAt}
 	ba.recordSent(now, jo.Prefix, en.ID)
-	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate}, true
+	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate, probe: probe}, true
 }
 
 // score estimates the seconds until an endpoint would begin to answer, adjusted
@@ -244,7 +246,7 @@
 	case Failed, AnsweredWithError:
 		es.failureRate += failureSmoothing * (1 - es.failureRate)
 	}
-	return es.recordResult(now, re, ba.rng.Float64())
+	return es.recordResult(now, re, as.probe, ba.rng.Float64())
 }
 
 // RecordLoad records the number of requests that an endpoint reported. It is
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,7 +58,7 @@
 	// failuresToSuspend is how many failures in a row suspend an endpoint.
 	failuresToSuspend = 2
 	// firstSuspension is the mean length of the first suspension. It doubles with
-	// each further failure, up to maxSuspension.
+	// each probe that fails, up to maxSuspension.
 	firstSuspension = 500 * time.Millisecond
 	maxSuspension   = 8 * time.Second
 )
@@ -288,7 +288,8 @@
 	defer tr.mu.Unlock()
 	st := tr.state(id)
 	st.InFlight--
-	return st.recordResult(now, re, tr.rng.Float64())
+	// While a probe is under way, another request's result may be taken for the probe's.
+	return st.recordResult(now, re, st.probing, tr.rng.Float64())
 }
 
 // Healthy reports whether an endpoint is not suspended.
--- a/placement/suspension.go
+++ b/placement/suspension.go
@@ -5,7 +5,8 @@
 // suspension is the circuit breaker of one endpoint. After failuresToSuspend
 // failures in a row the endpoint gets no requests, except one probe at a time
 // after SuspendedUntil. A probe that is answered, even with an error, ends the
-// suspension.
+// suspension; one that fails lengthens it. Requests that were sent before the
+// suspension, and fail during it, do not: they say nothing new.
 type suspension struct {
 	Failures       int
 	SuspendedUntil time.Time
@@ -19,20 +20,29 @@
 
 func (su *suspension) healthy() bool { return su.Failures < failuresToSuspend }
 
-// recordSend records that a request is sent to the endpoint.
-func (su *suspension) recordSend() { su.probing = !su.healthy() }
+// recordSend records that a request is sent to the endpoint, and reports whether it is a
+// probe.
+func (su *suspension) recordSend() (probe bool) {
+	su.probing = !su.healthy()
+	return su.probing
+}
 
 // recordResult records the result of a request, and reports whether it suspended
-// the endpoint or ended its suspension. chance is random, from 0 to 1: it varies
+// the endpoint or ended its suspension. probe is what recordSend reported. chance is random, from 0 to 1: it varies
 // the suspension's length from half to one and a half times its mean, so that
 // suspensions do not all end together.
-func (su *suspension) recordResult(now time.Time, re Result, chance float64) (suspended, resumed bool) {
-	su.probing = false
+func (su *suspension) recordResult(now time.Time, re Result, probe bool, chance float64) (suspended, resumed bool) {
+	if probe {
+		su.probing = false
+	}
 	switch re {
 	case Succeeded, AnsweredWithError:
 		resumed = !su.healthy()
 		su.Failures = 0
 	case Failed:
+		if !su.healthy() && !probe {
+			return false, false
+		}
 		su.Failures++
 		if !su.healthy() {
 			wait := min(maxSuspension, firstSuspension<<min(su.Failures-failuresToSuspend, 8))
--- /dev/null
+++ b/placement/suspension_test.go
@@ -0,0 +1,63 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/placement"
+)
+
+// firstSuspensionLimit is longer than the first suspension of an endpoint may last.
+const firstSuspensionLimit = 800 * time.Millisecond
+
+// placeJobs places so many jobs at a single endpoint.
+func placeJobs(t *testing.T, ba *placement.Balancer, jobs int) []placement.Assignment {
+	t.Helper()
+	var out []placement.Assignment
+	for range jobs {
+		as, ok := ba.Choose(begin, engines(1), placement.Job{Work: 0.01}, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		out = append(out, as)
+	}
+	return out
+}
+
+// TestRequestsThatFailTogetherSuspendOnce has all requests at an endpoint fail in one moment,
+// as when its connections are reset. Each of them doubled the suspension.
+func TestRequestsThatFailTogetherSuspendOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		ba := placement.NewBalancer(seed, "")
+		suspensions := 0
+		for _, as := range placeJobs(t, ba, 20) {
+			if suspended, _ := ba.Done(begin, as, placement.Failed); suspended {
+				suspensions++
+			}
+		}
+		qt.Assert(t, suspensions, qt.Equals, 1)
+		qt.Assert(t, ba.Condition(begin, "e0").Suspended, qt.IsTrue)
+		cn := ba.Condition(begin.Add(firstSuspensionLimit), "e0")
+		qt.Assert(t, cn.Suspended, qt.IsFalse, qt.Commentf("suspended for %s", cn.SuspendedUntil.Sub(begin)))
+	}
+}
+
+// TestOnlyAProbeDecidesOnASuspension has requests that were sent before a suspension end
+// while a probe is under way. The endpoint got a second probe then.
+func TestOnlyAProbeDecidesOnASuspension(t *testing.T) {
+	for _, re := range []placement.Result{placement.Failed, placement.Neutral} {
+		ba := placement.NewBalancer(1, "")
+		early := placeJobs(t, ba, 4)
+		ba.Done(begin, early[0], placement.Failed)
+		ba.Done(begin, early[1], placement.Failed)
+		later := begin.Add(firstSuspensionLimit)
+		probe, ok := ba.Choose(later, engines(1), placement.Job{Work: 0.01}, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		ba.Done(later, early[2], re)
+		qt.Assert(t, ba.Condition(later, "e0").Suspended, qt.IsTrue, qt.Commentf("a second probe after result %d", re))
+		ba.Done(later, probe, placement.Failed)
+		qt.Assert(t, ba.Condition(later, "e0").SuspendedUntil.Sub(later) >= 500*time.Millisecond, qt.IsTrue)
+		ba.Done(later, early[3], placement.Succeeded)
+		qt.Assert(t, ba.Condition(later, "e0").Suspended, qt.IsFalse)
+	}
+}
