--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,6 +32,7 @@
 
 var (
 	errTruncatedEvent  = eris.New("stream ended within an event")
+	errBufferedAnswer  = eris.New("answer is not a stream, although the caller has a part of one")
 	errUnnumberedEvent = eris.New("event has no id, although the stream can be resumed")
 )
 
@@ -197,12 +198,27 @@
 		if fa == nil {
 			// A buffered answer cannot continue a stream.
 			next.discard()
-			return nil
+			fa = &failure{err: errBufferedAnswer}
+			break
 		}
 		if fa.noEndpoint {
-			return nil
+			break
 		}
 	}
-	ro.log.WarnLimited(event.StreamCut, cause, event.Fields{"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends, "cause": string(an.source.ReadFailure(cause).Cause)})
+	sr.logCut(an, cause, fa)
 	return nil
 }
+
+// logCut logs that the caller's connection is closed within its answer. cause is why the
+// answer broke, last the failure after which it was not resumed.
+func (sr *streamRelay) logCut(an *answer, cause error, last *failure) {
+	ca := sr.call
+	fields := event.Fields{
+		"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends,
+		"cause": string(an.source.ReadFailure(cause).Cause), "last": last.err.Error(), "left_ms": time.Until(ca.deadline).Milliseconds(),
+	}
+	if last.noEndpoint {
+		fields["blocked"] = sr.router.blockedEndpoints(time.Now(), ca)
+	}
+	sr.router.log.WarnLimited(event.StreamCut, cause, fields)
+}
