Give a stream up only once another endpoint has a place for it, and resume it while its caller waits

Callers saw (LOST): streams cut in the middle although their endpoints were sound: they had only been silent for a second or so, and went on. The same when a VM lost its path to the endpoints for a moment.

Cause, in three parts: - A router gave a silent endpoint up as soon as some other one of the service was neither paused, suspended nor over its limit. Whether it had room, was of the release that the request must run on, or was silent itself was asked only after the run had been cancelled. - streamRelay.resume closed the caller's connection at the first "no endpoint is available" or when the budget of retries had no room, though the caller would have waited. A refusal that had not run the request used up one of its sends. - The limit, 1.25 times the route's gap, is shorter than a sound endpoint's pause.

Now: - The attempt that replaces a silent one is chosen first, with the choice that sends it, and holds its place at its endpoint and in the budget; else the silent endpoint is waited for. - A stream may be silent for at least 1.5 s. It is late after the gap already, so that a move before that gains little. - A resume tries again, after 40 to 320 ms, until the request's deadline. Only runs count towards the route's number of sends. Endpoints that broke the stream off themselves do not get it again; if all have, it is cut at once as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,9 @@
 	// eventGapFactor is the multiple of the route's target for the gap between
 	// events that a stream may be silent; after that it counts as broken.
 	eventGapFactor = 1.25
+	// minEventGap is how long a stream may be silent in any case: sound endpoints fall
+	// silent for a second or so.
+	minEventGap = 1500 * time.Millisecond
 	// defaultEventGap is how long the stream of a route without such a target may
 	// be silent.
 	defaultEventGap = 2 * time.Second
@@ -51,8 +55,8 @@
 	endpoint  policy.Endpoint
 	selected  selectionReason
 	sentAt    time.Time
-	// finished reports whether the result has been recorded.
-	finished bool
+	// model is the index of the model in the call's models.
+	model int
 	// mayMove reports whether the request may be sent once more, so that the attempt may
 	// be given up when its endpoint is silent; failedBefore holds the endpoints at which
 	// earlier attempts failed.
@@ -61,6 +65,13 @@
 	// retryTaken reports whether the retry after this attempt has its place in the
 	// budget already.
 	retryTaken atomic.Bool
+	// mu guards the fields below it. The locks of the placement are taken after it.
+	mu sync.Mutex
+	// finished reports whether the result has been recorded.
+	finished bool
+	// replacement is the attempt for which this one was given up. It has its place at its
+	// endpoint already.
+	replacement *attempt
 }
 
 // attempt sends a request to one endpoint. It blocks until the answer is complete
@@ -70,7 +81,10 @@
 	if fa := ro.quarantined(ca); fa != nil && !ro.probe(ctx, ca) {
 		return nil, fa
 	}
-	at, fa := ro.chooseEndpoint(ctx, ca)
+	at, fa := ca.takeReplacement(), (*failure)(nil)
+	if at == nil {
+		at, fa = ro.chooseEndpoint(ctx, ca)
+	}
 	if fa != nil {
 		return nil, fa
 	}
@@ -78,7 +92,7 @@
 	if fa == nil {
 		return an, nil
 	}
-	fa.retryTaken = at.retryTaken.Load()
+	fa.retryTaken, ca.replacement = at.retryTaken.Load(), at.takeReplacement()
 	ca.failedEndpoints = append(ca.failedEndpoints, at.endpoint.ID)
 	ca.mayHaveRun = ca.mayHaveRun || !fa.notRun
 	at.fail(ctx, fa)
@@ -101,11 +115,11 @@
 		pl, ok = ro.place(now, ca, jo, se.fallback, usable)
 	}
 	if !ok {
-		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, noEndpoint: true}
+		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, unsent: true, noEndpoint: true}
 	}
 	ro.releases.recordSend(now, ca, pl.Endpoint, se.reason)
 	return &attempt{
-		router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, sentAt: now,
+		router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, model: ca.model,
 		failedBefore: slices.Clone(ca.failedEndpoints),
 	}, nil
 }
@@ -137,12 +151,13 @@
 func (at *attempt) send(ctx context.Context, after EventID) (*answer, *failure) {
 	ro, ca, rq := at.router, at.call, at.call.request
 	if time.Until(ca.deadline) < minRemaining {
-		return nil, &failure{err: context.DeadlineExceeded, notRun: true}
+		return nil, &failure{err: context.DeadlineExceeded, notRun: true, unsent: true}
 	}
+	at.sentAt = time.Now()
 	he := ro.options().Dialect.Header(SendParams{
 		Request: rq, Endpoint: at.endpoint, Organisation: ca.organisation, Model: ca.modelID(),
 		Deadline: ca.deadline, LastEventID: after, Urgency: ca.urgency,
-	}, time.Now())
+	}, at.sentAt)
 	ca.sends++
 	at.mayMove = ca.route.Repeatable() && !ca.probing && ca.sends < ca.route.MaxAttempts
 	rate, _ := ro.limits.Rate(at.endpoint.ID)
@@ -191,32 +206,6 @@
 	return deadline
 }
 
-// giveUp reports whether an attempt whose endpoint is silent gives way to another one. It
-// does so only if there is another endpoint, and room for the retry in the budget, which it
-// takes: otherwise the answer would be lost that the endpoint may still give.
-func (at *attempt) giveUp() bool {
-	ro, now := at.router, time.Now()
-	if !at.mayMove || !ro.hasAlternative(now, at) || !ro.budgets.take(now, at.call.service.ID, failureShare) {
-		return false
-	}
-	at.retryTaken.Store(true)
-	return true
-}
-
-// hasAlternative reports whether an endpoint other than the attempt's, and than those that
-// failed before, may get a request.
-func (ro *Router) hasAlternative(now time.Time, at *attempt) bool {
-	for _, en := range ro.fleet.forService(now, at.call.service.ID) {
-		if en.ID == at.endpoint.ID || slices.Contains(at.failedBefore, en.ID) {
-			continue
-		}
-		if ro.availability(now, en, ro.balancer.Condition(now, en.ID)).ok() {
-			return true
-		}
-	}
-	return false
-}
-
 // estimatedWait returns the estimated time until the endpoint's answer begins.
 func (at *attempt) estimatedWait() time.Duration {
 	return time.Duration(float64(at.placement.Estimate) * float64(time.Second))
@@ -229,7 +218,7 @@
 		return max(time.Until(ca.deadline), minRemaining)
 	}
 	if gap := ca.route.GapTarget(); gap > 0 {
-		return time.Duration(eventGapFactor * float64(gap))
+		return max(minEventGap, time.Duration(eventGapFactor*float64(gap)))
 	}
 	return defaultEventGap
 }
@@ -245,10 +234,11 @@
 
 // finish records the attempt's result. Only the first call has an effect.
 func (at *attempt) finish(re placement.Result) {
-	if at.finished {
+	unused, first := at.end()
+	if !first {
 		return
 	}
-	at.finished = true
+	unused.cancel()
 	ro := at.router
 	suspended, resumed := ro.balancer.Done(time.Now(), at.placement, re)
 	if suspended {
--- /dev/null
+++ b/relay/replacement.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"tanagerpoint.example/tanager/placement"
+)
+
+// giveUp reports whether an attempt whose endpoint is silent gives way to another one. It
+// does so only once the other one has its place at an endpoint, and the retry its place in
+// the budget: otherwise the answer would be lost that the silent endpoint may still give.
+func (at *attempt) giveUp() bool {
+	ro := at.router
+	if !at.mayMove {
+		return false
+	}
+	next := at.callElsewhere()
+	if !ro.hasEndpoint(next) || !ro.budgets.take(time.Now(), next.service.ID, failureShare) {
+		return false
+	}
+	// A call that has failed somewhere needs no decision of other routers on its release, so
+	// that this does not wait.
+	re, fa := ro.chooseEndpoint(context.Background(), next)
+	if fa != nil {
+		return false
+	}
+	re.call = at.call
+	if !at.setReplacement(re) {
+		re.cancel()
+		return false
+	}
+	at.retryTaken.Store(true)
+	return true
+}
+
+// callElsewhere returns the attempt's call as it is once the attempt has failed. It has only
+// what the choice of an endpoint needs and does not change while the attempt is under way.
+func (at *attempt) callElsewhere() *call {
+	ca := at.call
+	return &call{
+		request: ca.request, route: ca.route, service: ca.service, model: at.model,
+		failedEndpoints: append(slices.Clone(at.failedBefore), at.endpoint.ID),
+	}
+}
+
+// hasEndpoint reports whether there is an endpoint that may get a call's request.
+func (ro *Router) hasEndpoint(ca *call) bool {
+	se, now := ro.releases.selectRelease(context.Background(), ca), time.Now()
+	for _, en := range slices.Concat(se.endpoints, se.fallback) {
+		if slices.Contains(ca.failedEndpoints, en.ID) {
+			continue
+		}
+		if ro.availableTo(now, ca, en, ro.balancer.Condition(now, en.ID)).ok() {
+			return true
+		}
+	}
+	return false
+}
+
+// setReplacement sets the attempt that replaces this one, and reports false if this one has
+// ended meanwhile.
+func (at *attempt) setReplacement(re *attempt) bool {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.finished {
+		return false
+	}
+	at.replacement = re
+	return true
+}
+
+// takeReplacement returns the attempt that replaces this one, nil if there is none. The
+// caller must send or cancel it.
+func (at *attempt) takeReplacement() *attempt {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	re := at.replacement
+	at.replacement = nil
+	return re
+}
+
+// end marks the attempt as finished, and reports whether it was not before. It returns the
+// replacement that was not taken.
+func (at *attempt) end() (unused *attempt, first bool) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if at.finished {
+		return nil, false
+	}
+	unused, at.replacement, at.finished = at.replacement, nil, true
+	return unused, true
+}
+
+// cancel gives back the place of an attempt that is not sent. It does nothing if at is nil.
+func (at *attempt) cancel() {
+	if at != nil {
+		at.finish(placement.Neutral)
+	}
+}
+
+// takeReplacement returns the attempt that the call goes on with, nil if there is none.
+func (ca *call) takeReplacement() *attempt {
+	re := ca.replacement
+	ca.replacement = nil
+	return re
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -152,6 +152,8 @@
 	// number of sends that count towards the route's maximum.
 	failedEndpoints []policy.EndpointID
 	sends           int64
+	// replacement is the attempt to go on with, after one was given up for it.
+	replacement *attempt
 	// mayHaveRun reports whether an endpoint may have run the request.
 	mayHaveRun bool
 	// probing reports whether the request was let through although a part of its prompt is
@@ -179,6 +181,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, ca.deadline)
 	defer cancel()
+	defer func() { ca.takeReplacement().cancel() }()
 	ro.budgets.recordRequest(rq.ReceivedAt, ca.service.ID)
 	if re := ro.run(ctx, wr, ca); re != nil {
 		ro.refuse(wr, rq, re)
--- a/relay/run.go
+++ b/relay/run.go
@@ -73,15 +73,24 @@
 // mayRetry reports whether a request may be sent again after a failed attempt, and
 // counts the retry.
 func (ro *Router) mayRetry(ctx context.Context, ca *call, fa *failure) bool {
+	return ro.retryAllowed(ctx, ca, fa) && ro.takeRetry(ctx, ca, fa)
+}
+
+// retryAllowed reports whether a request may be sent again after a failed attempt if the
+// budget has room.
+func (ro *Router) retryAllowed(ctx context.Context, ca *call, fa *failure) bool {
 	if ctx.Err() != nil || ca.sends >= ca.route.MaxAttempts || fa.callerError {
 		return false
 	}
 	if !ca.route.Repeatable() && !fa.notRun {
 		return false
 	}
-	if ca.probing || ro.quarantined(ca) != nil {
-		return false
-	}
+	return !ca.probing && ro.quarantined(ca) == nil
+}
+
+// takeRetry counts a retry after a failed attempt, and reports false if the budget has no
+// room for it.
+func (ro *Router) takeRetry(ctx context.Context, ca *call, fa *failure) bool {
 	// A request that reached no endpoint is not repeated when it is sent to another one.
 	if !fa.unsent && !fa.retryTaken && !ro.budgets.take(time.Now(), ca.service.ID, failureShare) {
 		ro.log.WarnLimited(event.RetryBudgetSpent, nil, event.Fields{"request": ca.request.ID})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,13 +7,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/worker"
 )
@@ -28,6 +31,9 @@
 	// crash at once, the router needs this time to notice that the others are down
 	// too, and would otherwise select one of them.
 	resumePause = 40 * time.Millisecond
+	// maxResumePause is the longest delay before a stream is resumed. It doubles with each
+	// attempt.
+	maxResumePause = 320 * time.Millisecond
 )
 
 var (
@@ -109,6 +115,9 @@
 	wr          http.ResponseWriter
 	rc          *http.ResponseController
 	lastEventID EventID
+	// brokenAt holds the endpoints that broke the stream off. Those that were silent,
+	// refused it or could not be reached may get it again.
+	brokenAt []policy.EndpointID
 	// lastWriteAt is when the last event was written to the caller;
 	// longestPauseMs is the longest time between two writes, in milliseconds.
 	lastWriteAt    time.Time
@@ -176,7 +185,9 @@
 }
 
 // resume continues the stream at another endpoint after the last event that the
-// caller has received. It returns nil if that is not possible.
+// caller has received. It tries again until the request's deadline while no endpoint takes
+// the request, as its caller has nothing better to wait for. It returns nil if the request
+// may not be sent again.
 func (sr *streamRelay) resume(ctx context.Context, an *answer, cause error) *answer {
 	ro, ca := sr.router, sr.call
 	if errors.Is(cause, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) {
@@ -184,11 +195,20 @@
 		return nil
 	}
 	an.brokeOff(cause)
+	fa := &failure{err: cause, retryTaken: an.retryTaken.Load()}
+	ca.replacement = an.takeReplacement()
 	an.finish(placement.Failed)
 	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
+	if an.source.ReadFailure(cause).Cause != endpoint.CauseSilent {
+		sr.brokenAt = append(sr.brokenAt, an.endpoint.ID)
+	}
 	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
-	fa := &failure{err: cause, retryTaken: an.retryTaken.Load()}
-	for worker.Sleep(ctx, resumePause) && ca.route.Resumable && ro.mayRetry(ctx, ca, fa) {
+	pause := resumePause
+	for ca.route.Resumable && worker.Sleep(ctx, pause) && ro.retryAllowed(ctx, ca, fa) && sr.hasEndpointLeft() {
+		pause = min(2*pause, maxResumePause)
+		if !ro.takeRetry(ctx, ca, fa) {
+			continue
+		}
 		var next *answer
 		next, fa = ro.attempt(ctx, ca, sr.lastEventID)
 		if fa == nil && next.stream != nil {
@@ -201,14 +221,31 @@
 			fa = &failure{err: errBufferedAnswer}
 			break
 		}
-		if fa.noEndpoint {
-			break
-		}
+		sr.noteRefused(fa)
 	}
 	sr.logCut(an, cause, fa)
 	return nil
 }
 
+// hasEndpointLeft reports whether there is an endpoint that has not broken the stream off.
+func (sr *streamRelay) hasEndpointLeft() bool {
+	ens := sr.router.fleet.forService(time.Now(), sr.call.service.ID)
+	return slices.ContainsFunc(ens, func(en policy.Endpoint) bool { return !slices.Contains(sr.brokenAt, en.ID) })
+}
+
+// noteRefused records a failed attempt to resume. One that was not run leaves the request its
+// number of sends. Once all endpoints have been tried, each that has not broken the stream off
+// may get it again.
+func (sr *streamRelay) noteRefused(fa *failure) {
+	ca := sr.call
+	if fa.notRun && !fa.unsent {
+		ca.sends--
+	}
+	if fa.noEndpoint {
+		ca.failedEndpoints = slices.Clone(sr.brokenAt)
+	}
+}
+
 // logCut logs that the caller's connection is closed within its answer. cause is why the
 // answer broke, last the failure after which it was not resumed.
 func (sr *streamRelay) logCut(an *answer, cause error, last *failure) {
