--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -107,6 +107,8 @@
 	// Estimate is the work that the endpoint does before the job's answer
 	// begins, including the job's own.
 	Estimate Work
+	// probe reports whether the job probes a suspended endpoint.
+	probe bool
 }
 
 // Balancer chooses the endpoint with the lowest estimated time until its answer
@@ -168,12 +170,12 @@
 	estimate := ba.estimateWait(now, en, jo, shares[best])
 	es.own.Running++
 	es.own.Backlog += jo.Work
-	es.recordSend()
+	probe := es.recordSend()
 	ba.lastJob++
 	dueAt := now.Add(time.Duration(overdueFactor * float64(estimate) * float64(time.Second)))
 	es.pending[ba.lastJob] = pendingJob{work: jo.Work, dueAt: dueAt}
 	ba.recordSent(now, jo.Prefix, en.ID)
-	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate}, true
+	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate, probe: probe}, true
 }
 
 // score estimates the seconds until an endpoint would begin to answer, adjusted
@@ -207,8 +209,9 @@
 }
 
 // AnswerStarted records that an endpoint began to answer a job, and how long
-// after the job was sent.
-func (ba *Balancer) AnswerStarted(as Assignment, took time.Duration) {
+// after the job was sent. It reports whether that ended the endpoint's suspension: the
+// answer itself may be a stream of many seconds.
+func (ba *Balancer) AnswerStarted(as Assignment, took time.Duration) (resumed bool) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	es := ba.state(as.Endpoint.ID)
@@ -217,6 +220,10 @@
 		factor := min(maxSlowdown, max(minSlowdown, took.Seconds()/float64(as.Estimate)))
 		es.slowdown += slowdownSmoothing * (factor - es.slowdown)
 	}
+	if as.probe {
+		resumed = es.answered()
+	}
+	return resumed
 }
 
 // removePending removes a job from the backlog. It does nothing when the job was
@@ -244,7 +251,7 @@
 	case Failed, AnsweredWithError:
 		es.failureRate += failureSmoothing * (1 - es.failureRate)
 	}
-	return es.recordResult(now, re, ba.rng.Float64())
+	return es.recordResult(now, re, as.probe, ba.rng.Float64())
 }
 
 // RecordLoad records the number of requests that an endpoint reported. It is
