--- /dev/null
+++ b/router/path_test.go
@@ -0,0 +1,309 @@
+package router_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/testsite"
+	"tanagerpoint.example/tanager/worker"
+)
+
+const (
+	// pathLimit is how long after the loss of its path a router may take to serve again.
+	pathLimit = 3 * time.Second
+	// pathLoadInterval is the time between two requests of each kind at each router.
+	pathLoadInterval = 250 * time.Millisecond
+	// slowestAnswer is the longest time that an answer may take, as for a caller that waits.
+	slowestAnswer = 2 * time.Second
+)
+
+// pathFault is a way in which a router loses its connections to an endpoint.
+type pathFault struct {
+	name  string
+	apply func(nw *testsite.Network, ho testsite.Host, address string)
+}
+
+var pathFaults = []pathFault{
+	{"new connections refused", (*testsite.Network).RefuseNew},
+	{"reset and refused", (*testsite.Network).Cut},
+	{"reset and hanging", func(nw *testsite.Network, ho testsite.Host, address string) {
+		nw.HangNew(ho, address)
+		nw.Reset(ho, address)
+	}},
+	{"silent and refused", func(nw *testsite.Network, ho testsite.Host, address string) {
+		nw.RefuseNew(ho, address)
+		nw.Blackhole(ho, address)
+	}},
+	{"silent and hanging", func(nw *testsite.Network, ho testsite.Host, address string) {
+		nw.HangNew(ho, address)
+		nw.Blackhole(ho, address)
+	}},
+}
+
+// pathSite is a site of which some routers can lose their paths to all endpoints.
+var pathSite = testsite.RouterOptions{Routers: 8, Domains: 3, Engines: 9, Plains: 6}
+
+// endpointAddresses returns the addresses of the endpoints of a site.
+func endpointAddresses(opt testsite.RouterOptions) []string {
+	var out []string
+	for n := 1; n <= opt.Engines; n++ {
+		out = append(out, testsite.ReplicaAddress(testsite.EngineService, n, "v1"))
+	}
+	for n := 1; n <= opt.Plains; n++ {
+		out = append(out, testsite.ReplicaAddress(testsite.PlainService, n, "v1"))
+	}
+	return out
+}
+
+// losePath makes routers lose their paths to all endpoints.
+func losePath(rs *testsite.RouterSite, opt testsite.RouterOptions, fault pathFault, routers []int) {
+	for _, n := range routers {
+		for _, address := range endpointAddresses(opt) {
+			fault.apply(rs.Net, testsite.Host(testsite.RouterName(n)), address)
+		}
+	}
+}
+
+// restorePath gives routers their paths back.
+func restorePath(rs *testsite.RouterSite, opt testsite.RouterOptions, routers []int) {
+	for _, n := range routers {
+		for _, address := range endpointAddresses(opt) {
+			rs.Net.Restore(testsite.Host(testsite.RouterName(n)), address)
+		}
+	}
+}
+
+// tried is one request as sent once, and what its caller got.
+type tried struct {
+	request
+	response
+	sentAt time.Time
+	took   time.Duration
+}
+
+// served reports whether the caller got a whole answer.
+func (tr tried) served() bool { return tr.err == nil && tr.status == http.StatusOK }
+
+// pathLoad sends requests of each kind to all routers, each once.
+//
+// mu guards all.
+type pathLoad struct {
+	rs      *testsite.RouterSite
+	opt     testsite.RouterOptions
+	started time.Time
+	sent    int
+	running *worker.Group
+
+	mu  sync.Mutex
+	all []tried
+}
+
+func newPathLoad(rs *testsite.RouterSite, opt testsite.RouterOptions) *pathLoad {
+	return &pathLoad{rs: rs, opt: opt, started: time.Now(), running: worker.NewGroup()}
+}
+
+// run sends requests for a time. It does not wait for the last answers.
+func (pl *pathLoad) run(length time.Duration) {
+	for deadline := time.Now().Add(length); time.Now().Before(deadline); time.Sleep(pathLoadInterval) {
+		for n := 1; n <= pl.opt.Routers; n++ {
+			for _, path := range []string{testsite.UnsafeRoute, testsite.SafeRoute, testsite.EngineRoute} {
+				pl.sent++
+				pl.send(request{router: n, id: fmt.Sprintf("p%d", pl.sent), path: path + "x", body: "loan"})
+			}
+		}
+	}
+}
+
+func (pl *pathLoad) send(as request) {
+	sentAt := time.Now()
+	pl.running.Go(func(context.Context) {
+		re := do(pl.rs, as)
+		pl.mu.Lock()
+		defer pl.mu.Unlock()
+		pl.all = append(pl.all, tried{request: as, response: re, sentAt: sentAt, took: time.Since(sentAt)})
+	})
+}
+
+// between returns the requests sent from one time on, counted from the start of the load, until
+// another.
+func (pl *pathLoad) between(from, to time.Duration) []tried {
+	pl.running.Wait()
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(pl.all), func(tr tried) bool {
+		at := tr.sentAt.Sub(pl.started)
+		return at < from || at >= to
+	})
+}
+
+// servedShare returns the share of requests at some of the routers that were served.
+func servedShare(all []tried, at func(router int) bool) float64 {
+	served, sum := 0, 0
+	for _, tr := range all {
+		if !at(tr.router) {
+			continue
+		}
+		sum++
+		if tr.served() {
+			served++
+		}
+	}
+	return float64(served) / float64(max(1, sum))
+}
+
+// checkHonest checks that no unsafe request ran twice, that none was refused as one that did
+// not run although it did, and that streams have each event once.
+func checkHonest(t *testing.T, rs *testsite.RouterSite, all []tried) {
+	t.Helper()
+	runs := map[string]int{}
+	for _, re := range rs.Replicas {
+		for _, ru := range re.Runs() {
+			runs[ru.Request]++
+		}
+	}
+	for _, tr := range all {
+		where := qt.Commentf("%s at router %d after %s: %d %v", tr.id, tr.router, tr.took, tr.status, tr.err)
+		if strings.HasPrefix(tr.path, testsite.UnsafeRoute) {
+			qt.Check(t, runs[tr.id] <= 1, qt.IsTrue, where)
+		}
+		if tr.status == http.StatusServiceUnavailable {
+			qt.Check(t, runs[tr.id], qt.Equals, 0, where)
+			qt.Check(t, tr.response.header.Get("Retry-After"), qt.Not(qt.Equals), "", where)
+		}
+		if strings.HasPrefix(tr.path, testsite.EngineRoute) && tr.served() {
+			qt.Check(t, eventIDs(tr.response.body), qt.DeepEquals, []string{"1", "2", "3", "4", "5"}, where)
+		}
+		if !strings.HasPrefix(tr.path, testsite.EngineRoute) && tr.served() {
+			qt.Check(t, tr.response.body, qt.Equals, "whole answer to "+tr.id, where)
+		}
+	}
+}
+
+// checkServedEverywhere checks that requests at the routers without a path are served as at the
+// others, and in time.
+func checkServedEverywhere(t *testing.T, all []tried, cut []int) {
+	t.Helper()
+	isCut := func(n int) bool { return slices.Contains(cut, n) }
+	at, others := servedShare(all, isCut), servedShare(all, func(n int) bool { return !isCut(n) })
+	qt.Check(t, at >= 0.99, qt.IsTrue, qt.Commentf("served %.3f at the routers without a path", at))
+	qt.Check(t, others >= 0.99, qt.IsTrue, qt.Commentf("served %.3f at the others", others))
+	for _, tr := range all {
+		qt.Check(t, tr.took < slowestAnswer, qt.IsTrue, qt.Commentf("%s at router %d took %s", tr.id, tr.router, tr.took))
+	}
+}
+
+// TestRoutersWithoutPathAreServedByPeers has some routers lose their paths to all endpoints, in
+// each of the ways in which that happens. Callers that use such a router were refused for as
+// long as it lasted.
+func TestRoutersWithoutPathAreServedByPeers(t *testing.T) {
+	for _, fault := range pathFaults {
+		for name, cut := range map[string][]int{
+			"5 of 8": {1, 2, 3, 4, 5}, "2 of 8": {4, 8}, "a failure domain": {3, 6},
+		} {
+			t.Run(fault.name+"/"+name, func(t *testing.T) {
+				withSite(t, pathSite, func(t *testing.T, rs *testsite.RouterSite) {
+					const before, during = 2 * time.Second, 8 * time.Second
+					pl := newPathLoad(rs, pathSite)
+					pl.run(before)
+					losePath(rs, pathSite, fault, cut)
+					pl.run(during)
+					checkServedEverywhere(t, pl.between(before+pathLimit, before+during), cut)
+					checkHonest(t, rs, pl.between(0, before+during))
+				})
+			})
+		}
+	}
+}
+
+// TestRoutersWithoutPathAreServedInALargerGroup has 8 of 24 routers lose their paths.
+func TestRoutersWithoutPathAreServedInALargerGroup(t *testing.T) {
+	opt := pathSite
+	opt.Routers = 24
+	cut := []int{1, 4, 7, 10, 13, 16, 19, 22}
+	withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+		const before, during = 2 * time.Second, 6 * time.Second
+		pl := newPathLoad(rs, opt)
+		pl.run(before)
+		losePath(rs, opt, pathFaults[1], cut)
+		pl.run(during)
+		checkServedEverywhere(t, pl.between(before+pathLimit, before+during), cut)
+		checkHonest(t, rs, pl.between(0, before+during))
+	})
+}
+
+// TestPathComesBack has routers lose their paths for 6 s, and serve by themselves again after.
+func TestPathComesBack(t *testing.T) {
+	cut := []int{1, 2, 3, 4, 5}
+	for _, fault := range pathFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			withSite(t, pathSite, func(t *testing.T, rs *testsite.RouterSite) {
+				pl := newPathLoad(rs, pathSite)
+				pl.run(time.Second)
+				losePath(rs, pathSite, fault, cut)
+				pl.run(6 * time.Second)
+				restorePath(rs, pathSite, cut)
+				pl.run(4 * time.Second)
+				checkServedEverywhere(t, pl.between(7*time.Second+recoveryLimit, 11*time.Second), cut)
+				checkHonest(t, rs, pl.between(0, 11*time.Second))
+			})
+		})
+	}
+}
+
+// TestNoPathAnywhereIsRefusedAtOnce has all routers lose their paths. Callers must be refused
+// without delay and with the truth: that their requests were not run.
+func TestNoPathAnywhereIsRefusedAtOnce(t *testing.T) {
+	all := []int{1, 2, 3, 4, 5, 6, 7, 8}
+	withSite(t, pathSite, func(t *testing.T, rs *testsite.RouterSite) {
+		pl := newPathLoad(rs, pathSite)
+		pl.run(time.Second)
+		losePath(rs, pathSite, pathFaults[1], all)
+		pl.run(6 * time.Second)
+		for _, tr := range pl.between(4*time.Second, 7*time.Second) {
+			where := qt.Commentf("%s at router %d: %d after %s", tr.id, tr.router, tr.status, tr.took)
+			qt.Check(t, tr.status, qt.Equals, http.StatusServiceUnavailable, where)
+			qt.Check(t, tr.took < 500*time.Millisecond, qt.IsTrue, where)
+		}
+		checkHonest(t, rs, pl.between(0, 7*time.Second))
+	})
+}
+
+// TestStreamsGoOnWithoutPath has routers lose their paths while their streams run. The streams
+// must go on by way of peers, with each event once.
+func TestStreamsGoOnWithoutPath(t *testing.T) {
+	const streams, events = 12, 60
+	opt := pathSite
+	opt.Engine = standin.ReplicaOptions{
+		Events: events, Gap: 100 * time.Millisecond, Delay: 20 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "90"},
+	}
+	var want []string
+	for n := 1; n <= events; n++ {
+		want = append(want, fmt.Sprint(n))
+	}
+	for _, fault := range pathFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+				cut := []int{1, 2, 3, 4, 5}
+				pl := newPathLoad(rs, opt)
+				for n := range streams {
+					pl.send(request{router: 1 + n%len(cut), id: fmt.Sprint("s", n), path: testsite.EngineRoute + "x"})
+				}
+				time.Sleep(2 * time.Second)
+				losePath(rs, opt, fault, cut)
+				for _, tr := range pl.between(0, time.Second) {
+					qt.Check(t, tr.err, qt.IsNil, qt.Commentf("%s at router %d", tr.id, tr.router))
+					qt.Check(t, eventIDs(tr.response.body), qt.DeepEquals, want, qt.Commentf("%s at router %d", tr.id, tr.router))
+				}
+			})
+		})
+	}
+}
--- a/testsite/network.go
+++ b/testsite/network.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -25,7 +26,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
-	cut       map[link]bool
+	faults    map[link]linkFault
 	killed    map[Host]bool
 	bytesSent map[Host]int64
 }
@@ -37,11 +38,24 @@
 	to   string
 }
 
+// linkFault is what happens to new connections of a link.
+type linkFault int
+
+const (
+	// linkRefuses refuses them at once.
+	linkRefuses linkFault = iota + 1
+	// linkHangs leaves them without an answer.
+	linkHangs
+)
+
+// dialTimeout is how long a dial waits for a link that hangs, as network.Real does.
+const dialTimeout = time.Second
+
 // NewNetwork returns a network without listeners or connections.
 func NewNetwork() *Network {
 	return &Network{
 		listeners: map[string]*listener{}, conns: map[*conn]bool{},
-		cut: map[link]bool{}, killed: map[Host]bool{}, bytesSent: map[Host]int64{},
+		faults: map[link]linkFault{}, killed: map[Host]bool{}, bytesSent: map[Host]int64{},
 	}
 }
 
@@ -72,17 +86,33 @@
 
 // Cut closes the open connections of a link, and refuses new ones until Restore.
 func (nw *Network) Cut(from Host, to string) {
-	nw.mu.Lock()
-	nw.cut[link{from, to}] = true
-	nw.mu.Unlock()
+	nw.RefuseNew(from, to)
+	nw.Reset(from, to)
+}
+
+// Reset closes the open connections of a link.
+func (nw *Network) Reset(from Host, to string) {
 	nw.eachConn(link{from, to}, func(co *conn) { _ = co.Close() })
 }
 
-// Restore allows new connections on a link that was cut.
+// RefuseNew refuses new connections on a link until Restore. Open ones live on.
+func (nw *Network) RefuseNew(from Host, to string) { nw.setFault(from, to, linkRefuses) }
+
+// HangNew leaves new connections on a link without an answer until Restore. Open ones live
+// on.
+func (nw *Network) HangNew(from Host, to string) { nw.setFault(from, to, linkHangs) }
+
+func (nw *Network) setFault(from Host, to string, fault linkFault) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.faults[link{from, to}] = fault
+}
+
+// Restore allows new connections on a link again.
 func (nw *Network) Restore(from Host, to string) {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
-	delete(nw.cut, link{from, to})
+	delete(nw.faults, link{from, to})
 }
 
 // Blackhole drops all further data, in both directions, on the open connections of a
@@ -152,8 +182,12 @@
 func (nw *Network) dial(ctx context.Context, from Host, address string) (net.Conn, error) {
 	nw.mu.Lock()
 	li, ok := nw.listeners[address]
-	refused := !ok || nw.killed[from] || nw.cut[link{from, address}]
+	refused := !ok || nw.killed[from] || nw.faults[link{from, address}] == linkRefuses
+	hangs := nw.faults[link{from, address}] == linkHangs
 	nw.mu.Unlock()
+	if hangs && !refused {
+		return nil, hang(ctx, address)
+	}
 	if refused {
 		return nil, eris.Errorf("dial %s: connection refused: no listener, killed host or cut link", address)
 	}
@@ -175,6 +209,14 @@
 	return nil, eris.Errorf("dial %s: listener closed or context done before the connection was accepted", address)
 }
 
+// hang blocks for dialTimeout, or until ctx is done, and returns the error of the dial.
+func hang(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	<-ctx.Done()
+	return eris.Wrapf(ctx.Err(), "dial %s: no answer", address)
+}
+
 // listener accepts connections that Network.dial opens.
 type listener struct {
 	network  *Network
