Let peers carry the attempts of a router without a path to the endpoints

Cause: a request was sent by the router that took it or not at all. Without a path each attempt waited for a connection for a second, or was refused, until all endpoints were suspended; the directory went on naming the VM.

Now a router that can make no new connection to any endpoint says so to its peers, and they carry its attempts: one request to one endpoint each, all decisions stay with the router that took it (docs/DESIGN.md). Doubt about the path begins with a failed, slow or silent connection and is settled by a round of probes within 0.4 s; failures that the path explains count neither against endpoints nor releases nor requests. Dials under way end when the path is lost. The directory leaves such VMs out while at least half of all have a path.

Departed from: a peer does not look at its own part of an endpoint's limit, as the sender takes the request from its part already.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -42,14 +42,17 @@
 	Address       string
 	FailureDomain policy.FailureDomain
 	Draining      bool
-	InFlight      int64
+	// PathLost reports whether the VM has no path to any endpoint.
+	PathLost bool
+	InFlight int64
 }
 
 // Select returns at most maxAddresses addresses for a caller in a failure domain;
 // domain is "" when it is unknown. It leaves out the entries that drain or whose VM
-// is leaving. Entries with fewer requests in flight than the mean weigh more. The
-// order is random, and an entry of a greater weight is more likely to come early, so
-// that callers that connect to the first address are also spread by weight.
+// is leaving, and those without a path while at least half of all have one. Entries
+// with fewer requests in flight than the mean weigh more. The order is random, and an
+// entry of a greater weight is more likely to come early, so that callers that connect
+// to the first address are also spread by weight.
 func Select(cas []Candidate, leaving func(vm.ID) bool, domain policy.FailureDomain, rng *rand.Rand) []Address {
 	total := int64(0)
 	for _, ca := range cas {
@@ -61,10 +64,8 @@
 		key     float64
 	}
 	var all []sampled
-	for _, ca := range cas {
-		if ca.Draining || leaving(ca.VM) {
-			continue
-		}
+	serving := slices.DeleteFunc(slices.Clone(cas), func(ca Candidate) bool { return ca.Draining || leaving(ca.VM) })
+	for _, ca := range withPath(serving) {
 		weight := 2 / (1 + float64(ca.InFlight+1)/mean)
 		if domain != "" && ca.FailureDomain != domain {
 			weight *= remoteWeight
@@ -86,3 +87,14 @@
 	}
 	return out
 }
+
+// withPath returns the entries that have a path to the endpoints if they are at least half of
+// all, so that they can take the others' callers; else it returns all, as those without a path
+// serve too.
+func withPath(cas []Candidate) []Candidate {
+	sound := slices.DeleteFunc(slices.Clone(cas), func(ca Candidate) bool { return ca.PathLost })
+	if 2*len(sound) < len(cas) {
+		return cas
+	}
+	return sound
+}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -43,6 +44,9 @@
 	CauseSilent Cause = "silent"
 	// CauseMismatched means that the answer belongs to another request.
 	CauseMismatched Cause = "mismatched"
+	// CauseNotCarried means that no peer carried the attempt to the endpoint, so that nothing
+	// was sent to it.
+	CauseNotCarried Cause = "not_carried"
 	// CauseTooLarge means that the answer exceeds the size limit of the call.
 	CauseTooLarge Cause = "too_large"
 )
@@ -68,6 +72,9 @@
 	// Sent is set if part of the request may have reached the endpoint, which may
 	// then have run it.
 	Sent bool
+	// Hop is set if the failure is that of the peer that was to carry the attempt, or of the
+	// way to it, and says nothing of the endpoint.
+	Hop bool
 	// Status is the HTTP status if the cause is CauseRefused, 0 otherwise.
 	Status int
 	// Body is the start of the body of an error answer.
@@ -131,8 +138,11 @@
 // pooled connections; all other requests use a new connection each. It is safe for
 // concurrent use.
 type Client struct {
-	pooled      *http.Client
-	unpooled    *http.Client
+	pooled   *http.Client
+	unpooled *http.Client
+	// hop and hopUnpooled are for peers that carry attempts.
+	hop         *http.Client
+	hopUnpooled *http.Client
 	idleTimeout time.Duration
 	dropped     atomic.Int64
 	resumed     atomic.Int64
@@ -142,11 +152,48 @@
 // endpoint, for calls that give no other limit. The first event of a stream may take
 // longer; see firstEventTimeoutFactor.
 func NewClient(ne network.Network, idleTimeout time.Duration) *Client {
-	return &Client{pooled: ne.Client(64), unpooled: ne.UnpooledClient(), idleTimeout: idleTimeout}
+	return newClient(ne, ne, idleTimeout)
+}
+
+// NewPathClient returns a client whose connections to endpoints are watched by a path.
+func NewPathClient(pa *Path, idleTimeout time.Duration) *Client {
+	return newClient(pa.Network(), pa.network, idleTimeout)
+}
+
+func newClient(toEndpoints, toPeers network.Network, idleTimeout time.Duration) *Client {
+	toPeers.Dial = limitDial(toPeers.Dial)
+	return &Client{
+		pooled: toEndpoints.Client(idleConnections), unpooled: toEndpoints.UnpooledClient(),
+		hop: toPeers.Client(idleConnections), hopUnpooled: toPeers.UnpooledClient(), idleTimeout: idleTimeout,
+	}
+}
+
+const (
+	// idleConnections is the largest number of idle pooled connections to one address.
+	idleConnections = 64
+	// hopDialTimeout is how long a connection to a peer may take before another peer is asked.
+	hopDialTimeout = 300 * time.Millisecond
+)
+
+// dialer opens connections, as network.Network.Dial does.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+func limitDial(dial dialer) dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, hopDialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
 }
 
 // Close closes the idle pooled connections.
-func (cl *Client) Close() { cl.pooled.CloseIdleConnections() }
+func (cl *Client) Close() {
+	cl.CloseIdle()
+	cl.hop.CloseIdleConnections()
+}
+
+// CloseIdle closes the idle pooled connections to endpoints.
+func (cl *Client) CloseIdle() { cl.pooled.CloseIdleConnections() }
 
 // Dropped returns the number of answers and chunks that were dropped because they
 // belonged to another request.
--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -33,6 +33,8 @@
 	// after that. As long as it returns false, the call goes on. It is called from a
 	// goroutine of its own. If it is nil, the call is given up.
 	GiveUp func() bool
+	// Via is the peer that carries the attempt, nil if this VM sends it itself.
+	Via *Via
 }
 
 // ForwardAnswer is an answer whose body has not been read yet. It is not safe for
@@ -47,11 +49,16 @@
 	EndsWithConnection bool
 
 	conn *connection
+	// carried is the body if a peer carries the answer, nil otherwise.
+	carried *carriedBody
 }
 
 // Forward sends a call and blocks until it has the answer's header. The error is a
 // *Failure.
 func (cl *Client) Forward(ctx context.Context, ca ForwardCall) (*ForwardAnswer, error) {
+	if ca.Via != nil {
+		return cl.forwardVia(ctx, ca)
+	}
 	rq, err := ca.request()
 	if err != nil {
 		return nil, &Failure{Cause: CauseUnreachable, Err: err}
@@ -100,7 +107,12 @@
 func (an *ForwardAnswer) Read(buf []byte) (int, error) { return an.conn.Read(buf) }
 
 // ReadFailure returns the failure for an error of Read.
-func (an *ForwardAnswer) ReadFailure(err error) *Failure { return an.conn.readFailure(err) }
+func (an *ForwardAnswer) ReadFailure(err error) *Failure {
+	if an.carried != nil {
+		return an.carried.failure(an.conn.readFailure(err))
+	}
+	return an.conn.readFailure(err)
+}
 
 // Close closes the body. It also closes the network connection, unless the body was
 // read to its end.
--- a/event/event.go
+++ b/event/event.go
@@ -70,6 +70,8 @@
 	QuarantineProbed     Number = 422
 	EndpointLeaving      Number = 423
 	EndpointPaused       Number = 424
+	PathLost             Number = 425
+	PathBack             Number = 426
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -141,6 +143,8 @@
 	QuarantineProbed:     "request let through to see whether its subject still crashes endpoints",
 	EndpointLeaving:      "endpoint said in an answer that it leaves; it gets no new requests",
 	EndpointPaused:       "endpoint asked for a pause; it gets no requests from this router until its end",
+	PathLost:             "this VM has no path to any endpoint; peers carry its attempts",
+	PathBack:             "this VM has a path to the endpoints again",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/peer/group.go
+++ b/peer/group.go
@@ -295,6 +295,12 @@
 	return rpc.NewPeerServiceProtobufClient("http://"+address, bearerClient{client: gr.client, key: gr.opt.SharedKey})
 }
 
+// CarryURL returns the URL at which a peer takes attempts to carry.
+func (gr *Group) CarryURL(mb Member) string { return "http://" + mb.PeerAddress + carryPath }
+
+// Authorization returns the value of the header that peers' listeners require.
+func (gr *Group) Authorization() string { return bearer + gr.opt.SharedKey }
+
 // bearerClient is an HTTP client that sends the shared key with each request, and no header
 // that peers do not read.
 type bearerClient struct {
--- a/peer/member.go
+++ b/peer/member.go
@@ -25,6 +25,8 @@
 	Draining       bool
 	InFlight       int64
 	LinkMbps       float64
+	// PathLost reports whether the VM has no path to any endpoint.
+	PathLost bool
 	// FailedAt is when the member counts as failed unless a newer heartbeat
 	// arrives.
 	FailedAt time.Time
@@ -102,7 +104,7 @@
 		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
 		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
 		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
-		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(),
+		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(), PathLost: ms.GetPathLost(),
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -15,6 +15,8 @@
 const (
 	bearer          = "Bearer "
 	maxPeerBodySize = 16 << 20
+	// carryPath is the path of requests to carry an attempt to an endpoint.
+	carryPath = "/carry"
 )
 
 // Bills stores copies of peers' unsealed bills.
@@ -47,6 +49,8 @@
 	crashes Crashes
 	// loads is nil on daemons that share no loads.
 	loads LoadSharer
+	// carrier is nil on daemons that carry no attempts.
+	carrier http.Handler
 }
 
 // NewServer returns a server. bi and pi are nil on daemons that hold no copies
@@ -67,6 +71,12 @@
 	return se
 }
 
+// WithCarrier makes the server answer requests to carry attempts, and returns it.
+func (se *Server) WithCarrier(ha http.Handler) *Server {
+	se.carrier = ha
+	return se
+}
+
 // Handler returns the HTTP handler of the listener for peers. It answers
 // requests without the shared key with status 401.
 func (se *Server) Handler() http.Handler {
@@ -79,6 +89,10 @@
 		}
 		rq.Body = http.MaxBytesReader(wr, rq.Body, maxPeerBodySize)
 		wr.Header()["Date"] = nil // peers do not read it
+		if rq.URL.Path == carryPath && se.carrier != nil {
+			se.carrier.ServeHTTP(wr, rq)
+			return
+		}
 		tw.ServeHTTP(wr, rq)
 	})
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -61,6 +61,9 @@
 	// retryTaken reports whether the retry after this attempt has its place in the
 	// budget already.
 	retryTaken atomic.Bool
+	// carried reports whether a peer carries the attempt, pathFault whether it failed because
+	// of the path to the endpoint.
+	carried, pathFault bool
 }
 
 // attempt sends a request to one endpoint. It blocks until the answer is complete
@@ -79,7 +82,9 @@
 		return an, nil
 	}
 	fa.retryTaken = at.retryTaken.Load()
-	ca.failedEndpoints = append(ca.failedEndpoints, at.endpoint.ID)
+	if at.triesElsewhere() {
+		ca.failedEndpoints = append(ca.failedEndpoints, at.endpoint.ID)
+	}
 	ca.mayHaveRun = ca.mayHaveRun || !fa.notRun
 	at.fail(ctx, fa)
 	return nil, fa
@@ -153,12 +158,14 @@
 		"send": ca.sends, "estimate_ms": at.estimatedWait().Milliseconds(), "pressure_ms": int64(float64(ca.meanBacklog) * 1000),
 		"policy": ro.holder.Set().Revision,
 	})
-	source, err := ro.client.Forward(ctx, endpoint.ForwardCall{
+	source, err := at.forward(ctx, endpoint.ForwardCall{
 		URL: at.endpoint.Url, Method: rq.Method, Target: rq.Target, Host: rq.Host, Header: he, Body: rq.Body,
 		Repeatable: ca.route.Repeatable(), HeaderDeadline: at.headDeadline(), IdleTimeout: at.idleTimeout(), GiveUp: at.giveUp,
 	})
 	if err != nil {
-		at.brokeBeforeHead(err)
+		if !at.pathFailed(err) {
+			at.brokeBeforeHead(err)
+		}
 		fa := failureOf(err)
 		if fa.notRun {
 			// Nothing was sent, so this does not count towards the route's maximum.
@@ -260,12 +267,12 @@
 }
 
 // fail records a failed attempt. If the caller cancelled or caused the failure, or
-// if there was no time left to send, the attempt is neutral: it counts neither
+// if there was no time left to send, or the path failed, the attempt is neutral: it counts neither
 // against the endpoint nor against its release, and is not logged.
 func (at *attempt) fail(ctx context.Context, fa *failure) {
 	ro, result := at.router, placement.Failed
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) || fa.callerError || fa.notRun && errors.Is(fa.err, context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.Canceled) || at.pathFault || fa.callerError || fa.notRun && errors.Is(fa.err, context.DeadlineExceeded):
 		result = placement.Neutral
 	case errors.Is(fa.err, errFailureStatus) || errors.Is(fa.err, errNotRun):
 		result = placement.AnsweredWithError
--- a/relay/head.go
+++ b/relay/head.go
@@ -3,40 +3,47 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/limit"
+	"tanagerpoint.example/tanager/policy"
 )
 
 // noteHead records what the answer's head says of its endpoint. The head of another
 // request's answer, which came late, says nothing.
 func (an *answer) noteHead() {
-	ro, now, en := an.router, an.beganAt, an.endpoint
-	if an.head.Request != "" && an.head.Request != an.call.request.ID || an.head.OtherInstance {
+	if an.head.Request == "" || an.head.Request == an.call.request.ID {
+		an.router.noteHead(an.endpoint, an.head, an.status, an.sentAt, an.beganAt)
+	}
+}
+
+// noteHead records what the head of an answer, which began now, says of its endpoint.
+func (ro *Router) noteHead(en policy.Endpoint, head AnswerHead, status int, sentAt, now time.Time) {
+	if head.OtherInstance {
 		return
 	}
-	if an.head.Leaving {
+	if head.Leaving {
 		ro.fleet.noteLeaving(now, en.Run(), true)
 	}
-	if !an.head.RetryAt.IsZero() {
-		if end, fresh := ro.pauses.Begin(now, en.Run(), an.head.RetryAt, rand.Float64()); fresh {
-			ro.log.InfoLimited(event.EndpointPaused, event.Fields{"endpoint": en.ID, "asked_until": an.head.RetryAt, "until": end, "request": an.call.request.ID})
+	if !head.RetryAt.IsZero() {
+		if end, fresh := ro.pauses.Begin(now, en.Run(), head.RetryAt, rand.Float64()); fresh {
+			ro.log.InfoLimited(event.EndpointPaused, event.Fields{"endpoint": en.ID, "asked_until": head.RetryAt, "until": end, "request": head.Request})
 		}
 	}
-	if an.head.HasLoad {
-		ro.balancer.RecordLoad(now, en.ID, an.head.Running+an.head.Waiting)
+	if head.HasLoad {
+		ro.balancer.RecordLoad(now, en.ID, head.Running+head.Waiting)
 	}
-	an.noteLimit()
+	ro.noteLimit(en.ID, head, status, sentAt, now)
 }
 
 // noteLimit records the limit that the answer's head names. Only an answer of the service
 // that went well shows that it names none.
-func (an *answer) noteLimit() {
-	limits, id := an.router.limits, an.endpoint.ID
+func (ro *Router) noteLimit(id policy.EndpointID, head AnswerHead, status int, sentAt, now time.Time) {
 	switch {
-	case an.head.HasLimit:
-		limits.Named(an.beganAt, id, limit.Rate(an.head.Limit))
-	case an.head.Signed && an.status < http.StatusMultipleChoices:
-		limits.NotNamed(an.beganAt, an.sentAt, id)
+	case head.HasLimit:
+		ro.limits.Named(now, id, limit.Rate(head.Limit))
+	case head.Signed && status < http.StatusMultipleChoices:
+		ro.limits.NotNamed(now, sentAt, id)
 	}
 }
--- a/relay/router.go
+++ b/relay/router.go
@@ -55,6 +55,8 @@
 	backlogs *backlogAverages
 	budgets  *retryBudgets
 	releases *releaseSelector
+	path     *endpoint.Path
+	carriers *carriers
 	draining atomic.Bool
 	inFlight atomic.Int64
 	// routers is the number of known routers, including this one.
@@ -65,8 +67,10 @@
 type Dependencies struct {
 	Holder *configuration.Holder
 	Client *endpoint.Client
-	Peers  *peer.Group
-	Pins   *session.Pins
+	// Path is the path that the client's connections to endpoints take.
+	Path  *endpoint.Path
+	Peers *peer.Group
+	Pins  *session.Pins
 	// Quarantine holds the prompt parts that no endpoint may get.
 	Quarantine *quarantine.List
 	Log        *event.Log
@@ -76,7 +80,7 @@
 // New returns a Router.
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
-		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
+		holder: de.Holder, client: de.Client, path: de.Path, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
@@ -84,6 +88,7 @@
 	ro.fleet = newFleet(ro)
 	ro.budgets = newRetryBudgets(ro)
 	ro.releases = newReleaseSelector(ro)
+	ro.carriers = newCarriers(ro)
 	return ro
 }
 
@@ -260,9 +265,13 @@
 	Limits map[policy.EndpointID]limit.Rate `json:"limits"`
 	// Blocked are the endpoints that get no request now.
 	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
+	// PathLost reports whether this router has no path to any endpoint; Carrying is the number
+	// of attempts that it carries for peers now.
+	PathLost bool  `json:"path_lost"`
+	Carrying int64 `json:"carrying"`
 }
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Blocked: ro.Blocked()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Blocked: ro.Blocked(), PathLost: ro.path.Lost(), Carrying: ro.carriers.carrying.Load()}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -183,9 +183,13 @@
 		return nil
 	}
 	an.brokeOff(cause)
-	an.finish(placement.Failed)
-	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
-	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
+	if an.pathFault {
+		an.finish(placement.Neutral)
+	} else {
+		an.finish(placement.Failed)
+		ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
+		ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
+	}
 	fa := &failure{err: cause, retryTaken: an.retryTaken.Load()}
 	for worker.Sleep(ctx, resumePause) && ca.route.Resumable && ro.mayRetry(ctx, ca, fa) {
 		var next *answer
--- a/router/router.go
+++ b/router/router.go
@@ -76,6 +76,7 @@
 	pins     *session.Pins
 	// barred holds the prompt parts and the requests in quarantine.
 	barred *quarantine.List
+	path   *endpoint.Path
 	client *endpoint.Client
 	relay  *relay.Router
 	sums   *peer.Aggregator
@@ -111,11 +112,12 @@
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
 	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, lo)
-	da.client = endpoint.NewClient(ne, endpointProgressTimeout)
+	da.path = endpoint.NewPath(ne)
+	da.client = endpoint.NewPathClient(da.path, endpointProgressTimeout)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
-		relay.Dependencies{Holder: da.holder, Client: da.client, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
+		relay.Dependencies{Holder: da.holder, Client: da.client, Path: da.path, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
 	)
 	da.sums = peer.NewAggregator(da.peers, da.relay.Sums, da.relay.ApplySums)
 	return da, eris.Wrap(da.addGauges(), "router.New")
@@ -141,10 +143,11 @@
 }
 
 // describe sets the fields of this router's member record that change while it
-// runs: whether it drains and, unless the group is large, its requests in flight.
+// runs: whether it drains, whether it has lost its path to the endpoints and, unless the group is large, its requests in flight.
 // In a large group the peers' knowledge of them would be out of date.
 func (da *Daemon) describe(me *rpc.Member) {
 	me.Draining = !da.relay.Ready()
+	me.PathLost = da.relay.PathLost()
 	if !da.peers.Large() {
 		me.InFlight = da.relay.InFlight()
 	}
@@ -157,7 +160,7 @@
 		address string
 		handler http.Handler
 	}{
-		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).WithLoads(da.sums).Handler()},
+		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).WithLoads(da.sums).WithCarrier(http.HandlerFunc(da.relay.Carry)).Handler()},
 		{ls.GetAdmin(), admin.NewRouter(da.holder, da.metrics, da.Dump, nil)},
 		{ls.GetReadiness(), platform.NewReadinessHandler(da.relay.Ready)},
 		{ls.GetDirectory(), platform.NewDirectoryHandler(da.addresses, da.settings.GetServing().GetAddressKeep().AsDuration)},
@@ -174,6 +177,7 @@
 	da.group.Go(func(ctx context.Context) { da.registry.Run(ctx, da.peers) })
 	da.group.Go(da.sums.Run)
 	da.group.Go(da.relay.Run)
+	da.group.Go(da.watchPath)
 	da.group.Go(da.relay.PinSessions)
 	da.group.Go(func(ctx context.Context) { da.pins.Run(ctx, pinReplicationInterval) })
 	da.group.Go(da.barred.Run)
@@ -192,6 +196,11 @@
 	})
 }
 
+// watchPath watches the path to the endpoints, and tells peers of its changes, until ctx ends.
+func (da *Daemon) watchPath(ctx context.Context) {
+	da.relay.WatchPath(ctx, func() { da.group.Go(da.peers.Announce) })
+}
+
 // exchange publishes this router's load and release health to its peers, and
 // applies what they have published, until ctx ends.
 func (da *Daemon) exchange(ctx context.Context) {
@@ -213,10 +222,10 @@
 func (da *Daemon) addresses(domain policy.FailureDomain) []directory.Address {
 	cas := []directory.Candidate{{
 		VM: da.peers.VM(), Address: da.settings.GetListen().GetCallers(), FailureDomain: da.peers.FailureDomain(),
-		Draining: !da.relay.Ready(), InFlight: da.relay.InFlight(),
+		Draining: !da.relay.Ready(), PathLost: da.relay.PathLost(), InFlight: da.relay.InFlight(),
 	}}
 	for _, mb := range da.peers.Entries() {
-		cas = append(cas, directory.Candidate{VM: mb.VM, Address: mb.CallersAddress, FailureDomain: mb.FailureDomain, Draining: mb.Draining, InFlight: mb.InFlight})
+		cas = append(cas, directory.Candidate{VM: mb.VM, Address: mb.CallersAddress, FailureDomain: mb.FailureDomain, Draining: mb.Draining, PathLost: mb.PathLost, InFlight: mb.InFlight})
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return directory.Select(cas, func(vm.ID) bool { return false }, domain, rng)
@@ -236,6 +245,7 @@
 	if err := da.callers.Shutdown(ctx); err != nil {
 		da.log.Warn(event.DrainTimedOut, err, event.Fields{"in_flight": da.relay.InFlight()})
 	}
+	da.relay.WaitCarried(ctx)
 }
 
 // endIdle ends the callers' idle connections, and blocks until they are gone, for maxEndIdle
@@ -325,6 +335,9 @@
 	if err == nil {
 		err = me.Gauge("tanager_log_lines_dropped", "Log lines that found no room.", func() float64 { return float64(da.log.Dropped()) })
 	}
+	if err == nil {
+		err = da.addPathGauges()
+	}
 	if err == nil {
 		err = me.GaugeBy("tanager_store_calls", "Calls to the store by kind.", "kind", func() map[string]float64 {
 			return map[string]float64{
@@ -335,3 +348,16 @@
 	}
 	return err
 }
+
+func (da *Daemon) addPathGauges() error {
+	err := da.metrics.Gauge("tanager_path_lost", "1 while the VM has no path to any endpoint.", func() float64 {
+		if da.relay.PathLost() {
+			return 1
+		}
+		return 0
+	})
+	if err != nil {
+		return err
+	}
+	return da.metrics.GaugeBy("tanager_carried", "Attempts carried by peers for this router, by it for peers, and not taken.", "kind", da.relay.Carried)
+}
