--- a/relay/stream.go
+++ b/relay/stream.go
@@ -197,12 +197,7 @@
 	an.brokeOff(cause)
 	fa := &failure{err: cause, retryTaken: an.retryTaken.Load()}
 	ca.replacement = an.takeReplacement()
-	an.finish(placement.Failed)
-	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
-	if an.source.ReadFailure(cause).Cause != endpoint.CauseSilent {
-		sr.brokenAt = append(sr.brokenAt, an.endpoint.ID)
-	}
-	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
+	sr.noteBroken(an, cause)
 	pause := resumePause
 	for ca.route.Resumable && worker.Sleep(ctx, pause) && ro.retryAllowed(ctx, ca, fa) && sr.hasEndpointLeft() {
 		pause = min(2*pause, maxResumePause)
@@ -227,6 +222,22 @@
 	return nil
 }
 
+// noteBroken records that an answer broke off. If the path to its endpoint failed, that says
+// nothing of the endpoint.
+func (sr *streamRelay) noteBroken(an *answer, cause error) {
+	if an.pathFault {
+		an.finish(placement.Neutral)
+		return
+	}
+	ro, ca := sr.router, sr.call
+	an.finish(placement.Failed)
+	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
+	if an.source.ReadFailure(cause).Cause != endpoint.CauseSilent {
+		sr.brokenAt = append(sr.brokenAt, an.endpoint.ID)
+	}
+	ro.releases.observe(ca.service.ID, an.endpoint, rollout.Outcome{Failed: true})
+}
+
 // hasEndpointLeft reports whether there is an endpoint that has not broken the stream off.
 func (sr *streamRelay) hasEndpointLeft() bool {
 	ens := sr.router.fleet.forService(time.Now(), sr.call.service.ID)
