--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -211,7 +211,7 @@
 // or "draining".
 func (rs *RouterSite) Register(service string, n int, release, state string) {
 	re := rs.nextRegistration(ReplicaID(service, n, release))
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"sequence":%d,"born":%d`,
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d`,
 		service, ReplicaAddress(service, n, release), release, state, re.sequence, re.bornAt.UnixMilli())
 	if service == EngineService {
 		text += `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
