--- a/policy/record.go
+++ b/policy/record.go
@@ -21,6 +21,9 @@
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._@:-]{0,62}$`)
 
+// IsID reports whether a text can be the id of a record.
+func IsID(text string) bool { return idPattern.MatchString(text) }
+
 // Record is one policy record.
 type Record struct {
 	// Record is the parsed envelope.
@@ -180,7 +183,7 @@
 	if newSpec(Kind(re.GetKind())) == nil {
 		li.Add(at("kind"), "unknown kind %q", re.GetKind())
 	}
-	if !idPattern.MatchString(re.GetId()) {
+	if !IsID(re.GetId()) {
 		li.Add(at("id"), "%q is not an id: lower-case letters, digits and ._@:- only, 63 at most", re.GetId())
 	}
 	return len(*li) == before
