Let a roll-out go on when a value of its state or start cannot be used

What operators would see: another writer leaves an odd value at status/rollout/SERVICE or tanager/rollout/SERVICE, and the roll-out is not carried out: its state is never written, and it counts neither as completed nor as rolled back at its deadline.

Cause: the values of the three keys were applied together, and one that could not be decoded dropped the order too, in the policy and where a router reads the store before it acts.

Why this works: each value is applied alone, and one that cannot be used is logged and changes nothing; the routers' next commit replaces it. A roll-out that is retained over a restore of the store still waits for values that are all usable.

--- a/router/rollout.go
+++ b/router/rollout.go
@@ -179,8 +179,7 @@
 		}
 		kvs, compares = append(kvs, rr.KeyValues...), append(compares, co)
 	}
-	spec, err := da.layout.Rollout(kvs)
-	return policy.Rollout{ID: ro.ID, Rollout: spec}, compares, err
+	return policy.Rollout{ID: ro.ID, Rollout: da.layout.Rollout(kvs)}, compares, nil
 }
 
 // record commits a roll-out's new state if the compares hold. One of them is that the
