Shut down gracefully at a signal that comes during the start

What operators would see: a SIGTERM that comes while the process starts ends it at once, with the listeners open and requests on their way, and no word in the log.

Cause: signals were taken only after the start; until then their default action ends the process.

Evidence: TestSignalDuringTheStartShutsDownGracefully ended the process of the test ("signal: terminated"); it passes now.

Why this works: the signals are taken before the daemon is created, and handled in order after its start.

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	startTimeout = 10 * time.Second
+	maxPendingSignals = 16
+	startTimeout      = 10 * time.Second
 	// closeTimeout bounds Daemon.Close, in which an entry seals its last bills.
 	closeTimeout = 10 * time.Second
 )
@@ -98,6 +99,10 @@
 // run creates and starts the daemon, and returns after a signal has stopped it.
 func (pr Program[S]) run(file string, se S) error {
 	var da Daemon
+	// A signal during the start is handled after it: its default action ends the process.
+	signals := make(chan os.Signal, maxPendingSignals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	queue := event.NewQueue(os.Stdout)
 	defer queue.Close()
 	lo := event.NewLog(queue, se.GetLog(), se.GetVm().GetId())
@@ -125,7 +130,7 @@
 	if err := app.Start(startCtx); err != nil {
 		return Exit(ExitFailed, err)
 	}
-	pr.runUntilDrained(&settingsFile[S]{program: pr, path: file, log: lo, current: se}, da)
+	pr.runUntilDrained(signals, &settingsFile[S]{program: pr, path: file, log: lo, current: se}, da)
 	stopCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	return Exit(ExitFailed, app.Stop(stopCtx))
@@ -134,10 +139,7 @@
 // runUntilDrained handles signals until SIGTERM or SIGINT, and then drains the daemon.
 // It returns when the daemon is drained, after DrainLimit, or at a second SIGTERM or
 // SIGINT.
-func (pr Program[S]) runUntilDrained(sf *settingsFile[S], da Daemon) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	defer signal.Stop(signals)
+func (pr Program[S]) runUntilDrained(signals <-chan os.Signal, sf *settingsFile[S], da Daemon) {
 	pr.handleSignals(signals, sf, da)
 	drainCtx, cancel := context.WithTimeout(context.Background(), pr.DrainLimit(sf.current))
 	defer cancel()
