Go on with a graceful shutdown when SIGTERM comes again

What callers would see: where the signal is sent twice, as by two supervisors or by planned work that overlaps, all requests and streams in service at that machine are cut long before its grace is over.

Cause: a second SIGTERM or SIGINT ended the shutdown at once. That serves a person at a terminal, who sends SIGINT; who wants the process gone has SIGKILL.

Evidence: TestRepeatedSIGTERMDoesNotCutTheShutdownShort failed ("cut short: context canceled") and passes now, three runs of three with the race detector. TestInterruptEndsTheShutdown holds what stays: SIGINT ends it, after a SIGTERM and after a SIGINT.

Why this works: SIGTERM asks for what is under way, and changes nothing the second time.

--- a/command/daemon.go
+++ b/command/daemon.go
@@ -74,8 +74,8 @@
 }
 
 const runHelp = `Serve until SIGTERM or SIGINT, then shut down gracefully: leave the address
-answers, finish every request, seal the bills. A second signal ends the shutdown
-at once. SIGHUP, or a change of the settings file, reloads the settings; listeners,
+answers, finish every request, seal the bills. SIGINT during the shutdown ends it
+at once; a further SIGTERM changes nothing. SIGHUP, or a change of the settings file, reloads the settings; listeners,
 the store's address and the peers' seeds change only at the next start. Settings
 with findings are not applied. SIGUSR1 writes a dump of the state, as JSON, to the
 standard error.`
@@ -137,8 +137,8 @@
 }
 
 // runUntilDrained handles signals until SIGTERM or SIGINT, and then drains the daemon.
-// It returns when the daemon is drained, after DrainLimit, or at a second SIGTERM or
-// SIGINT.
+// It returns when the daemon is drained, after DrainLimit, or at a SIGINT that comes during the
+// shutdown. Supervisors may repeat SIGTERM: it asks for what is under way.
 func (pr Program[S]) runUntilDrained(signals <-chan os.Signal, sf *settingsFile[S], da Daemon) {
 	pr.handleSignals(signals, sf, da)
 	drainCtx, cancel := context.WithTimeout(context.Background(), pr.DrainLimit(sf.current))
@@ -152,11 +152,9 @@
 		select {
 		case sg := <-signals:
 			switch sg {
-			case syscall.SIGHUP:
-				// A daemon that shuts down does not reload its settings.
 			case syscall.SIGUSR1:
 				writeDump(da)
-			default:
+			case syscall.SIGINT:
 				cancel()
 			}
 		case <-drainCtx.Done():
--- a/command/signal_test.go
+++ b/command/signal_test.go
@@ -80,3 +80,36 @@
 	qt.Assert(t, <-sd.drainError, qt.IsNil)
 	qt.Assert(t, <-ended, qt.IsNil)
 }
+
+// TestRepeatedSIGTERMDoesNotCutTheShutdownShort has a supervisor send the signal again. It cut all
+// requests in service.
+func TestRepeatedSIGTERMDoesNotCutTheShutdownShort(t *testing.T) {
+	sd, ended := runSlowDaemon(t)
+	close(sd.start)
+	send(t, syscall.SIGTERM)
+	<-sd.draining
+	for range 3 {
+		send(t, syscall.SIGTERM)
+	}
+	select {
+	case err := <-sd.drainError:
+		t.Fatal("the shutdown was cut short: ", err)
+	case <-time.After(notInterrupted):
+	}
+	close(sd.finish)
+	qt.Assert(t, <-sd.drainError, qt.IsNil)
+	qt.Assert(t, <-ended, qt.IsNil)
+}
+
+// TestInterruptEndsTheShutdown has the person at the terminal not wait for it.
+func TestInterruptEndsTheShutdown(t *testing.T) {
+	for _, first := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		sd, ended := runSlowDaemon(t)
+		close(sd.start)
+		send(t, first)
+		<-sd.draining
+		send(t, syscall.SIGINT)
+		qt.Assert(t, <-sd.drainError, qt.Equals, context.Canceled)
+		qt.Assert(t, <-ended, qt.IsNil)
+	}
+}
