--- a/router/foreign_entry_test.go
+++ b/router/foreign_entry_test.go
@@ -121,3 +121,17 @@
 		qt.Check(t, len(rs.Replicas[testsite.ReplicaID(testsite.PlainService, 1, "v1")].Runs()), qt.Equals, 6)
 	})
 }
+
+// TestManyLargeEntriesLeaveTheStoreFollowed has another writer leave more, between two answers of
+// the watch, than a router reads of one answer. The watch began again at the same revision, for
+// the same answer, and no later change came into force.
+func TestManyLargeEntriesLeaveTheStoreFollowed(t *testing.T) {
+	const routers = 5
+	withSite(t, testsite.RouterOptions{Routers: routers, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+		time.Sleep(5 * time.Second)
+		for n := range 40 {
+			rs.Store.Write(fmt.Sprint("servers/large-", n), []byte(strings.Repeat("{", 1_000_000)))
+		}
+		inForceAfter(rs, 2*time.Second, others(routers, nil))
+	})
+}
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -51,8 +51,12 @@
 	Deletes []string `json:"deletes"`
 }
 
-// kvPageSize is the largest number of items in a response to a range.
-const kvPageSize = 50
+// kvPageSize is the largest number of items in a response to a range, and maxPageBytes the size of
+// their values from which a response takes no further item.
+const (
+	kvPageSize   = 50
+	maxPageBytes = 1 << 20
+)
 
 // KVHandler returns the handler of the API of the users' platform. It serves the
 // same pairs as Handler.
@@ -137,8 +141,8 @@
 }
 
 // handleKVRange responds with the pairs whose keys begin with prefix and come after
-// the key after, in the order of the keys. MorePages is true if more than kvPageSize
-// match.
+// the key after, in the order of the keys. MorePages is true if more match than a page
+// has.
 func (st *Store) handleKVRange(wr http.ResponseWriter, rq *http.Request) {
 	qu := rq.URL.Query()
 	st.mu.Lock()
@@ -155,12 +159,24 @@
 	}
 	st.mu.Unlock()
 	sort.Slice(re.Items, func(i, j int) bool { return re.Items[i].Key < re.Items[j].Key })
-	if len(re.Items) > kvPageSize {
-		re.Items, re.MorePages = re.Items[:kvPageSize], true
+	if size := pageSize(re.Items); size < len(re.Items) {
+		re.Items, re.MorePages = re.Items[:size], true
 	}
 	writeJSON(wr, re)
 }
 
+// pageSize returns how many of the items a page has.
+func pageSize(items []kvItem) int {
+	sum := 0
+	for n, it := range items {
+		if n == kvPageSize || sum >= maxPageBytes {
+			return n
+		}
+		sum += len(it.Value)
+	}
+	return len(items)
+}
+
 // handleKVWatch answers a long poll: it responds as soon as there are events after
 // the revision after, or without events when wait_ms have passed.
 func (st *Store) handleKVWatch(wr http.ResponseWriter, rq *http.Request) {
