--- a/command/daemon.go
+++ b/command/daemon.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	startTimeout = 10 * time.Second
+	maxPendingSignals = 16
+	startTimeout      = 10 * time.Second
 	// closeTimeout bounds Daemon.Close, in which an entry seals its last bills.
 	closeTimeout = 10 * time.Second
 )
@@ -73,8 +74,8 @@
 }
 
 const runHelp = `Serve until SIGTERM or SIGINT, then shut down gracefully: leave the address
-answers, finish every request, seal the bills. A second signal ends the shutdown
-at once. SIGHUP, or a change of the settings file, reloads the settings; listeners,
+answers, finish every request, seal the bills. SIGINT during the shutdown ends it
+at once; a further SIGTERM changes nothing. SIGHUP, or a change of the settings file, reloads the settings; listeners,
 the store's address and the peers' seeds change only at the next start. Settings
 with findings are not applied. SIGUSR1 writes a dump of the state, as JSON, to the
 standard error.`
@@ -98,6 +99,10 @@
 // run creates and starts the daemon, and returns after a signal has stopped it.
 func (pr Program[S]) run(file string, se S) error {
 	var da Daemon
+	// A signal during the start is handled after it: its default action ends the process.
+	signals := make(chan os.Signal, maxPendingSignals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	queue := event.NewQueue(os.Stdout)
 	defer queue.Close()
 	lo := event.NewLog(queue, se.GetLog(), se.GetVm().GetId())
@@ -125,19 +130,16 @@
 	if err := app.Start(startCtx); err != nil {
 		return Exit(ExitFailed, err)
 	}
-	pr.runUntilDrained(&settingsFile[S]{program: pr, path: file, log: lo, current: se}, da)
+	pr.runUntilDrained(signals, &settingsFile[S]{program: pr, path: file, log: lo, current: se}, da)
 	stopCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	return Exit(ExitFailed, app.Stop(stopCtx))
 }
 
 // runUntilDrained handles signals until SIGTERM or SIGINT, and then drains the daemon.
-// It returns when the daemon is drained, after DrainLimit, or at a second SIGTERM or
-// SIGINT.
-func (pr Program[S]) runUntilDrained(sf *settingsFile[S], da Daemon) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	defer signal.Stop(signals)
+// It returns when the daemon is drained, after DrainLimit, or at a SIGINT that comes during the
+// shutdown. Supervisors may repeat SIGTERM: it asks for what is under way.
+func (pr Program[S]) runUntilDrained(signals <-chan os.Signal, sf *settingsFile[S], da Daemon) {
 	pr.handleSignals(signals, sf, da)
 	drainCtx, cancel := context.WithTimeout(context.Background(), pr.DrainLimit(sf.current))
 	defer cancel()
@@ -150,11 +152,9 @@
 		select {
 		case sg := <-signals:
 			switch sg {
-			case syscall.SIGHUP:
-				// A daemon that shuts down does not reload its settings.
 			case syscall.SIGUSR1:
 				writeDump(da)
-			default:
+			case syscall.SIGINT:
 				cancel()
 			}
 		case <-drainCtx.Done():
