Keep the path sound while most endpoints are down

Cause: the four probes of a round were all among the endpoints that were down, and without a peer no attempt went out before a probe succeeded.

Where no peer has a path either, attempts are sent all the same, and one that connects proves the path.

--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -35,6 +35,8 @@
 	GiveUp func() bool
 	// Via is the peer that carries the attempt, nil if this VM sends it itself.
 	Via *Via
+	// Insist makes the client open a new connection also while the path is lost.
+	Insist bool
 }
 
 // ForwardAnswer is an answer whose body has not been read yet. It is not safe for
@@ -63,6 +65,9 @@
 	if err != nil {
 		return nil, &Failure{Cause: CauseUnreachable, Err: err}
 	}
+	if ca.Insist {
+		ctx = context.WithValue(ctx, insistent{}, true)
+	}
 	hc := cl.unpooled
 	if ca.Repeatable {
 		hc = cl.pooled
--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -25,9 +25,10 @@
 	// probeStagger is the time between the starts of two probes of a round: mostly the first
 	// one succeeds, and new connections are paid for.
 	probeStagger = 50 * time.Millisecond
-	// doubtProbes and lostProbes are the numbers of probes of a round.
-	doubtProbes = 4
-	lostProbes  = 2
+	// doubtProbes and lostProbes are the largest numbers of probes of a round. Many endpoints
+	// may be down at once while the path is sound.
+	doubtProbes = 16
+	lostProbes  = 4
 )
 
 // errPathLost is the error of connections to endpoints while the path is lost.
@@ -60,7 +61,11 @@
 	return pa
 }
 
-// Network returns a network whose dials the path watches. They fail at once while it is lost.
+// insistent is the key of a context whose dials are made also while the path is lost.
+type insistent struct{}
+
+// Network returns a network whose dials the path watches. They fail at once while it is lost,
+// unless the call insists.
 func (pa *Path) Network() network.Network {
 	ne := pa.network
 	ne.Dial = pa.dial
@@ -83,6 +88,9 @@
 
 func (pa *Path) dial(ctx context.Context, nw, address string) (net.Conn, error) {
 	lost := pa.lostContext()
+	if ctx.Value(insistent{}) != nil {
+		lost = context.Background()
+	}
 	if lost.Err() != nil {
 		return nil, errPathLost
 	}
@@ -94,7 +102,7 @@
 	co, err := pa.network.Dial(attempt, nw, address)
 	switch {
 	case err == nil:
-		pa.dialled()
+		pa.proved()
 		return &heardConn{Conn: co, path: pa}, nil
 	case lost.Err() != nil:
 		return nil, errPathLost
@@ -158,27 +166,17 @@
 	}
 }
 
-// dialled records that a request's connection was made. While the path is lost, only probes
-// show that it is back.
-func (pa *Path) dialled() {
-	if !pa.Lost() {
-		pa.proved()
-	}
-}
-
-// proved records that a new connection to an endpoint was made, and reports whether the path
-// is back by that.
-func (pa *Path) proved() (back bool) {
+// proved records that a new connection to an endpoint was made.
+func (pa *Path) proved() {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
 	doubted := !pa.state.Settled()
-	if back = pa.state.Proved(time.Now()); back {
+	if pa.state.Proved(time.Now()) {
 		pa.lost, pa.cancelLost = context.WithCancel(context.Background())
 	}
 	if doubted {
 		pa.endDoubt()
 	}
-	return back
 }
 
 // endDoubt wakes those that wait in Settle. The caller holds mu.
@@ -191,7 +189,12 @@
 // those of all endpoints. changed is called when the path is lost or back.
 func (pa *Path) Run(ctx context.Context, addresses func() []string, changed func(lost bool)) {
 	defer pa.close()
+	told := false
 	for ctx.Err() == nil {
+		if lost := pa.Lost(); lost != told {
+			told = lost
+			changed(lost)
+		}
 		pa.mu.Lock()
 		at, due := pa.state.NextRound()
 		pa.mu.Unlock()
@@ -202,7 +205,7 @@
 		if !worker.Sleep(ctx, time.Until(at)) {
 			return
 		}
-		pa.round(ctx, addresses(), changed)
+		pa.round(ctx, addresses())
 	}
 }
 
@@ -220,18 +223,15 @@
 }
 
 // round probes some of the addresses. Without endpoints there is no path to lose.
-func (pa *Path) round(ctx context.Context, addresses []string, changed func(lost bool)) {
+func (pa *Path) round(ctx context.Context, addresses []string) {
 	probes := pa.beginRound()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(probes, len(addresses))]
-	if len(addresses) == 0 || pa.probe(ctx, addresses) {
-		if pa.proved() {
-			changed(false)
-		}
-		return
-	}
-	if ctx.Err() == nil && pa.roundFailed() {
-		changed(true)
+	switch {
+	case len(addresses) == 0 || pa.probe(ctx, addresses):
+		pa.proved()
+	case ctx.Err() == nil:
+		pa.roundFailed()
 	}
 }
 
@@ -246,17 +246,14 @@
 	return doubtProbes
 }
 
-// roundFailed records that all probes of a round failed, and reports whether the path is lost
-// by that.
-func (pa *Path) roundFailed() bool {
+// roundFailed records that all probes of a round failed.
+func (pa *Path) roundFailed() {
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
-	if !pa.state.RoundFailed() {
-		return false
+	if pa.state.RoundFailed() {
+		pa.cancelLost()
+		pa.endDoubt()
 	}
-	pa.cancelLost()
-	pa.endDoubt()
-	return true
 }
 
 // probe reports whether a new connection to one of the addresses can be made.
--- a/endpoint/path_test.go
+++ b/endpoint/path_test.go
@@ -100,6 +100,24 @@
 	})
 }
 
+// TestPathIsSoundWhileMostEndpointsAreDown has 13 of 14 endpoints refuse connections. The path
+// was found to be lost, as the probes of a round were all among these.
+func TestPathIsSoundWhileMostEndpointsAreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, addresses := testsite.NewNetwork(), someAddresses(14)
+		pa, settled := watchedPath(t, nw, addresses)
+		for _, address := range addresses[1:] {
+			nw.RefuseNew(pathHost, address)
+		}
+		for range 20 {
+			_, err := pa.Network().Dial(t.Context(), "tcp", addresses[1])
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Assert(t, settled(), qt.IsFalse)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // TestPathIsLostAndBack has all new connections refused, or hang, for a time.
 func TestPathIsLostAndBack(t *testing.T) {
 	for name, fail := range map[string]func(*testsite.Network, testsite.Host, string){
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -101,6 +101,8 @@
 		if mbs := ro.carriers.peers(time.Now()); len(mbs) > 0 {
 			return at.forwardVia(ctx, ca, mbs[:min(maxAskedPeers, len(mbs))])
 		}
+		// Nobody has a path, or many endpoints are down, so that no probe found another one.
+		ca.Insist = true
 	}
 	defer ro.path.WatchSilence()()
 	return ro.client.Forward(ctx, ca)
