Test what peers carry while they stop, crash, or endpoints ask to be spared

Streams that a peer carries go on when it is killed in mid-answer, with each event once; a carrier that stops finishes them and each runs once. A pause, a departure or a limit that an endpoint names in a carried answer is known at the carrier. A path that comes and goes each second, and the only endpoint down for 4 s, are served or refused without delay.

--- a/router/path_test.go
+++ b/router/path_test.go
@@ -12,6 +12,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagerpoint.example/tanager/relay"
+	"tanagerpoint.example/tanager/router"
 	"tanagerpoint.example/tanager/standin"
 	"tanagerpoint.example/tanager/testsite"
 	"tanagerpoint.example/tanager/worker"
@@ -307,3 +309,186 @@
 		})
 	}
 }
+
+// carryingRouters returns the routers that carry attempts for peers now.
+func carryingRouters(rs *testsite.RouterSite) []int {
+	var out []int
+	for n, da := range rs.Routers {
+		if da.Dump().(router.State).Relay.Carrying > 0 {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// longStreams are options of engines whose streams take some 4 s.
+var longStreams = standin.ReplicaOptions{
+	Events: 40, Gap: 100 * time.Millisecond, Delay: 20 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "90"},
+}
+
+// withCarriedStreams runs fn while peers carry streams of router 1, which has no path, and then
+// checks that these have each event once.
+func withCarriedStreams(t *testing.T, fn func(t *testing.T, rs *testsite.RouterSite, carrying []int)) {
+	t.Helper()
+	const streams = 6
+	opt := pathSite
+	opt.Engine = longStreams
+	withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+		losePath(rs, opt, pathFaults[1], []int{1})
+		pl := newPathLoad(rs, opt)
+		pl.send(request{router: 1, id: "first", path: testsite.SafeRoute + "x"})
+		time.Sleep(2 * time.Second)
+		for n := range streams {
+			pl.send(request{router: 1, id: fmt.Sprint("s", n), path: testsite.EngineRoute + "x"})
+		}
+		time.Sleep(time.Second)
+		carrying := carryingRouters(rs)
+		qt.Assert(t, len(carrying) > 0, qt.IsTrue)
+		fn(t, rs, carrying)
+		for _, tr := range pl.between(time.Second, 3*time.Second) {
+			where := qt.Commentf("%s after %s", tr.id, tr.took)
+			qt.Check(t, tr.err, qt.IsNil, where)
+			qt.Check(t, len(eventIDs(tr.response.body)), qt.Equals, longStreams.Events, where)
+			qt.Check(t, slices.IsSortedFunc(eventIDs(tr.response.body), func(a, b string) int { return len(a) - len(b) }), qt.IsTrue, where)
+			qt.Check(t, tr.took < 8*time.Second, qt.IsTrue, where)
+		}
+	})
+}
+
+// TestCarriedStreamsOutliveTheirCarrier kills the routers that carry streams in mid-answer.
+func TestCarriedStreamsOutliveTheirCarrier(t *testing.T) {
+	withCarriedStreams(t, func(_ *testing.T, rs *testsite.RouterSite, carrying []int) {
+		rs.KillRouter(carrying[0])
+	})
+}
+
+// TestCarrierThatStopsFinishesWhatItCarries stops a router that carries streams. It must finish
+// them, and take no more.
+func TestCarrierThatStopsFinishesWhatItCarries(t *testing.T) {
+	withCarriedStreams(t, func(t *testing.T, rs *testsite.RouterSite, carrying []int) {
+		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+		defer cancel()
+		rs.Routers[carrying[0]].Drain(ctx)
+		qt.Check(t, ctx.Err(), qt.IsNil)
+		qt.Check(t, carryingRouters(rs), qt.Not(qt.Contains), carrying[0])
+		runs := 0
+		for n := range 6 {
+			runs += len(runsOfRequest(rs, fmt.Sprint("s", n)))
+		}
+		qt.Check(t, runs, qt.Equals, 6, qt.Commentf("runs of six streams"))
+	})
+}
+
+// withCarrier runs fn while router 2 carries the attempts of router 1, and all endpoints have
+// faults.
+func withCarrier(t *testing.T, fa standin.ReplicaFaults, fn func(t *testing.T, rs *testsite.RouterSite)) {
+	t.Helper()
+	opt := testsite.RouterOptions{Routers: 2, Plains: 2}
+	withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+		losePath(rs, opt, pathFaults[1], []int{1})
+		do(rs, request{id: "doubt", path: testsite.SafeRoute + "x"})
+		time.Sleep(2 * time.Second)
+		setFaults(rs, fa)
+		fn(t, rs)
+	})
+}
+
+// TestCarriedRequestsRespectPauses has all endpoints ask for a pause in answers to carried
+// requests. Neither router may send them more.
+func TestCarriedRequestsRespectPauses(t *testing.T) {
+	withCarrier(t, standin.ReplicaFaults{NotRun: true, RetryAfter: "5"}, func(t *testing.T, rs *testsite.RouterSite) {
+		for n := range 20 {
+			for ro := 1; ro <= 2; ro++ {
+				an := do(rs, request{router: ro, id: fmt.Sprint("a", ro, "-", n), path: testsite.UnsafeRoute + "x"})
+				qt.Check(t, an.status, qt.Equals, http.StatusServiceUnavailable)
+			}
+		}
+		for id, re := range rs.Replicas {
+			qt.Check(t, re.Refusals(), qt.HasLen, 1, qt.Commentf("%s", id))
+		}
+	})
+}
+
+// TestCarrierHearsWhatEndpointsSay has endpoints leave, or name a limit, in answers to carried
+// requests. The router that carried them must know.
+func TestCarrierHearsWhatEndpointsSay(t *testing.T) {
+	relayState := func(rs *testsite.RouterSite) relay.State { return rs.Routers[2].Dump().(router.State).Relay }
+	withCarrier(t, standin.ReplicaFaults{Leaving: true}, func(t *testing.T, rs *testsite.RouterSite) {
+		qt.Assert(t, do(rs, request{id: "a", path: testsite.UnsafeRoute + "x"}).status, qt.Equals, http.StatusOK)
+		qt.Assert(t, relayState(rs).Blocked, qt.HasLen, 1)
+	})
+	withCarrier(t, standin.ReplicaFaults{Limit: "9"}, func(t *testing.T, rs *testsite.RouterSite) {
+		qt.Assert(t, do(rs, request{id: "a", path: testsite.UnsafeRoute + "x"}).status, qt.Equals, http.StatusOK)
+		qt.Assert(t, relayState(rs).Limits, qt.HasLen, 1)
+	})
+}
+
+// TestLossOfThePathIsNoEvidence has most routers lose their paths during a roll-out. The good
+// release must not be rolled back for that, and no endpoint suspended.
+func TestLossOfThePathIsNoEvidence(t *testing.T) {
+	for _, fault := range pathFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			withSite(t, pathSite, func(t *testing.T, rs *testsite.RouterSite) {
+				opt, cut := pathSite, []int{1, 2, 3, 4, 5}
+				rs.OrderRollout(testsite.PlainService, "v2", rolloutLimit)
+				addRelease(rs, standin.ReplicaFaults{})
+				pl := newPathLoad(rs, opt)
+				pl.run(2 * time.Second)
+				for n := 1; n <= 2; n++ {
+					for _, ro := range cut {
+						fault.apply(rs.Net, testsite.Host(testsite.RouterName(ro)), testsite.ReplicaAddress(testsite.PlainService, n, "v2"))
+					}
+				}
+				losePath(rs, opt, fault, cut)
+				pl.run(6 * time.Second)
+				checkServedEverywhere(t, pl.between(5*time.Second, 8*time.Second), cut)
+				checkHonest(t, rs, pl.between(0, 8*time.Second))
+				qt.Check(t, rs.RolloutState(testsite.PlainService), qt.Not(qt.Equals), "rolled_back")
+				for _, n := range cut {
+					for id, bl := range rs.Routers[n].Dump().(router.State).Relay.Blocked {
+						qt.Check(t, bl.Reason, qt.Not(qt.Equals), "suspended", qt.Commentf("%s at router %d", id, n))
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestFlappingPath has routers lose their paths for a second, again and again.
+func TestFlappingPath(t *testing.T) {
+	cut := []int{1, 2, 3}
+	withSite(t, pathSite, func(t *testing.T, rs *testsite.RouterSite) {
+		pl := newPathLoad(rs, pathSite)
+		for range 5 {
+			losePath(rs, pathSite, pathFaults[1], cut)
+			pl.run(time.Second)
+			restorePath(rs, pathSite, cut)
+			pl.run(time.Second)
+		}
+		checkServedEverywhere(t, pl.between(0, 10*time.Second), cut)
+		checkHonest(t, rs, pl.between(0, 10*time.Second))
+	})
+}
+
+// TestOnlyEndpointIsDownForAWhile has the only endpoint refuse connections for 4 s, so that no
+// router has a path. Callers are refused without delay, and served soon after its return.
+func TestOnlyEndpointIsDownForAWhile(t *testing.T) {
+	opt := testsite.RouterOptions{Routers: 3, Plains: 1}
+	all := []int{1, 2, 3}
+	withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+		losePath(rs, opt, pathFaults[1], all)
+		for n := range 40 {
+			sent := time.Now()
+			an := do(rs, request{router: 1 + n%3, id: fmt.Sprint("d", n), path: testsite.UnsafeRoute + "x"})
+			qt.Check(t, an.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, time.Since(sent) < 300*time.Millisecond, qt.IsTrue, qt.Commentf("refused after %s", time.Since(sent)))
+			time.Sleep(100 * time.Millisecond)
+		}
+		restorePath(rs, opt, all)
+		time.Sleep(1200 * time.Millisecond)
+		for _, n := range all {
+			an := do(rs, request{router: n, id: fmt.Sprint("up", n), path: testsite.UnsafeRoute + "x"})
+			qt.Check(t, an.status, qt.Equals, http.StatusOK)
+		}
+	})
+}
