Count silence for a suspension only once it is longer than a pause

Callers saw: while all endpoints of a service were silent for a second, routers refused most of the requests that came (408, blocked: suspended), although these would have been answered in time when the endpoints went on.

Cause: a router waits for an answer twice the route's latency target, which may be 200 or 300 ms, and each time-out counted as a failure like a broken connection. Two of them suspended a sound endpoint that only paused, and soon every endpoint.

Now a request that was sent and not answered in time counts for the suspension only if the endpoint has answered none for 1.5 s. It still raises the endpoint's failure rate, so that others are preferred, and an overdue answer still keeps further requests away while there are others. A connection that cannot be made, or breaks, counts as before.

TestSilenceSuspendsOnlyAfterLongerThanAPause states the limit.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -30,6 +30,9 @@
 	// overdueFactor times its estimate is the time after which an answer that has
 	// not begun is overdue.
 	overdueFactor = 3.0
+	// longestPause is how long an endpoint may answer nothing before its silence counts as
+	// a failure. Sound ones pause for a second or so.
+	longestPause = 1500 * time.Millisecond
 	// jitter is the largest random increase of a score, as a part of the score. It
 	// spreads the choice over endpoints that are nearly equal.
 	jitter = 0.1
@@ -76,6 +79,17 @@
 	slowdown float64
 	// failureRate is the moving average of the share of failures, from 0 to 1.
 	failureRate float64
+	// unheardSince is when the first job was sent since the endpoint last answered one, zero
+	// if there was none.
+	unheardSince time.Time
+}
+
+// judgeSilence returns what it means that a job was not answered in time.
+func (es *endpointState) judgeSilence(now time.Time) Result {
+	if now.Sub(es.unheardSince) < longestPause {
+		return Neutral
+	}
+	return Failed
 }
 
 // JobID identifies a placed job within its balancer.
@@ -171,6 +185,9 @@
 	es.own.Running++
 	es.own.Backlog += jo.Work
 	probe := es.recordSend()
+	if es.unheardSince.IsZero() {
+		es.unheardSince = now
+	}
 	ba.lastJob++
 	dueAt := now.Add(time.Duration(overdueFactor * float64(estimate) * float64(time.Second)))
 	es.pending[ba.lastJob] = pendingJob{work: jo.Work, dueAt: dueAt}
@@ -216,6 +233,7 @@
 	defer ba.mu.Unlock()
 	es := ba.state(as.Endpoint.ID)
 	es.removePending(as.JobID)
+	es.unheardSince = time.Time{}
 	if as.Estimate > 0 {
 		factor := min(maxSlowdown, max(minSlowdown, took.Seconds()/float64(as.Estimate)))
 		es.slowdown += slowdownSmoothing * (factor - es.slowdown)
@@ -248,9 +266,15 @@
 	switch re {
 	case Succeeded:
 		es.failureRate -= failureSmoothing * es.failureRate
-	case Failed, AnsweredWithError:
+	case Failed, AnsweredWithError, Silent:
 		es.failureRate += failureSmoothing * (1 - es.failureRate)
 	}
+	switch re {
+	case Succeeded, AnsweredWithError:
+		es.unheardSince = time.Time{}
+	case Silent:
+		re = es.judgeSilence(now)
+	}
 	return es.recordResult(now, re, as.probe, ba.rng.Float64())
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -273,12 +273,15 @@
 // Results of attempts. Neutral says nothing about the endpoint, as when the
 // caller made a mistake. AnsweredWithError is an error response, which some
 // requests cause on any endpoint: it raises the failure rate in Balancer, but
-// for suspensions it counts as a success.
+// for suspensions it counts as a success. Silent is no answer in time: sound endpoints
+// pause, so that Balancer counts it for suspensions only once the endpoint has answered
+// nothing for longer than a pause.
 const (
 	Neutral Result = iota
 	Succeeded
 	Failed
 	AnsweredWithError
+	Silent
 )
 
 // Done ends a request in flight with its result, and reports whether that
--- a/placement/suspension.go
+++ b/placement/suspension.go
@@ -5,8 +5,8 @@
 // suspension is the circuit breaker of one endpoint. After failuresToSuspend
 // failures in a row the endpoint gets no requests, except one probe at a time
 // after SuspendedUntil. A probe that is answered, even with an error, ends the
-// suspension as soon as its answer begins; one that fails lengthens it. Requests that were sent before the
-// suspension, and fail during it, do not: they say nothing new.
+// suspension as soon as its answer begins; one that fails lengthens it. Requests that
+// were sent before the suspension, and fail during it, do not: they say nothing new.
 type suspension struct {
 	Failures       int
 	SuspendedUntil time.Time
@@ -35,9 +35,9 @@
 }
 
 // recordResult records the result of a request, and reports whether it suspended
-// the endpoint or ended its suspension. probe is what recordSend reported. chance is random, from 0 to 1: it varies
-// the suspension's length from half to one and a half times its mean, so that
-// suspensions do not all end together.
+// the endpoint or ended its suspension. probe is what recordSend reported. chance is
+// random, from 0 to 1: it varies the suspension's length from half to one and a half
+// times its mean, so that suspensions do not all end together.
 func (su *suspension) recordResult(now time.Time, re Result, probe bool, chance float64) (suspended, resumed bool) {
 	if probe {
 		su.probing = false
--- a/placement/suspension_test.go
+++ b/placement/suspension_test.go
@@ -78,3 +78,23 @@
 	ba.Done(later, probe, placement.Failed)
 	qt.Assert(t, ba.Condition(later, "e0").Suspended, qt.IsFalse, qt.Commentf("by one failure after the suspension"))
 }
+
+// TestSilenceSuspendsOnlyAfterLongerThanAPause has requests go unanswered within their time.
+// Two of them suspended an endpoint that only paused.
+func TestSilenceSuspendsOnlyAfterLongerThanAPause(t *testing.T) {
+	for _, tt := range []struct {
+		silence   time.Duration
+		suspended bool
+	}{{300 * time.Millisecond, false}, {1300 * time.Millisecond, false}, {1600 * time.Millisecond, true}} {
+		ba := placement.NewBalancer(1, "")
+		// An answer of long before says nothing about the silence.
+		answered := placeJobs(t, ba, 1)[0]
+		ba.AnswerStarted(answered, 10*time.Millisecond)
+		for now := begin; now.Sub(begin) <= tt.silence; now = now.Add(100 * time.Millisecond) {
+			as, ok := ba.Choose(now, engines(1), placement.Job{Work: 0.01}, nil, anyEndpoint)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%s after the silence began", now.Sub(begin)))
+			ba.Done(now, as, placement.Silent)
+		}
+		qt.Assert(t, ba.Condition(begin.Add(tt.silence), "e0").Suspended, qt.Equals, tt.suspended, qt.Commentf("%s of silence", tt.silence))
+	}
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -266,6 +266,8 @@
 		result = placement.Neutral
 	case errors.Is(fa.err, errFailureStatus) || errors.Is(fa.err, errNotRun):
 		result = placement.AnsweredWithError
+	case !fa.unsent && (causeLabel(fa.err) == string(endpoint.CauseSilent) || errors.Is(ctx.Err(), context.DeadlineExceeded)):
+		result = placement.Silent
 	}
 	at.finish(result)
 	if result == placement.Neutral {
--- a/router/pause_test.go
+++ b/router/pause_test.go
@@ -164,29 +164,50 @@
 	}
 }
 
-// TestPauseDoesNotSuspendReplicas has all replicas pause under load. The routers suspended
-// them for seconds, and refused the requests that came after the pause.
+// TestPauseDoesNotSuspendReplicas has all replicas pause under a light load. The routers
+// suspended them, and refused requests that would have been answered in time.
 func TestPauseDoesNotSuspendReplicas(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, pauseOfReplicas, 1500 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) { runPauseUnderLoad(t, pause) })
+	}
+}
+
+// readTime is less than the time-out of the site's reads.
+const readTime = 700 * time.Millisecond
+
+func runPauseUnderLoad(t *testing.T, pause time.Duration) {
+	const steps, reads = 24, 2
 	withSite(t, testsite.RouterOptions{Routers: 2, Engines: 3, Plains: 3, Engine: pausedEngine}, func(t *testing.T, rs *testsite.RouterSite) {
 		early := startRequests(rs, "early", testsite.EngineRoute, http.MethodPost, 24)
 		time.Sleep(500 * time.Millisecond)
 		for _, re := range rs.Replicas {
-			re.Pause(pauseOfReplicas)
+			re.Pause(pause)
 		}
-		var reads []func() []response
-		for n := range 12 {
-			reads = append(reads, startRequests(rs, fmt.Sprint("read", n), testsite.SafeRoute, http.MethodGet, 6))
-			time.Sleep(pauseOfReplicas / 12)
+		var inTime, late []func() []response
+		for n := range steps {
+			answers := startRequests(rs, fmt.Sprint("read", n), testsite.SafeRoute, http.MethodGet, reads)
+			if pause*time.Duration(steps-n)/steps < readTime {
+				inTime = append(inTime, answers)
+			} else {
+				late = append(late, answers)
+			}
+			time.Sleep(pause / steps)
 		}
-		for _, answers := range reads {
+		inTime = append(inTime, startRequests(rs, "after", testsite.SafeRoute, http.MethodGet, 12))
+		failed := 0
+		for _, answers := range inTime {
+			for _, an := range answers() {
+				if an.status != http.StatusOK {
+					failed++
+				}
+			}
+		}
+		qt.Check(t, failed, qt.Equals, 0, qt.Commentf("%d of %d reads", failed, reads*len(inTime)+10))
+		for _, answers := range late {
 			for _, an := range answers() {
 				qt.Check(t, an.err, qt.IsNil)
 			}
 		}
 		checkStreams(t, "early", early())
-		ans := startRequests(rs, "late", testsite.SafeRoute, http.MethodGet, 12)()
-		for _, an := range ans {
-			qt.Check(t, an.status, qt.Equals, http.StatusOK)
-		}
 	})
 }
