Divide the room of brittle endpoints among the routers, so that they do not fall over

What callers saw: when the replicas of a service say that they are brittle (Server-Brittle = N) and let fewer requests wait, they fell over one after the other, again and again, and nearly nothing was served.

Cause: no code read the header. Each router sends an endpoint up to twice its slots, by loads of the others that are half a second old, and sends a request that was refused on to the next full endpoint.

Design: while a service is brittle, its endpoints' slots are dealt to the routers in turn, so that together they hold no more, whatever each knows of the others (limit.Division). What an endpoint has room for is learnt from its reports and refusals (limit.Room). A call without a place waits up to a third of the latency target, if a place is to be expected by then, and is refused at once otherwise. A refusal for want of room ends the call, and its endpoint is spared for as long as keeps all routers below N a second. Brittleness and refusals are told to the peers. A router that has just started takes a service for brittle until its first answer; one that is not heard of keeps its places for 12 s.

--- a/event/event.go
+++ b/event/event.go
@@ -70,6 +70,9 @@
 	QuarantineProbed     Number = 422
 	EndpointLeaving      Number = 423
 	EndpointPaused       Number = 424
+	ServiceBrittle       Number = 425
+	ServiceNotBrittle    Number = 426
+	EndpointRefusedFull  Number = 427
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -141,6 +144,9 @@
 	QuarantineProbed:     "request let through to see whether its subject still crashes endpoints",
 	EndpointLeaving:      "endpoint said in an answer that it leaves; it gets no new requests",
 	EndpointPaused:       "endpoint asked for a pause; it gets no requests from this router until its end",
+	ServiceBrittle:       "endpoints of a service say that they fall over when they refuse too many requests",
+	ServiceNotBrittle:    "endpoints of a service are not brittle any more",
+	EndpointRefusedFull:  "brittle endpoint refused a request for want of room; it is spared",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -57,7 +57,7 @@
 		return nil, &failure{err: errNoRequestID}
 	case an.head.NotRun:
 		an.source.Close()
-		return nil, &failure{err: errNotRun, notRun: true}
+		return nil, &failure{err: errNotRun, notRun: true, noEndpoint: an.refusalEndsCall()}
 	case !an.head.Signed && an.status < http.StatusMultipleChoices:
 		an.source.Close()
 		return nil, &failure{err: errUnsigned}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -70,7 +70,7 @@
 	if fa := ro.quarantined(ca); fa != nil && !ro.probe(ctx, ca) {
 		return nil, fa
 	}
-	at, fa := ro.chooseEndpoint(ctx, ca)
+	at, fa := ro.choosePlace(ctx, ca)
 	if fa != nil {
 		return nil, fa
 	}
@@ -101,7 +101,7 @@
 		pl, ok = ro.place(now, ca, jo, se.fallback, usable)
 	}
 	if !ok {
-		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, noEndpoint: true}
+		return nil, noEndpointFailure()
 	}
 	ro.releases.recordSend(now, ca, pl.Endpoint, se.reason)
 	return &attempt{
@@ -250,6 +250,7 @@
 	}
 	at.finished = true
 	ro := at.router
+	defer at.freePlace(re)
 	suspended, resumed := ro.balancer.Done(time.Now(), at.placement, re)
 	if suspended {
 		ro.log.Warn(event.EndpointSuspended, nil, event.Fields{"endpoint": at.endpoint.ID, "service": at.endpoint.Service})
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -20,6 +20,9 @@
 	blockedSuspended blockedReason = "suspended"
 	// blockedLimited: the endpoint names a limit, and this router's part of it is used up.
 	blockedLimited blockedReason = "limited"
+	// blockedBrittle: the endpoint is brittle, and this router's places there are taken, or it
+	// has refused a request for want of room.
+	blockedBrittle blockedReason = "brittle"
 	// blockedFull: the endpoint has as many requests, or connections, as it may have.
 	blockedFull blockedReason = "full"
 )
@@ -48,6 +51,10 @@
 		next, _ := ro.limits.NextAt(now, []policy.Endpoint{en})
 		return availability{blockedLimited, next}
 	}
+	al := ro.brittle.Allowance(now, en)
+	if al.Guarded && (cn.Own >= al.Places || !al.SparedUntil.IsZero()) {
+		return availability{blockedBrittle, al.SparedUntil}
+	}
 	return availability{}
 }
 
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -38,6 +38,12 @@
 	// set if HasLoad is true.
 	Running, Waiting int
 	HasLoad          bool
+	// Refusals is the number of requests that the endpoint can refuse in a second, for want
+	// of room, without falling over. It is set if Brittle is true.
+	Refusals int
+	Brittle  bool
+	// Full reports whether the endpoint refused the request for want of room.
+	Full bool
 	// Limit is the number of requests a second that the endpoint takes from all routers
 	// together. It is set if HasLimit is true; otherwise the endpoint names none.
 	Limit    float64
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,10 +17,12 @@
 const loadPrefix = "load/"
 
 // Publish publishes this router's load, its results of roll-outs, the limits that
-// endpoints named and the endpoints that leave to the other routers.
+// endpoints named, the services that are brittle and the endpoints that leave to the other
+// routers.
 func (ro *Router) Publish() {
 	ro.releases.publish()
 	ro.limits.Publish(time.Now())
+	ro.brittle.Publish(time.Now())
 	ro.fleet.publishLeaving(time.Now())
 	if ro.peers.Large() {
 		// In large groups the loads are added up, see Sums.
@@ -45,6 +47,7 @@
 	}
 	ro.releases.refresh()
 	ro.limits.Refresh(now)
+	ro.brittle.Refresh(now)
 	ro.fleet.refreshLeaving(now)
 	ro.pauses.Prune(now)
 }
--- a/relay/head.go
+++ b/relay/head.go
@@ -27,6 +27,36 @@
 		ro.balancer.RecordLoad(now, en.ID, an.head.Running+an.head.Waiting)
 	}
 	an.noteLimit()
+	an.noteBrittle()
+}
+
+// noteBrittle records whether the endpoint is brittle, and what it has room for.
+func (an *answer) noteBrittle() {
+	ro, now, en := an.router, an.beganAt, an.endpoint
+	switch {
+	case an.head.Brittle:
+		ro.brittle.Named(now, en, an.head.Refusals)
+	default:
+		ro.brittle.NotNamed(now, an.sentAt, en, an.head.Signed && an.status < http.StatusMultipleChoices)
+	}
+	var load *limit.Occupancy
+	if an.head.HasLoad {
+		load = &limit.Occupancy{Running: an.head.Running, Waiting: an.head.Waiting}
+	}
+	switch {
+	case an.head.Full:
+		if until, ok := ro.brittle.Refused(now, en, load); ok {
+			ro.log.InfoLimited(event.EndpointRefusedFull, event.Fields{"endpoint": en.ID, "running": an.head.Running, "waiting": an.head.Waiting, "until": until, "request": an.call.request.ID})
+		}
+	case load != nil:
+		ro.brittle.Reported(now, en, *load)
+	}
+}
+
+// refusalEndsCall reports whether the endpoint's refusal ends the request: where brittle
+// endpoints are full, a request that is sent on from one to the next harms them all.
+func (an *answer) refusalEndsCall() bool {
+	return an.head.Full && !an.call.mayHaveRun && an.router.brittle.Guard(an.beganAt, an.call.service.ID) == limit.GuardedBrittle
 }
 
 // noteLimit records the limit that the answer's head names. Only an answer of the service
--- a/relay/router.go
+++ b/relay/router.go
@@ -51,6 +51,9 @@
 	latencies *latencies
 	limits    *limit.Limits
 	pauses    *limit.Pauses
+	brittle   *limit.Brittle
+	// queue holds the requests that wait for a place at an endpoint.
+	queue *placeQueue
 	// backlogs is used in large groups only.
 	backlogs *backlogAverages
 	budgets  *retryBudgets
@@ -77,7 +80,8 @@
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
 		holder: de.Holder, client: de.Client, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
-		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(), backlogs: newBacklogAverages(),
+		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(),
+		brittle: limit.NewBrittle(time.Now(), de.Peers, de.Holder, de.Log), queue: newPlaceQueue(), backlogs: newBacklogAverages(),
 	}
 	ro.current.Store(&opt)
 	ro.routers.Store(1)
@@ -258,11 +262,14 @@
 	Others map[policy.EndpointID]placement.Load `json:"others"`
 	// Limits are the requests a second that endpoints take from all routers together.
 	Limits map[policy.EndpointID]limit.Rate `json:"limits"`
+	// Brittle are the services whose endpoints are brittle, with the refusals in a second that
+	// each endpoint bears.
+	Brittle map[policy.ServiceID]int `json:"brittle"`
 	// Blocked are the endpoints that get no request now.
 	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
 }
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Blocked: ro.Blocked()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked()}
 }
--- /dev/null
+++ b/router/brittle_disruption_test.go
@@ -0,0 +1,119 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/router"
+	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/testsite"
+)
+
+// overloadedPlain and overloadedEngines are asked for twice what they have room for.
+var (
+	overloadedPlain   = brittleCase{8, testsite.PlainService, 4, 2, 3, 2}
+	overloadedEngines = brittleCase{8, testsite.EngineService, 9, 2, 3, 2}
+)
+
+// TestBrittleReplicasDoNotFallOverAsRoutersRestart kills routers while replicas are brittle:
+// the new processes know nothing of it at first.
+func TestBrittleReplicasDoNotFallOverAsRoutersRestart(t *testing.T) {
+	for name, restart := range map[string]func(rs *testsite.RouterSite, routers int){
+		"all at once": restartAll,
+		"one": func(rs *testsite.RouterSite, _ int) {
+			rs.KillRouter(2)
+			time.Sleep(time.Second)
+			rs.StartRouter(2)
+		},
+		"in turn": func(rs *testsite.RouterSite, routers int) {
+			for n := 1; n <= routers; n++ {
+				rs.KillRouter(n)
+				time.Sleep(400 * time.Millisecond)
+				rs.StartRouter(n)
+				time.Sleep(400 * time.Millisecond)
+			}
+		},
+	} {
+		for _, bc := range []brittleCase{overloadedPlain, overloadedEngines} {
+			t.Run(fmt.Sprint(name, ", ", bc), func(t *testing.T) {
+				bc.start(t, func(t *testing.T, rs *testsite.RouterSite, load *openLoad) {
+					bc.turnBrittle(rs)
+					time.Sleep(5 * time.Second)
+					restart(rs, bc.routers)
+					time.Sleep(6 * time.Second)
+					bc.checkFalls(t, rs)
+					from := time.Now()
+					time.Sleep(5 * time.Second)
+					bc.checkServed(t, load, from, from.Add(4*time.Second))
+				})
+			})
+		}
+	}
+}
+
+// TestBrittleReplicasDoNotFallOverAfterOneAnother has some or all replicas crash as they become
+// brittle, or when they are: what they carried must not topple the others, nor themselves as they
+// return.
+func TestBrittleReplicasDoNotFallOverAfterOneAnother(t *testing.T) {
+	for _, bc := range []brittleCase{overloadedPlain, overloadedEngines} {
+		for _, crashes := range []struct {
+			replicas int
+			after    time.Duration
+		}{{bc.replicas, 100 * time.Millisecond}, {bc.replicas, 5 * time.Second}, {2, 5 * time.Second}} {
+			t.Run(fmt.Sprintf("%d crash after %v, %v", crashes.replicas, crashes.after, bc), func(t *testing.T) {
+				bc.start(t, func(t *testing.T, rs *testsite.RouterSite, load *openLoad) {
+					bc.turnBrittle(rs)
+					time.Sleep(crashes.after)
+					for n := 1; n <= crashes.replicas; n++ {
+						rs.CrashReplica(bc.service, n, "v1")
+					}
+					time.Sleep(9 * time.Second)
+					bc.checkFalls(t, rs)
+					from := time.Now()
+					time.Sleep(5 * time.Second)
+					bc.checkServed(t, load, from, from.Add(4*time.Second))
+				})
+			})
+		}
+	}
+}
+
+// TestBrittleReplicasDoNotFallOverWithoutTheExchange cuts the routers off from one another as
+// the replicas become brittle.
+func TestBrittleReplicasDoNotFallOverWithoutTheExchange(t *testing.T) {
+	for _, bc := range []brittleCase{overloadedPlain, overloadedEngines} {
+		t.Run(bc.String(), func(t *testing.T) {
+			bc.start(t, func(t *testing.T, rs *testsite.RouterSite, _ *openLoad) {
+				for from := 1; from <= bc.routers; from++ {
+					for to := 1; to <= bc.routers; to++ {
+						rs.Net.Cut(testsite.Host(testsite.RouterName(from)), testsite.RouterAddress(to, 83))
+					}
+				}
+				bc.turnBrittle(rs)
+				time.Sleep(12 * time.Second)
+				bc.checkFalls(t, rs)
+			})
+		})
+	}
+}
+
+// TestReplicasAreUsedFullyAfterTheirBrittleness has replicas be brittle for a while. Afterwards
+// no router must know them as brittle, and all room must be used.
+func TestReplicasAreUsedFullyAfterTheirBrittleness(t *testing.T) {
+	bc := overloadedPlain
+	bc.start(t, func(t *testing.T, rs *testsite.RouterSite, load *openLoad) {
+		bc.turnBrittle(rs)
+		time.Sleep(6 * time.Second)
+		setFaults(rs, standin.ReplicaFaults{})
+		time.Sleep(2 * time.Second)
+		from := time.Now()
+		time.Sleep(3 * time.Second)
+		bc.checkServed(t, load, from, from.Add(2*time.Second))
+		for _, da := range rs.Routers {
+			qt.Check(t, da.Dump().(router.State).Relay.Brittle, qt.HasLen, 0)
+		}
+	})
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -25,6 +25,9 @@
 	// Confidence is the value of the Confidence header by model; a model that is
 	// missing sends none.
 	Confidence map[string]string
+	// Slots, if not 0, is the number of requests that run at once, and Queue how many more
+	// may wait. The replica then reports its load, and refuses what is beyond.
+	Slots, Queue int
 	// OnCrash ends the replica's process and its connections. It is called when the
 	// replica crashes, as ReplicaFaults.CrashPart describes.
 	OnCrash func()
@@ -75,6 +78,8 @@
 	// CrashTarget, if not empty, is a request target. A request for it crashes the
 	// replica crashDelay after it began to run, before the head of its response.
 	CrashTarget string
+	// Brittle, if not nil, makes the replica brittle.
+	Brittle *Brittleness
 }
 
 // slow returns a duration as the faults lengthen it.
@@ -108,7 +113,7 @@
 // Replica simulates a replica on the users' platform. Its methods may be called
 // concurrently.
 //
-// mu guards faults, runs, refusals, crashes and down. No other lock is taken while it is held.
+// mu guards faults, runs, refusals, crashes, down and room. No other lock is taken while it is held.
 type Replica struct {
 	opt    ReplicaOptions
 	mu     sync.Mutex
@@ -119,6 +124,7 @@
 	// crashes holds the times of the crashes; down is set from a crash until Restart.
 	crashes []time.Time
 	down    bool
+	room    room
 }
 
 // NewReplica returns a replica without faults.
@@ -128,6 +134,9 @@
 func (re *Replica) SetFaults(fa ReplicaFaults) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
+	if fa.Brittle != nil && re.faults.Brittle == nil {
+		re.room.brittleSince = time.Now()
+	}
 	re.faults = fa
 }
 
@@ -161,6 +170,9 @@
 	if fa.Leaving {
 		he.Set("Server-Leaving", "1")
 	}
+	if fa.Brittle != nil {
+		he.Set("Server-Brittle", strconv.Itoa(fa.Brittle.Refusals))
+	}
 	if want := rq.Header.Get("Expect-Instance"); want != "" && want != re.opt.ID {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -174,6 +186,11 @@
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !re.enter(rq) {
+		re.refuseFull(wr)
+		return
+	}
+	defer re.exit()
 	ru := &ReplicaRun{Request: rq.Header.Get("Attempt-Id"), Header: rq.Header, Target: rq.RequestURI, Body: string(body), At: time.Now()}
 	re.mu.Lock()
 	re.runs = append(re.runs, ru)
@@ -193,7 +210,7 @@
 }
 
 // Refusals returns the times at which the replica refused requests because of NotRun or
-// NotRunModel.
+// NotRunModel, or for want of room.
 func (re *Replica) Refusals() []time.Time {
 	re.mu.Lock()
 	defer re.mu.Unlock()
@@ -224,6 +241,7 @@
 
 func (re *Replica) respond(wr http.ResponseWriter, rq *http.Request, ru *ReplicaRun, fa ReplicaFaults) {
 	he := wr.Header()
+	re.setLoad(he)
 	if fa.Limit != "" {
 		he.Set("Server-Limit", fa.Limit)
 	}
