--- a/event/event.go
+++ b/event/event.go
@@ -72,6 +72,9 @@
 	EndpointPaused       Number = 424
 	PathLost             Number = 425
 	PathBack             Number = 426
+	ServiceBrittle       Number = 427
+	ServiceNotBrittle    Number = 428
+	EndpointRefusedFull  Number = 429
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -145,6 +148,9 @@
 	EndpointPaused:       "endpoint asked for a pause; it gets no requests from this router until its end",
 	PathLost:             "this VM has no path to any endpoint; peers carry its attempts",
 	PathBack:             "this VM has a path to the endpoints again",
+	ServiceBrittle:       "endpoints of a service say that they fall over when they refuse too many requests",
+	ServiceNotBrittle:    "endpoints of a service are not brittle any more",
+	EndpointRefusedFull:  "brittle endpoint refused a request for want of room; it is spared",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -57,7 +57,7 @@
 		return nil, &failure{err: errNoRequestID}
 	case an.head.NotRun:
 		an.source.Close()
-		return nil, &failure{err: errNotRun, notRun: true}
+		return nil, &failure{err: errNotRun, notRun: true, noEndpoint: an.refusalEndsCall()}
 	case !an.head.Signed && an.status < http.StatusMultipleChoices:
 		an.source.Close()
 		return nil, &failure{err: errUnsigned}
@@ -126,6 +126,9 @@
 func (an *answer) discard() {
 	an.source.Close()
 	an.finish(placement.Succeeded)
+	if an.stream != nil {
+		an.router.brittle.Abandoned(time.Now(), an.endpoint)
+	}
 }
 
 // writeBuffered writes a buffered answer to the caller.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -86,7 +86,7 @@
 	}
 	at, fa := ca.takeReplacement(), (*failure)(nil)
 	if at == nil {
-		at, fa = ro.chooseEndpoint(ctx, ca)
+		at, fa = ro.choosePlace(ctx, ca)
 	}
 	if fa != nil {
 		return nil, fa
@@ -120,7 +120,7 @@
 		pl, ok = ro.place(now, ca, jo, se.fallback, usable)
 	}
 	if !ok {
-		return nil, &failure{err: eris.New("no endpoint is available"), notRun: true, unsent: true, noEndpoint: true}
+		return nil, noEndpointFailure()
 	}
 	ro.releases.recordSend(now, ca, pl.Endpoint, se.reason)
 	return &attempt{
@@ -249,6 +249,7 @@
 	}
 	unused.cancel()
 	ro := at.router
+	defer at.freePlace(re)
 	suspended, resumed := ro.balancer.Done(time.Now(), at.placement, re)
 	if suspended {
 		ro.log.Warn(event.EndpointSuspended, nil, event.Fields{"endpoint": at.endpoint.ID, "service": at.endpoint.Service})
--- a/relay/head.go
+++ b/relay/head.go
@@ -35,6 +35,34 @@
 		ro.balancer.RecordLoad(now, en.ID, head.Running+head.Waiting)
 	}
 	ro.noteLimit(en.ID, head, status, sentAt, now)
+	ro.noteBrittle(en, head, status, sentAt, now)
+}
+
+// noteBrittle records whether an endpoint is brittle, and what it has room for.
+func (ro *Router) noteBrittle(en policy.Endpoint, head AnswerHead, status int, sentAt, now time.Time) {
+	if head.Brittle {
+		ro.brittle.Named(now, en, head.Refusals)
+	} else {
+		ro.brittle.NotNamed(now, sentAt, en, head.Signed && status < http.StatusMultipleChoices)
+	}
+	var load *limit.Occupancy
+	if head.HasLoad {
+		load = &limit.Occupancy{Running: head.Running, Waiting: head.Waiting, Slots: head.Slots}
+	}
+	switch {
+	case head.Full:
+		if until, ok := ro.brittle.Refused(now, en, load); ok {
+			ro.log.InfoLimited(event.EndpointRefusedFull, event.Fields{"endpoint": en.ID, "running": head.Running, "waiting": head.Waiting, "until": until, "request": head.Request})
+		}
+	case load != nil:
+		ro.brittle.Reported(now, en, *load)
+	}
+}
+
+// refusalEndsCall reports whether the endpoint's refusal ends the request: where brittle
+// endpoints are full, a request that is sent on from one to the next harms them all.
+func (an *answer) refusalEndsCall() bool {
+	return an.head.Full && !an.call.mayHaveRun && an.router.brittle.Guard(an.beganAt, an.call.service.ID) == limit.GuardedBrittle
 }
 
 // noteLimit records the limit that the answer's head names. Only an answer of the service
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -25,6 +25,12 @@
 	// Confidence is the value of the Confidence header by model; a model that is
 	// missing sends none.
 	Confidence map[string]string
+	// Slots, if not 0, is the number of requests that run at once, and Queue how many more
+	// may wait. The replica then reports its load, and refuses what is beyond.
+	Slots, Queue int
+	// ReportedSlots, if not 0, is the number of slots that the replica reports in place of Slots,
+	// as one that lacks memory does.
+	ReportedSlots int
 	// OnCrash ends the replica's process and its connections. It is called when the
 	// replica crashes, as ReplicaFaults.CrashPart describes.
 	OnCrash func()
@@ -75,6 +81,8 @@
 	// CrashTarget, if not empty, is a request target. A request for it crashes the
 	// replica crashDelay after it began to run, before the head of its response.
 	CrashTarget string
+	// Brittle, if not nil, makes the replica brittle.
+	Brittle *Brittleness
 }
 
 // slow returns a duration as the faults lengthen it.
@@ -108,7 +116,7 @@
 // Replica simulates a replica on the users' platform. Its methods may be called
 // concurrently.
 //
-// mu guards faults, runs, refusals, crashes, down and pausedUntil. No other lock is taken while it is held.
+// mu guards faults, runs, refusals, crashes, down, pausedUntil and room. No other lock is taken while it is held.
 type Replica struct {
 	opt    ReplicaOptions
 	mu     sync.Mutex
@@ -121,6 +129,7 @@
 	down    bool
 	// pausedUntil is until when the replica sends nothing.
 	pausedUntil time.Time
+	room        room
 }
 
 // NewReplica returns a replica without faults.
@@ -130,6 +139,9 @@
 func (re *Replica) SetFaults(fa ReplicaFaults) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
+	if fa.Brittle != nil && re.faults.Brittle == nil {
+		re.room.brittleSince = time.Now()
+	}
 	re.faults = fa
 }
 
@@ -163,6 +175,9 @@
 	if fa.Leaving {
 		he.Set("Server-Leaving", "1")
 	}
+	if fa.Brittle != nil {
+		he.Set("Server-Brittle", strconv.Itoa(fa.Brittle.Refusals))
+	}
 	if want := rq.Header.Get("Expect-Instance"); want != "" && want != re.opt.ID {
 		wr.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -179,6 +194,11 @@
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if !re.enter(rq) {
+		re.refuseFull(wr)
+		return
+	}
+	defer re.exit()
 	ru := &ReplicaRun{Request: rq.Header.Get("Attempt-Id"), Header: rq.Header, Target: rq.RequestURI, Body: string(body), At: time.Now()}
 	re.mu.Lock()
 	re.runs = append(re.runs, ru)
@@ -198,7 +218,7 @@
 }
 
 // Refusals returns the times at which the replica refused requests because of NotRun or
-// NotRunModel.
+// NotRunModel, or for want of room.
 func (re *Replica) Refusals() []time.Time {
 	re.mu.Lock()
 	defer re.mu.Unlock()
@@ -229,6 +249,7 @@
 
 func (re *Replica) respond(wr http.ResponseWriter, rq *http.Request, ru *ReplicaRun, fa ReplicaFaults) {
 	he := wr.Header()
+	re.setLoad(he)
 	if fa.Limit != "" {
 		he.Set("Server-Limit", fa.Limit)
 	}
