Ask another peer where the carrier has suspended the endpoint

Cause: that peer still carried attempts to the service that it does not reach, and its failed connection counted as the endpoint's at the router that asked.

A peer that has suspended the endpoint says that nothing was sent, and another one is asked. TestCarrierWithoutTheEndpointIsPassedOver failed in all five cases, and passes.

--- a/relay/carry.go
+++ b/relay/carry.go
@@ -33,11 +33,12 @@
 
 // Reasons for which a router does not carry an attempt.
 var (
-	errCarrierDraining = eris.New("router is draining")
-	errCarrierPathLost = eris.New("router has no path itself")
-	errCarrierFull     = eris.New("router carries as many attempts as it may")
-	errEndpointUnknown = eris.New("router does not know this run of the endpoint")
-	errEndpointSpared  = eris.New("endpoint is leaving or asked the router for a pause")
+	errCarrierDraining   = eris.New("router is draining")
+	errCarrierPathLost   = eris.New("router has no path itself")
+	errCarrierFull       = eris.New("router carries as many attempts as it may")
+	errEndpointUnknown   = eris.New("router does not know this run of the endpoint")
+	errEndpointSuspended = eris.New("endpoint failed at the router, which another peer may reach")
+	errEndpointSpared    = eris.New("endpoint is leaving or asked the router for a pause")
 )
 
 // carriers are the peers that carry this router's attempts while it has no path to the
@@ -174,6 +175,8 @@
 		return en, errEndpointUnknown
 	case ro.fleet.leaves(en):
 		return en, errEndpointSpared
+	case ro.balancer.Condition(now, en.ID).Suspended:
+		return en, errEndpointSuspended
 	}
 	if _, paused := ro.pauses.End(now, en.Run()); paused {
 		return en, errEndpointSpared
--- a/router/path_test.go
+++ b/router/path_test.go
@@ -492,3 +492,24 @@
 		}
 	})
 }
+
+// TestCarrierWithoutTheEndpointIsPassedOver has a peer lose its path to one service only, so that
+// it still carries attempts. Those to that service must go by way of the other peer.
+func TestCarrierWithoutTheEndpointIsPassedOver(t *testing.T) {
+	opt := testsite.RouterOptions{Routers: 3, Engines: 3, Plains: 3}
+	for _, fault := range pathFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+				const before, during = time.Second, 8 * time.Second
+				pl := newPathLoad(rs, opt)
+				pl.run(before)
+				losePath(rs, opt, fault, []int{1})
+				losePath(rs, testsite.RouterOptions{Plains: 3}, fault, []int{2})
+				pl.run(during)
+				late := slices.DeleteFunc(pl.between(before+pathLimit, before+during), func(tr tried) bool { return tr.router == 2 })
+				checkServedEverywhere(t, late, []int{1})
+				checkHonest(t, rs, pl.between(0, before+during))
+			})
+		})
+	}
+}
