Keep a silent connection for a second in a shutdown, as its request may be on its way

What callers saw: a connection opened shortly before a router that shuts down closes its listener was closed while the request was on its way: no answer, where 503 would have told that nothing ran.

Cause: 2.5 s after the signal all connections that had no request under way were ended, however new.

Evidence: TestRequestOnAConnectionJustOpenedIsAnswered failed at once and passes now, three runs of three.

Why this works: a connection is ended once it has been silent for a second; what it sends before is refused with 503.

--- a/router/drain.go
+++ b/router/drain.go
@@ -21,6 +21,9 @@
 	// answerTime is the part of a graceful shutdown's time that is left to answer the requests
 	// that have not ended.
 	answerTime = 300 * time.Millisecond
+	// maxSilence is how long a connection may be idle after that, or stay without its first
+	// request, which may be on its way.
+	maxSilence = time.Second
 	// endIdleInterval is how often a graceful shutdown ends the connections that have become
 	// idle.
 	endIdleInterval = 20 * time.Millisecond
@@ -128,7 +131,7 @@
 // and reports false if ctx ends before.
 func (da *Daemon) awaitCallers(ctx context.Context) bool {
 	for da.callers.len() > 0 {
-		da.idle.End(time.Now())
+		da.idle.End(time.Now().Add(-maxSilence))
 		if !worker.Sleep(ctx, endIdleInterval) {
 			return da.callers.len() == 0
 		}
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -293,3 +293,30 @@
 		qt.Check(t, <-ended < 3*time.Second, qt.IsTrue)
 	})
 }
+
+// TestRequestOnAConnectionJustOpenedIsAnswered opens a connection shortly before a router that shuts
+// down closes its listener. The connection was closed while the request was on its way.
+func TestRequestOnAConnectionJustOpenedIsAnswered(t *testing.T) {
+	for _, way := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond} {
+		withSite(t, drainSite(20*time.Millisecond), func(t *testing.T, rs *testsite.RouterSite) {
+			time.Sleep(2 * time.Second)
+			stopped := make(chan bool)
+			signal := time.Now()
+			go func() {
+				stopGracefully(rs, 2)
+				close(stopped)
+			}()
+			time.Sleep(2450 * time.Millisecond)
+			co, err := dialRouter(rs, 2)
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = co.Close() }()
+			time.Sleep(way)
+			an, sent := co.finish(head(http.MethodPost, testsite.UnsafeRoute, "late") + drainBody)
+			qt.Check(t, sent, qt.IsTrue)
+			qt.Check(t, an.err, qt.IsNil)
+			qt.Check(t, an.status, qt.Equals, http.StatusServiceUnavailable)
+			<-stopped
+			qt.Check(t, time.Since(signal) < 4*time.Second, qt.IsTrue)
+		})
+	}
+}
