Do not suspend endpoints for streams that reach their deadline

Callers saw: after two streams of one endpoint had reached their route's time-out, or the deadline that their callers set, requests were refused (503, blocked: suspended) although the endpoint answered all the while.

Cause: streamRelay.resume took the end of the request's own time for a failure of the endpoint. Two of these in a row suspend it, and they also counted against its release.

Now such an attempt is neutral, unless the endpoint was silent for longer than a stream may be.

TestStreamsThatReachTheirDeadlineDoNotSuspend failed on (503 in both cases, blocked: suspended) and passes.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -194,6 +194,11 @@
 		an.finish(placement.Neutral)
 		return nil
 	}
+	if sr.outOfTime(an, cause) {
+		an.finish(placement.Neutral)
+		sr.logCut(an, cause, &failure{err: cause})
+		return nil
+	}
 	an.brokeOff(cause)
 	fa := &failure{err: cause, retryTaken: an.retryTaken.Load()}
 	ca.replacement = an.takeReplacement()
@@ -227,6 +232,12 @@
 	return nil
 }
 
+// outOfTime reports whether a stream ended at its request's deadline although its endpoint was
+// not silent. That shows nothing against the endpoint.
+func (sr *streamRelay) outOfTime(an *answer, cause error) bool {
+	return errors.Is(cause, context.DeadlineExceeded) && time.Since(sr.lastWriteAt) < an.idleTimeout()
+}
+
 // hasEndpointLeft reports whether there is an endpoint that has not broken the stream off.
 func (sr *streamRelay) hasEndpointLeft() bool {
 	ens := sr.router.fleet.forService(time.Now(), sr.call.service.ID)
