Drop a small model's answer only once the large model has a place

Callers saw: 502 (answer_broken) for requests whose first answer had begun well, where endpoints name limits.

Cause: the same as that of streams cut while their endpoint was silent. shouldEscalate took a retry from the budget, run dropped the small model's answer, and only then was an endpoint asked for. If none had a place by then (limit used up, paused, leaving), the request had nothing left.

Now the run on the large model reserves its place first, as an attempt that replaces a silent one does; without one the small model's answer is delivered.

TestSmallAnswerIsKeptWithoutAPlaceForTheLargeModel failed on (502 for each request that ran) and passes.

--- a/relay/replacement.go
+++ b/relay/replacement.go
@@ -12,18 +12,13 @@
 // does so only once the other one has its place at an endpoint, and the retry its place in
 // the budget: otherwise the answer would be lost that the silent endpoint may still give.
 func (at *attempt) giveUp() bool {
-	ro := at.router
 	if !at.mayMove {
 		return false
 	}
-	next := at.callElsewhere()
-	if !ro.hasEndpoint(next) || !ro.budgets.take(time.Now(), next.service.ID, failureShare) {
-		return false
-	}
 	// A call that has failed somewhere needs no decision of other routers on its release, so
 	// that this does not wait.
-	re, fa := ro.chooseEndpoint(context.Background(), next)
-	if fa != nil {
+	re := at.router.reserve(context.Background(), at.callElsewhere(), failureShare)
+	if re == nil {
 		return false
 	}
 	re.call = at.call
@@ -35,6 +30,32 @@
 	return true
 }
 
+// reserve chooses the endpoint for a call that is sent once more, and counts it there and
+// within a share of the budget. It returns nil if there is no endpoint or no room in the budget.
+func (ro *Router) reserve(ctx context.Context, ca *call, share float64) *attempt {
+	if !ro.hasEndpoint(ctx, ca) || !ro.budgets.take(time.Now(), ca.service.ID, share) {
+		return nil
+	}
+	at, fa := ro.chooseEndpoint(ctx, ca)
+	if fa != nil {
+		return nil
+	}
+	return at
+}
+
+// reserveLargest reserves the run of a call on the largest model, and reports whether there
+// was a place for it. The call goes on with it.
+func (ro *Router) reserveLargest(ctx context.Context, ca *call) bool {
+	at := ro.reserve(ctx, &call{
+		request: ca.request, route: ca.route, service: ca.service, model: len(ca.models()) - 1, failedEndpoints: ca.failedEndpoints,
+	}, escalationShare)
+	if at == nil {
+		return false
+	}
+	at.call, ca.replacement = ca, at
+	return true
+}
+
 // callElsewhere returns the attempt's call as it is once the attempt has failed. It has only
 // what the choice of an endpoint needs and does not change while the attempt is under way.
 func (at *attempt) callElsewhere() *call {
@@ -46,8 +67,8 @@
 }
 
 // hasEndpoint reports whether there is an endpoint that may get a call's request.
-func (ro *Router) hasEndpoint(ca *call) bool {
-	se, now := ro.releases.selectRelease(context.Background(), ca), time.Now()
+func (ro *Router) hasEndpoint(ctx context.Context, ca *call) bool {
+	se, now := ro.releases.selectRelease(ctx, ca), time.Now()
 	for _, en := range slices.Concat(se.endpoints, se.fallback) {
 		if slices.Contains(ca.failedEndpoints, en.ID) {
 			continue
--- a/relay/run.go
+++ b/relay/run.go
@@ -19,7 +19,7 @@
 	var last *failure
 	for {
 		an, fa := ro.attempt(ctx, ca, ca.request.LastEventID)
-		if fa == nil && ro.shouldEscalate(ca, an) {
+		if fa == nil && ro.shouldEscalate(ctx, ca, an) {
 			an.discard()
 			ca.model, ca.mayHaveRun = len(ca.models())-1, true
 			continue
@@ -47,8 +47,8 @@
 }
 
 // shouldEscalate reports whether to discard an answer that has begun and to run
-// the request on the largest model instead.
-func (ro *Router) shouldEscalate(ca *call, an *answer) bool {
+// the request on the largest model instead, which then has its place at an endpoint.
+func (ro *Router) shouldEscalate(ctx context.Context, ca *call, an *answer) bool {
 	models := ca.models()
 	if ca.probing || ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
 		return false
@@ -60,7 +60,7 @@
 		Confidence: an.head.Confidence, Work: float64(work), Backlog: float64(ca.meanBacklog),
 		TimeLeft: left.Seconds(),
 	}
-	if !es.ShouldEscalate() || !ro.budgets.take(time.Now(), ca.service.ID, escalationShare) {
+	if !es.ShouldEscalate() || !ro.reserveLargest(ctx, ca) {
 		return false
 	}
 	ro.log.InfoLimited(event.CascadeEscalated, event.Fields{
