Return to a silent endpoint that was given up if no other one takes the request

Callers saw: 502 (answer_broken) after 0.75 of the latency target, although the endpoint that had the request only paused and went on 0.6 s later.

Cause: the same as that of streams that were cut, before the first event. The silent endpoint was given up for another one that had a place; that one refused the request, and run ended at the first "no endpoint is available", as an endpoint that has failed once was never asked again.

Now run waits, and asks the endpoints again that it gave up itself, until the request's deadline and within the route's number of sends. An answer of an endpoint, also a failure, is returned as before.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -94,6 +94,9 @@
 	}
 	fa.retryTaken, ca.replacement = at.retryTaken.Load(), at.takeReplacement()
 	ca.failedEndpoints = append(ca.failedEndpoints, at.endpoint.ID)
+	if ca.replacement != nil {
+		ca.givenUp = append(ca.givenUp, at.endpoint.ID)
+	}
 	ca.mayHaveRun = ca.mayHaveRun || !fa.notRun
 	at.fail(ctx, fa)
 	return nil, fa
--- a/relay/router.go
+++ b/relay/router.go
@@ -152,6 +152,8 @@
 	// number of sends that count towards the route's maximum.
 	failedEndpoints []policy.EndpointID
 	sends           int64
+	// givenUp holds the endpoints that were given up for another one because they were silent.
+	givenUp []policy.EndpointID
 	// replacement is the attempt to go on with, after one was given up for it.
 	replacement *attempt
 	// mayHaveRun reports whether an endpoint may have run the request.
--- a/relay/run.go
+++ b/relay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"tanagerpoint.example/tanager/cascade"
@@ -11,6 +12,7 @@
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/worker"
 )
 
 // run sends a request, with retries, until there is an answer to deliver to the
@@ -35,6 +37,9 @@
 		if fa.quarantined {
 			return ro.writeFailure(ctx, wr, ca, fa)
 		}
+		if fa.noEndpoint && last.answer == nil && ca.returnsToGivenUp(ctx) {
+			continue
+		}
 		if fa.noEndpoint || !ro.mayRetry(ctx, ca, fa) {
 			return ro.writeFailure(ctx, wr, ca, last)
 		}
@@ -46,6 +51,16 @@
 	}
 }
 
+// returnsToGivenUp reports, after a while, whether a call goes back to the endpoints that were
+// given up because they were silent: no other one has taken it, and they may have gone on.
+func (ca *call) returnsToGivenUp(ctx context.Context) bool {
+	if len(ca.givenUp) == 0 || ca.sends >= ca.route.MaxAttempts {
+		return false
+	}
+	ca.failedEndpoints = slices.DeleteFunc(ca.failedEndpoints, func(id policy.EndpointID) bool { return slices.Contains(ca.givenUp, id) })
+	return worker.Sleep(ctx, maxResumePause)
+}
+
 // shouldEscalate reports whether to discard an answer that has begun and to run
 // the request on the largest model instead, which then has its place at an endpoint.
 func (ro *Router) shouldEscalate(ctx context.Context, ca *call, an *answer) bool {
