--- a/relay/run.go
+++ b/relay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"tanagerpoint.example/tanager/cascade"
@@ -11,6 +12,7 @@
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/worker"
 )
 
 // run sends a request, with retries, until there is an answer to deliver to the
@@ -19,7 +21,7 @@
 	var last *failure
 	for {
 		an, fa := ro.attempt(ctx, ca, ca.request.LastEventID)
-		if fa == nil && ro.shouldEscalate(ca, an) {
+		if fa == nil && ro.shouldEscalate(ctx, ca, an) {
 			an.discard()
 			ca.model, ca.mayHaveRun = len(ca.models())-1, true
 			continue
@@ -35,6 +37,9 @@
 		if fa.quarantined {
 			return ro.writeFailure(ctx, wr, ca, fa)
 		}
+		if fa.noEndpoint && last.answer == nil && ca.returnsToGivenUp(ctx) {
+			continue
+		}
 		if fa.noEndpoint || !ro.mayRetry(ctx, ca, fa) {
 			return ro.writeFailure(ctx, wr, ca, last)
 		}
@@ -46,9 +51,19 @@
 	}
 }
 
+// returnsToGivenUp reports, after a while, whether a call goes back to the endpoints that were
+// given up because they were silent: no other one has taken it, and they may have gone on.
+func (ca *call) returnsToGivenUp(ctx context.Context) bool {
+	if len(ca.givenUp) == 0 || ca.sends >= ca.route.MaxAttempts {
+		return false
+	}
+	ca.failedEndpoints = slices.DeleteFunc(ca.failedEndpoints, func(id policy.EndpointID) bool { return slices.Contains(ca.givenUp, id) })
+	return worker.Sleep(ctx, maxResumePause)
+}
+
 // shouldEscalate reports whether to discard an answer that has begun and to run
-// the request on the largest model instead.
-func (ro *Router) shouldEscalate(ca *call, an *answer) bool {
+// the request on the largest model instead, which then has its place at an endpoint.
+func (ro *Router) shouldEscalate(ctx context.Context, ca *call, an *answer) bool {
 	models := ca.models()
 	if ca.probing || ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
 		return false
@@ -60,7 +75,7 @@
 		Confidence: an.head.Confidence, Work: float64(work), Backlog: float64(ca.meanBacklog),
 		TimeLeft: left.Seconds(),
 	}
-	if !es.ShouldEscalate() || !ro.budgets.take(time.Now(), ca.service.ID, escalationShare) {
+	if !es.ShouldEscalate() || !ro.reserveLargest(ctx, ca) {
 		return false
 	}
 	ro.log.InfoLimited(event.CascadeEscalated, event.Fields{
