Treat a service as brittle on suspicion for 0.3 s only

What callers saw: a router that had just started, and had heard no answer of a service, refused streams (503, endpoints_busy) while its endpoints paused: 8 of 24 in TestStreamsOutliveAPauseOfTheirReplicas, case "all of four, before the first event". Cause: in its first 5 s a router took a service of which it had heard nothing for brittle, with one place at each endpoint, until the first answer, and a third of the latency target later it refused what had no place. Now that lasts for 0.3 s from the first request on, and requests wait for that long; endpoints that answer at all do so sooner.

--- a/limit/brittle.go
+++ b/limit/brittle.go
@@ -30,6 +30,10 @@
 	// bears in a second, is the time in seconds for which a router that was refused for want
 	// of room spares the endpoint. All together thus cause half of what it bears.
 	spareFactor = 2
+	// UnheardTime is how long a router that has just started treats a service as brittle from
+	// its first request on, while there is no answer that tells. Sound endpoints may be silent
+	// for longer, and have room.
+	UnheardTime = 300 * time.Millisecond
 	minSpare    = time.Second
 	maxSpare    = 8 * time.Second
 )
@@ -67,11 +71,13 @@
 }
 
 type brittleService struct {
-	word       brittleWord
-	division   Division
-	dividedAt  time.Time
-	dividedFor *policy.Set
-	endpoints  map[policy.EndpointID]*brittleEndpoint
+	// unheardUntil is until when the service counts as brittle without any word of it.
+	unheardUntil time.Time
+	word         brittleWord
+	division     Division
+	dividedAt    time.Time
+	dividedFor   *policy.Set
+	endpoints    map[policy.EndpointID]*brittleEndpoint
 }
 
 type brittleEndpoint struct {
@@ -160,17 +166,17 @@
 func (br *Brittle) active(now time.Time) bool { return br.known.Load() > 0 || br.joining(now) }
 
 // guarded returns the state of a service whose places are divided, nil if they are not: the
-// service is brittle, or this router has just started and heard no answer of it. The caller
-// holds mu.
+// service is brittle, or this router has just started, and has heard no answer of it since the
+// first request, UnheardTime ago at most. The caller holds mu.
 func (br *Brittle) guarded(now time.Time, id policy.ServiceID) *brittleService {
 	se, ok := br.services[id]
 	switch {
-	case ok && !se.word.ended && (now.Sub(se.word.at) < wordTTL || se.word.at.IsZero() && br.joining(now)):
+	case ok && !se.word.ended && (now.Sub(se.word.at) < wordTTL || now.Before(se.unheardUntil)):
 		return se
 	case ok || !br.joining(now):
 		return nil
 	}
-	se = &brittleService{word: brittleWord{refusals: 1}, endpoints: map[policy.EndpointID]*brittleEndpoint{}}
+	se = &brittleService{unheardUntil: now.Add(UnheardTime), word: brittleWord{refusals: 1}, endpoints: map[policy.EndpointID]*brittleEndpoint{}}
 	br.services[id] = se
 	return se
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -140,6 +140,9 @@
 		return nil, none
 	}
 	wait := min(time.Until(ca.deadline), time.Duration(placeWaitShare*float64(ca.route.LatencyTarget())))
+	if guard == limit.GuardedUnheard {
+		wait = min(time.Until(ca.deadline), limit.UnheardTime)
+	}
 	// Until the first answer the time that a request takes is not known.
 	turn, ok := ro.queue.join(now, id, wait, guard == limit.GuardedUnheard)
 	if !ok {
