--- a/router/brittle_disruption_test.go
+++ b/router/brittle_disruption_test.go
@@ -2,20 +2,23 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagerpoint.example/tanager/limit"
 	"tanagerpoint.example/tanager/router"
 	"tanagerpoint.example/tanager/standin"
 	"tanagerpoint.example/tanager/testsite"
 )
 
-// overloadedPlain and overloadedEngines are asked for twice what they have room for.
+// These services are asked for twice or three times what they have room for.
 var (
 	overloadedPlain   = brittleCase{8, testsite.PlainService, 4, 2, 3, 2, 0}
 	overloadedEngines = brittleCase{8, testsite.EngineService, 9, 2, 3, 2, 0}
+	fragilePlain      = brittleCase{8, testsite.PlainService, 4, 3, 1, 0, 0}
 )
 
 // TestBrittleReplicasDoNotFallOverAsRoutersRestart kills routers while replicas are brittle:
@@ -37,7 +40,7 @@
 			}
 		},
 	} {
-		for _, bc := range []brittleCase{overloadedPlain, overloadedEngines} {
+		for _, bc := range []brittleCase{overloadedPlain, overloadedEngines, fragilePlain} {
 			t.Run(fmt.Sprint(name, ", ", bc), func(t *testing.T) {
 				bc.start(t, func(t *testing.T, rs *testsite.RouterSite, load *openLoad) {
 					bc.turnBrittle(rs)
@@ -117,3 +120,38 @@
 		}
 	})
 }
+
+// TestRefusalByABrittleReplicaEndsTheCall has all replicas of a brittle service refuse requests
+// for want of room. A request must not go on from one to the next, and a replica that refused gets
+// nothing for a while.
+func TestRefusalByABrittleReplicaEndsTheCall(t *testing.T) {
+	const replicas = 3
+	spare := limit.SpareTime(1, 1)
+	withSite(t, testsite.RouterOptions{Routers: 1, Plains: replicas}, func(t *testing.T, rs *testsite.RouterSite) {
+		fragile := &standin.Brittleness{Refusals: 1}
+		setFaults(rs, standin.ReplicaFaults{Brittle: fragile})
+		qt.Assert(t, do(rs, request{id: "served", path: testsite.SafeRoute}).status, qt.Equals, http.StatusOK)
+		setFaults(rs, standin.ReplicaFaults{Brittle: fragile, NotRun: true})
+		began := time.Now()
+		an := do(rs, request{id: "refused", path: testsite.SafeRoute})
+		qt.Assert(t, an.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, an.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		qt.Assert(t, refusals(rs), qt.Equals, 1)
+		for _, an := range sendRounds(rs, 1, testsite.SafeRoute, spare-100*time.Millisecond) {
+			qt.Check(t, an.status, qt.Equals, http.StatusServiceUnavailable)
+		}
+		qt.Assert(t, refusals(rs), qt.Equals, replicas)
+		time.Sleep(time.Until(began.Add(spare + 100*time.Millisecond)))
+		setFaults(rs, standin.ReplicaFaults{})
+		qt.Assert(t, do(rs, request{id: "back", path: testsite.SafeRoute}).status, qt.Equals, http.StatusOK)
+	})
+}
+
+// refusals returns how many requests the replicas have refused.
+func refusals(rs *testsite.RouterSite) int {
+	sum := 0
+	for _, re := range rs.Replicas {
+		sum += len(re.Refusals())
+	}
+	return sum
+}
