--- a/router/given_up_test.go
+++ b/router/given_up_test.go
@@ -15,6 +15,6 @@
 	withSite(t, testsite.RouterOptions{Routers: 2, Engines: 2, Engine: pausedEngine}, func(t *testing.T, rs *testsite.RouterSite) {
 		rs.Replicas[testsite.ReplicaID(testsite.EngineService, 2, "v1")].SetFaults(standin.ReplicaFaults{NotRun: true})
 		rs.Replicas[testsite.ReplicaID(testsite.EngineService, 1, "v1")].Pause(pauseOfReplicas)
-		checkStreams(t, "early", startRequests(rs, "early", testsite.EngineRoute, http.MethodPost, 8)())
+		checkStreams(t, "refused", startRequests(rs, "refused", testsite.EngineRoute, http.MethodPost, 8)())
 	})
 }
