Let a probe decide only on the suspension in which it was sent

What callers saw: requests refused (blocked: suspended) for up to 1.5 s where the first suspension lasts 0.25 to 0.75 s. Now the endpoint's state holds the job that probes it, until its answer begins or it ends.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -72,6 +72,8 @@
 	reported        int
 	ownAtReport     int
 	reportExpiresAt time.Time
+	// probe is the job that probes the suspended endpoint, 0 if there is none.
+	probe JobID
 	// pending holds this router's jobs whose answer has not begun.
 	pending map[JobID]pendingJob
 	// slowdown is the moving average of the measured time until an answer begins
@@ -121,8 +123,6 @@
 	// Estimate is the work that the endpoint does before the job's answer
 	// begins, including the job's own.
 	Estimate Work
-	// probe reports whether the job probes a suspended endpoint.
-	probe bool
 }
 
 // Balancer chooses the endpoint with the lowest estimated time until its answer
@@ -189,10 +189,13 @@
 		es.unheardSince = now
 	}
 	ba.lastJob++
+	if probe {
+		es.probe = ba.lastJob
+	}
 	dueAt := now.Add(time.Duration(overdueFactor * float64(estimate) * float64(time.Second)))
 	es.pending[ba.lastJob] = pendingJob{work: jo.Work, dueAt: dueAt}
 	ba.recordSent(now, jo.Prefix, en.ID)
-	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate, probe: probe}, true
+	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate}, true
 }
 
 // score estimates the seconds until an endpoint would begin to answer, adjusted
@@ -238,12 +241,22 @@
 		factor := min(maxSlowdown, max(minSlowdown, took.Seconds()/float64(as.Estimate)))
 		es.slowdown += slowdownSmoothing * (factor - es.slowdown)
 	}
-	if as.probe {
+	if es.endProbe(as.JobID) {
 		resumed = es.answered()
 	}
 	return resumed
 }
 
+// endProbe reports whether a job is the probe of the endpoint's suspension, and makes it an
+// ordinary job: it decides only on the suspension in which it was sent.
+func (es *endpointState) endProbe(id JobID) bool {
+	if es.probe != id {
+		return false
+	}
+	es.probe = 0
+	return true
+}
+
 // removePending removes a job from the backlog. It does nothing when the job was
 // removed before.
 func (es *endpointState) removePending(id JobID) {
@@ -275,7 +288,7 @@
 	case Silent:
 		re = es.judgeSilence(now)
 	}
-	return es.recordResult(now, re, as.probe, ba.rng.Float64())
+	return es.recordResult(now, re, es.endProbe(as.JobID), ba.rng.Float64())
 }
 
 // RecordLoad records the number of requests that an endpoint reported. It is
--- a/placement/suspension_test.go
+++ b/placement/suspension_test.go
@@ -62,6 +62,30 @@
 	}
 }
 
+// TestProbeOfAnEarlierSuspensionDecidesNothing has the stream that probed an endpoint break
+// during a later suspension. It counted as the probe of that one too, and lengthened it.
+func TestProbeOfAnEarlierSuspensionDecidesNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		ba := placement.NewBalancer(seed, "")
+		for _, as := range placeJobs(t, ba, 2) {
+			ba.Done(begin, as, placement.Failed)
+		}
+		later := begin.Add(firstSuspensionLimit)
+		probe, ok := ba.Choose(later, engines(1), placement.Job{Work: 0.01}, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, ba.AnswerStarted(probe, time.Millisecond), qt.IsTrue)
+		for range 2 {
+			as, ok := ba.Choose(later, engines(1), placement.Job{Work: 0.01}, nil, anyEndpoint)
+			qt.Assert(t, ok, qt.IsTrue)
+			ba.Done(later, as, placement.Failed)
+		}
+		qt.Assert(t, ba.Condition(later, "e0").Suspended, qt.IsTrue)
+		ba.Done(later, probe, placement.Failed)
+		cn := ba.Condition(later.Add(firstSuspensionLimit), "e0")
+		qt.Assert(t, cn.Suspended, qt.IsFalse, qt.Commentf("suspended for %s", cn.SuspendedUntil.Sub(later)))
+	}
+}
+
 // TestProbeEndsASuspensionAsItsAnswerBegins probes an endpoint with a stream. The endpoint got
 // no other request until the stream had ended.
 func TestProbeEndsASuspensionAsItsAnswerBegins(t *testing.T) {
