Answer streams that have not begun when a shutdown ends

What callers saw: in a planned stop, requests for streams whose endpoints had not answered by the end of the grace got a closed connection, 4 of 4 in TestPlannedStopAnswersEachRequest. Cause: all streams were left to the very end, also those of which the caller had received nothing.

--- a/relay/drain.go
+++ b/relay/drain.go
@@ -51,8 +51,9 @@
 // RefuseRequests makes the router refuse all requests that arrive from now on.
 func (ro *Router) RefuseRequests() { ro.shutdown.closed.Store(true) }
 
-// EndRequests makes the router answer the requests in service at once, except streams: their
-// callers have a part of the answer, and can only be told of its end by the connection's.
+// EndRequests makes the router answer the requests in service at once, except streams that have
+// begun: their callers have a part of the answer, and can only be told of its end by the
+// connection's.
 func (ro *Router) EndRequests() {
 	ro.shutdown.closed.Store(true)
 	ro.shutdown.end()
--- a/relay/router.go
+++ b/relay/router.go
@@ -158,6 +158,8 @@
 	// number of sends that count towards the route's maximum.
 	failedEndpoints []policy.EndpointID
 	sends           int64
+	// outlast makes the call go on when a shutdown ends the requests in service.
+	outlast func() bool
 	// givenUp holds the endpoints that were given up for another one because they were silent.
 	givenUp []policy.EndpointID
 	// replacement is the attempt to go on with, after one was given up for it.
@@ -193,9 +195,8 @@
 	ctx, cancel := context.WithDeadline(ctx, ca.deadline)
 	defer cancel()
 	defer func() { ca.takeReplacement().cancel() }()
-	if !ca.wantsStream() {
-		defer context.AfterFunc(ro.shutdown.ended, cancel)()
-	}
+	ca.outlast = context.AfterFunc(ro.shutdown.ended, cancel)
+	defer ca.outlast()
 	ro.budgets.recordRequest(rq.ReceivedAt, ca.service.ID)
 	if re := ro.run(ctx, wr, ca); re != nil {
 		ro.refuse(wr, rq, re)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -129,6 +129,7 @@
 // the longest pause between two events in milliseconds.
 func (ro *Router) relayStream(ctx context.Context, wr http.ResponseWriter, ca *call, an *answer) (complete bool, longestMs int64) {
 	sr := &streamRelay{router: ro, call: ca, wr: wr, rc: http.NewResponseController(wr), lastEventID: ca.request.LastEventID}
+	ca.outlast()
 	copyHeader(wr.Header(), an.header)
 	wr.WriteHeader(an.status)
 	for {
