Measure a stream's silence from when its next event is due

What callers saw: streams of endpoints whose events come half a second apart were run again elsewhere when the endpoint paused for 1.3 s (12 of 24, two of four endpoints paused): work done twice, retry budget spent. Cause, found by the review: the limit of 1.5 s held from the last event, although a sound pause comes on top of the time between two events. Now it is that time, as the route names it, and 1.5 s. TestPauseBetweenDistantEventsMovesNoStream failed (12 requests run twice) and passes.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -30,9 +30,9 @@
 	// eventGapFactor is the multiple of the route's target for the gap between
 	// events that a stream may be silent; after that it counts as broken.
 	eventGapFactor = 1.25
-	// minEventGap is how long a stream may be silent in any case: sound endpoints fall
-	// silent for a second or so.
-	minEventGap = 1500 * time.Millisecond
+	// longestPause is for how long, beyond the time between two events, a stream may be silent
+	// in any case: sound endpoints fall silent for a second or so.
+	longestPause = 1500 * time.Millisecond
 	// defaultEventGap is how long the stream of a route without such a target may
 	// be silent.
 	defaultEventGap = 2 * time.Second
@@ -228,7 +228,7 @@
 		return max(time.Until(ca.deadline), minRemaining)
 	}
 	if gap := ca.route.GapTarget(); gap > 0 {
-		return max(minEventGap, time.Duration(eventGapFactor*float64(gap)))
+		return max(gap+longestPause, time.Duration(eventGapFactor*float64(gap)))
 	}
 	return defaultEventGap
 }
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -24,7 +24,7 @@
 	allowedFallShare = 0.1
 	// usedRoom is the least part of the room of an overloaded service that is used, and
 	// servedRoomShare the least part that is served of what there is room for.
-	usedRoom    = 0.8
+	usedRoom        = 0.8
 	servedRoomShare = 0.95
 )
 
--- a/router/pause_test.go
+++ b/router/pause_test.go
@@ -137,6 +137,25 @@
 	}
 }
 
+// TestPauseBetweenDistantEventsMovesNoStream has a replica pause whose events come half a second
+// apart, so that it is silent for longer than the pause. The routers ran its streams again at
+// another one.
+func TestPauseBetweenDistantEventsMovesNoStream(t *testing.T) {
+	distant := standin.ReplicaOptions{Events: 8, Gap: 500 * time.Millisecond, Delay: 20 * time.Millisecond, Confidence: pausedEngine.Confidence}
+	withSite(t, testsite.RouterOptions{Routers: 2, Engines: 4, Engine: distant}, func(t *testing.T, rs *testsite.RouterSite) {
+		answers := startRequests(rs, "early", testsite.EngineRoute, http.MethodPost, 24)
+		time.Sleep(time.Second)
+		for n := 1; n <= 2; n++ {
+			rs.Replicas[testsite.ReplicaID(testsite.EngineService, n, "v1")].Pause(pauseOfReplicas)
+		}
+		for n, an := range answers() {
+			qt.Check(t, an.err, qt.IsNil)
+			qt.Check(t, eventIDs(an.body), qt.HasLen, distant.Events)
+			qt.Check(t, runsOfRequest(rs, fmt.Sprint("early-", n)), qt.HasLen, 1)
+		}
+	})
+}
+
 // TestStreamsAreResumedOnceThePathIsBack cuts a router's paths to all replicas in the middle
 // of streams. The router closed the callers' connections at once.
 func TestStreamsAreResumedOnceThePathIsBack(t *testing.T) {
