Wait a second before a broken stream goes to an endpoint that refused it

Cause: a resume that waits for as long as its caller does paused at most 0.32 s, also after a refusal. Now it pauses for a second after one. TestBrokenStreamSparesReplicasThatRefuseIt failed (10 refusals in 6 s, 7 allowed) and passes; the stream is whole.

--- a/relay/run.go
+++ b/relay/run.go
@@ -208,6 +208,9 @@
 	retryTaken bool
 }
 
+// refused reports whether the endpoint itself stated that it did not run the request.
+func (fa *failure) refused() bool { return fa.notRun && !fa.unsent }
+
 func failureOf(err error) *failure {
 	var fa *endpoint.Failure
 	if errors.As(err, &fa) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,6 +34,9 @@
 	// maxResumePause is the longest delay before a stream is resumed. It doubles with each
 	// attempt.
 	maxResumePause = 320 * time.Millisecond
+	// refusedPause is that delay after an endpoint refused to continue it: each refusal costs
+	// the endpoints and the retry budget, and room becomes free in no less time.
+	refusedPause = time.Second
 )
 
 var (
@@ -206,7 +209,7 @@
 	sr.noteBroken(an, cause)
 	pause := resumePause
 	for ca.route.Resumable && worker.Sleep(ctx, pause) && ro.retryAllowed(ctx, ca, fa) && sr.hasEndpointLeft() {
-		pause = min(2*pause, maxResumePause)
+		pause = min(2*min(pause, maxResumePause), maxResumePause)
 		if !ro.takeRetry(ctx, ca, fa) {
 			continue
 		}
@@ -223,6 +226,9 @@
 			break
 		}
 		sr.noteRefused(fa)
+		if fa.refused() {
+			pause = refusedPause
+		}
 	}
 	sr.logCut(an, cause, fa)
 	return nil
@@ -261,7 +267,7 @@
 // may get it again.
 func (sr *streamRelay) noteRefused(fa *failure) {
 	ca := sr.call
-	if fa.notRun && !fa.unsent {
+	if fa.refused() {
 		ca.sends--
 	}
 	if fa.noEndpoint {
--- a/router/pause_test.go
+++ b/router/pause_test.go
@@ -156,6 +156,32 @@
 	})
 }
 
+// TestBrokenStreamSparesReplicasThatRefuseIt has a replica break off a stream, and the others
+// refuse to continue it for a while. They were asked again three times a second.
+func TestBrokenStreamSparesReplicasThatRefuseIt(t *testing.T) {
+	const wait, perSecond = 6 * time.Second, 1
+	withSite(t, testsite.RouterOptions{Routers: 1, Engines: 3, Engine: pausedEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+		for n := range 20 {
+			// Fills the retry budget.
+			qt.Assert(t, do(rs, request{id: fmt.Sprint("whole-", n), path: testsite.EngineRoute + "x"}).err, qt.IsNil)
+		}
+		setFaults(rs, standin.ReplicaFaults{CutAfter: 5})
+		answers := startRequests(rs, "broken", testsite.EngineRoute, http.MethodPost, 1)
+		time.Sleep(300 * time.Millisecond)
+		// It holds for requests that come after this.
+		setFaults(rs, standin.ReplicaFaults{NotRun: true})
+		time.Sleep(wait)
+		refusals := 0
+		for _, re := range rs.Replicas {
+			refusals += len(re.Refusals())
+		}
+		qt.Assert(t, refusals <= perSecond*int(wait.Seconds())+1, qt.IsTrue, qt.Commentf("%d refusals", refusals))
+		qt.Assert(t, refusals > 2, qt.IsTrue, qt.Commentf("%d refusals", refusals))
+		setFaults(rs, standin.ReplicaFaults{})
+		checkStreams(t, "broken", answers())
+	})
+}
+
 // TestStreamsAreResumedOnceThePathIsBack cuts a router's paths to all replicas in the middle
 // of streams. The router closed the callers' connections at once.
 func TestStreamsAreResumedOnceThePathIsBack(t *testing.T) {
