--- a/router/endless_test.go
+++ b/router/endless_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -52,6 +53,8 @@
 				taken.Store(0)
 				an := do(rs, request{id: "again", path: tt.path})
 				qt.Check(t, an.status == http.StatusOK && an.err == nil, qt.IsFalse, qt.Commentf("%d bytes of body", len(an.body)))
+				// The replica notices the end of its connection at its next write.
+				synctest.Wait()
 				qt.Check(t, open.Load(), qt.Equals, int64(0))
 				qt.Check(t, taken.Load() < maxTaken, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
 			})
