--- a/router/drain.go
+++ b/router/drain.go
@@ -89,12 +89,12 @@
 	_ = cc.listener.Close()
 }
 
-// Drain is the first part of a graceful shutdown. The daemon reports that it
-// is not ready, peers leave its address out of the directory, and requests that
-// still arrive are served for listenAfterDrain if they are expected to end in time. Those that
-// arrive later, on connections that are open, are refused. Drain blocks until every answer is
-// complete, also those that are carried for peers. When ctx ends, or answerTime before its deadline, the requests that still wait are
-// answered that their outcome is unknown.
+// Drain is the first part of a graceful shutdown. The daemon reports that it is not ready, and
+// peers leave its address out of the directory. Requests that still arrive are served for
+// listenAfterDrain if they are expected to end in time; those that arrive later, on connections
+// that are open, are refused. Drain blocks until every answer is complete, also those that are
+// carried for peers. When ctx ends, or answerTime before its deadline, the requests that still
+// wait are answered that their outcome is unknown.
 func (da *Daemon) Drain(ctx context.Context) {
 	da.log.Info(event.Draining, event.Fields{"in_flight": da.relay.InFlight()})
 	answered, cancel := ctx, context.CancelFunc(func() {})
--- a/router/drain_test.go
+++ b/router/drain_test.go
@@ -140,7 +140,8 @@
 	return out
 }
 
-// playDrain stops router 2 while calls of all kinds arrive on all kinds of connections, and returns how they ended.
+// playDrain stops router 2 while calls of all kinds arrive on all kinds of connections, and
+// returns how they ended.
 func playDrain(t *testing.T, rs *testsite.RouterSite) []drainCall {
 	t.Helper()
 	var mu sync.Mutex
--- a/router/router.go
+++ b/router/router.go
@@ -137,8 +137,9 @@
 }
 
 // describe sets the fields of this router's member record that change while it
-// runs: whether it drains, whether it has lost its path to the endpoints and, unless the group is large, its requests in flight.
-// In a large group the peers' knowledge of them would be out of date.
+// runs: whether it drains, whether it has lost its path to the endpoints and, unless
+// the group is large, its requests in flight. In a large group the peers' knowledge of
+// them would be out of date.
 func (da *Daemon) describe(me *rpc.Member) {
 	me.Draining = !da.relay.Ready()
 	me.PathLost = da.relay.PathLost()
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -116,7 +116,8 @@
 // Replica simulates a replica on the users' platform. Its methods may be called
 // concurrently.
 //
-// mu guards faults, runs, refusals, crashes, down, pausedUntil and room. No other lock is taken while it is held.
+// mu guards faults, runs, refusals, crashes, down, pausedUntil and room. No other lock is taken
+// while it is held.
 type Replica struct {
 	opt    ReplicaOptions
 	mu     sync.Mutex
