Look for an endpoint again when nothing is left to wait for

Cause: a router that has just started gives a service's endpoints few places until the first answer tells whether they are brittle. choosePlace found no place, then that answer came, and mayFreePlace found nothing to wait for; the request was refused with the finding from before the answer. A check and the use of its result, with a change between.

--- a/relay/place.go
+++ b/relay/place.go
@@ -137,7 +137,8 @@
 		none = fa
 	}
 	if !ro.mayFreePlace(now, ca) {
-		return nil, none
+		// Since the choice, an answer may have shown that the endpoints are not brittle.
+		return ro.chooseEndpoint(ctx, ca)
 	}
 	wait := min(time.Until(ca.deadline), time.Duration(placeWaitShare*float64(ca.route.LatencyTarget())))
 	if guard == limit.GuardedUnheard {
