Take a unit of the retry budget only for a place that was found

No caller is known to have been refused for it.

reserve now asks whether the budget has room, chooses, and takes the unit last; hasEndpoint is gone. retry.Window says whether it has room without counting (Allows), which the rapid test compares with Take at each step. Tests of retry and those of router on pauses, streams, paths and escalation pass.

--- a/relay/budget.go
+++ b/relay/budget.go
@@ -69,3 +69,8 @@
 func (rb *retryBudgets) take(now time.Time, id policy.ServiceID, share float64) bool {
 	return rb.get(now, id).Take(now, share)
 }
+
+// allows reports whether a retry is allowed within a share of the budget, and does not count it.
+func (rb *retryBudgets) allows(now time.Time, id policy.ServiceID, share float64) bool {
+	return rb.get(now, id).Allows(now, share)
+}
--- a/relay/replacement.go
+++ b/relay/replacement.go
@@ -33,13 +33,17 @@
 // reserve chooses the endpoint for a call that is sent once more, and counts it there and
 // within a share of the budget. It returns nil if there is no endpoint or no room in the budget.
 func (ro *Router) reserve(ctx context.Context, ca *call, share float64) *attempt {
-	if !ro.hasEndpoint(ctx, ca) || !ro.budgets.take(time.Now(), ca.service.ID, share) {
+	if !ro.budgets.allows(time.Now(), ca.service.ID, share) {
 		return nil
 	}
 	at, fa := ro.chooseEndpoint(ctx, ca)
 	if fa != nil {
 		return nil
 	}
+	if !ro.budgets.take(time.Now(), ca.service.ID, share) {
+		at.cancel()
+		return nil
+	}
 	return at
 }
 
@@ -66,20 +70,6 @@
 	}
 }
 
-// hasEndpoint reports whether there is an endpoint that may get a call's request.
-func (ro *Router) hasEndpoint(ctx context.Context, ca *call) bool {
-	se, now := ro.releases.selectRelease(ctx, ca), time.Now()
-	for _, en := range slices.Concat(se.endpoints, se.fallback) {
-		if slices.Contains(ca.failedEndpoints, en.ID) {
-			continue
-		}
-		if ro.availableTo(now, ca, en, ro.balancer.Condition(now, en.ID)).ok() {
-			return true
-		}
-	}
-	return false
-}
-
 // setReplacement sets the attempt that replaces this one, and reports false if this one has
 // ended meanwhile.
 func (at *attempt) setReplacement(re *attempt) bool {
--- a/retry/window.go
+++ b/retry/window.go
@@ -53,6 +53,23 @@
 func (wi *Window) Take(now time.Time, share float64) bool {
 	wi.mu.Lock()
 	defer wi.mu.Unlock()
+	if !wi.hasRoom(now, share) {
+		return false
+	}
+	wi.buckets[wi.current].taken++
+	return true
+}
+
+// Allows reports what Take would, and counts nothing.
+func (wi *Window) Allows(now time.Time, share float64) bool {
+	wi.mu.Lock()
+	defer wi.mu.Unlock()
+	return wi.hasRoom(now, share)
+}
+
+// hasRoom reports whether one more retry is within a share of the allowance. The caller
+// holds mu.
+func (wi *Window) hasRoom(now time.Time, share float64) bool {
 	wi.advance(now)
 	sum := bucket{}
 	for _, bu := range wi.buckets {
@@ -62,11 +79,7 @@
 	// On average half of the oldest bucket lies outside the window. To stay
 	// within the limit, its retries count in full and its requests not at all.
 	sum.received -= wi.buckets[(wi.current+1)%len(wi.buckets)].received
-	if float64(sum.taken+1) > share*(wi.ratio*float64(sum.received)+wi.slack) {
-		return false
-	}
-	wi.buckets[wi.current].taken++
-	return true
+	return float64(sum.taken+1) <= share*(wi.ratio*float64(sum.received)+wi.slack)
 }
 
 // advance starts new buckets, which drop the oldest, until the current one
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -62,7 +62,11 @@
 				wi.Received(now)
 				received = append(received, now)
 			}
-			if wi.Take(now, 1) {
+			allowed, took := wi.Allows(now, 1), wi.Take(now, 1)
+			if took != allowed {
+				rt.Fatalf("Allows says %t, and Take %t", allowed, took)
+			}
+			if took {
 				taken = append(taken, now)
 			}
 			within := func(times []time.Time, past time.Duration) (n int) {
