--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -27,10 +27,7 @@
 	soakReplicas = 3
 	soakCallers  = 10
 	soakEvents   = 12
-	// firstPort is the port for callers of router-0. Router n uses the five ports from
-	// firstPort+10*n on: callers, readiness, directory, peers and admin.
-	firstPort = 9100
-	routeHost = "soak.example"
+	routeHost    = "soak.example"
 	// crashPart is a prompt part that crashes replicas. One in crashEvery streaming
 	// requests of a caller has it. One in crashEvery safe requests is for crashTarget, which
 	// crashes replicas too. A replica that crashed is away for crashedFor.
@@ -145,11 +142,11 @@
 	rs.configure("key-0")
 	rs.copyStore()
 	for n := range soakRouters {
-		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+10*n+k) }
+		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", *firstPort+10*n+k) }
 		file := fmt.Sprintf("%s/router-%d.ini", rs.dir, n)
 		text := fmt.Sprintf("[vm]\nid = router-%d\nsite = soak\nfailure_domain = fd-%d\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
 			"[store]\nurls = http://%s\n[peers]\nshared_key = soak-shared-key-123\nseeds = 127.0.0.1:%d\n[serving]\nretry_ratio = 0.9\nretry_slack = 56\n[log]\nformat = json\n",
-			n, n%3, port(0), port(1), port(2), port(3), port(4), kv, firstPort+3)
+			n, n%3, port(0), port(1), port(2), port(3), port(4), kv, *firstPort+3)
 		(&site{t: rs.t, dir: rs.dir}).write(fmt.Sprintf("router-%d.ini", n), text)
 		pr := &process{name: fmt.Sprint("router-", n), args: []string{"tanager-router", "run", "-c", file}}
 		pr.start(rs.t, rs.dir)
@@ -407,7 +404,7 @@
 func (rs *routerSite) send(ctx context.Context, n int, path, id, key, prompt string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d%s", firstPort+10*n, path), strings.NewReader("body"))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d%s", *firstPort+10*n, path), strings.NewReader("body"))
 	if err != nil {
 		return 0, "", err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,9 @@
 var (
 	seed   = flag.Uint64("seed", 1, "seed of the faults")
 	length = flag.Duration("length", 3*time.Minute, "how long faults come")
+	// Router n uses the five ports from *firstPort+10*n on: callers, readiness, directory,
+	// peers and admin.
+	firstPort = flag.Int("port", 9100, "port for callers of the first router")
 )
 
 const (
