Pass word of the store on at once to routers whose peers lost it

Callers saw nothing; the store did: when the three routers that watch it lose it, 5 or 6 others begin to watch in place of them (TestFollowersLeaveTheStoreToItsWatchersAgain, 4 are allowed).

Cause: a router that has begun in place of others passes its evidence on only when that is 500 ms newer than the asker's, which is the age of the loss. The others begin 100 ms apart, so each next one began although the first had word, until the first one's next answer. Log line: 212 of five routers at 20.2, 20.3, 20.4, 20.5 and 20.6 s, while the first had evidence of 20.2 s.

Now a router whose peers have lost the store asks for any newer evidence. It does so only until it has evidence from after the loss, so that the calls between routers stay as many at other times.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -68,8 +68,9 @@
 	WatchRank() int
 	// Upstreams returns the addresses of the daemons to follow, the preferred ones first.
 	Upstreams() []string
-	// FollowPolicy waits at a peer for news of the policy and applies it.
-	FollowPolicy(ctx context.Context, address string) (Passed, error)
+	// FollowPolicy waits at a peer for news of the policy and applies it. If urgent is set, any
+	// newer evidence is news.
+	FollowPolicy(ctx context.Context, address string, urgent bool) (Passed, error)
 }
 
 // Follower keeps the policy up to date from peers that watch the store, and decides whether
@@ -255,6 +256,18 @@
 	return fo.reason != WatchRank || fo.isLost() || now.Sub(fo.storeAnsweredAt) > fo.maxAge
 }
 
+// lacksWord reports whether peers have lost the store, and none that this daemon follows is
+// known to have had word from it since.
+func (fo *Follower) lacksWord() bool {
+	evidence := fo.holder.Evidence()
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.lostPeers < lostAnswers {
+		return fo.lostPeers > 0
+	}
+	return !evidence.After(fo.lostAt)
+}
+
 // Run follows peers until ctx is done.
 func (fo *Follower) Run(ctx context.Context) {
 	gr := worker.NewGroup()
@@ -274,7 +287,7 @@
 			worker.Sleep(ctx, turnInterval)
 			continue
 		}
-		pa, err := fo.upstream.FollowPolicy(ctx, addresses[choice%len(addresses)])
+		pa, err := fo.upstream.FollowPolicy(ctx, addresses[choice%len(addresses)], fo.lacksWord())
 		inPlace := fo.noteFollowed(pa, err)
 		switch {
 		case err != nil || pa.StoreLost || time.Since(pa.Evidence) > fo.maxAge:
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -25,8 +25,10 @@
 	// the policy, and policyWaitMargin the time left for the answer after it.
 	maxPolicyWait    = 2 * time.Second
 	policyWaitMargin = 500 * time.Millisecond
-	// minEvidenceStep is how much newer evidence must be to be passed on at once.
-	minEvidenceStep = 500 * time.Millisecond
+	// minEvidenceStep is how much newer evidence must be to be passed on at once, and
+	// urgentEvidenceStep the same for a daemon that asks urgently.
+	minEvidenceStep    = 500 * time.Millisecond
+	urgentEvidenceStep = 10 * time.Millisecond
 	// planAge is the age up to which a daemon of a small group does not look at the others
 	// anew. In larger groups it is longer, up to maxPlanAge: sorting them takes longer too.
 	planAge    = 500 * time.Millisecond
@@ -189,13 +191,16 @@
 func (gr *Group) isSelf(ho Holder) bool { return ho.VM == gr.VM() }
 
 // FollowPolicy implements configuration.Upstream.
-func (gr *Group) FollowPolicy(ctx context.Context, address string) (configuration.Passed, error) {
+func (gr *Group) FollowPolicy(ctx context.Context, address string, urgent bool) (configuration.Passed, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxPolicyWait+policyWaitMargin)
 	defer cancel()
-	mine, asked := gr.position(), time.Now()
+	mine, age := gr.position(), gr.policyAgeMS(time.Now())
+	if urgent {
+		age += (minEvidenceStep - urgentEvidenceStep).Milliseconds()
+	}
 	rs, err := gr.Peer(address).WatchPolicy(ctx, &rpc.WatchPolicyRequest{
 		AfterRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained),
-		PolicyAgeMs: gr.policyAgeMS(asked), WaitMs: maxPolicyWait.Milliseconds(),
+		PolicyAgeMs: age, WaitMs: maxPolicyWait.Milliseconds(),
 	})
 	if err != nil {
 		gr.recordFailure(ctx, address, err)
