Return to following the routers that watch the store

Cause: a router that followed another one than its preferred, since the watchers had no word from the store at its start, stayed with it for as long as that one answered. It then heard of a loss of the store by age only, since only the watchers say so. Log lines of a failed run: at the moment of the cut 13 followers waited at the routers of ranks 3 to 9 (choices 3 to 8), none of them had counted four answers of routers that lost the store when the first began, 0.6 s later.

The new TestFollowerReturnsToThePeersThatWatch failed before: all calls went to a third peer.

Now a slot asks its preferred peer again after 2 s and returns to it when it has word. One slot asks at a time, so that the other one follows its peer meanwhile.

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -35,6 +35,9 @@
 	// the store. It doubles with each second one of them, maxFollowDoublings times at most.
 	followDelay        = 100 * time.Millisecond
 	maxFollowDoublings = 4
+	// returnInterval is how long a daemon follows another peer than the preferred one before it
+	// asks that one again.
+	returnInterval = 2 * time.Second
 	// minFollowInterval is the pause after any other answer of a peer: changes that are made
 	// close together arrive together.
 	minFollowInterval = 20 * time.Millisecond
@@ -88,6 +91,8 @@
 	// maxAge is the result of MaxPassedAge.
 	maxAge    time.Duration
 	startedAt time.Time
+	// returning is held while a slot asks its preferred peer again.
+	returning sync.Mutex
 
 	mu sync.Mutex
 	// unreachable counts the peers in a row that could not be followed, and unreachableAt is
@@ -280,18 +285,25 @@
 // follow follows one peer at a time until ctx is done. The slots of a daemon follow different
 // ones. A peer that cannot be reached, or has no word from the store, is left for the next.
 func (fo *Follower) follow(ctx context.Context, slot int) {
-	choice, failures := slot, 0
+	choice, failures, returnAt := slot, 0, time.Time{}
 	for ctx.Err() == nil {
 		addresses := fo.upstream.Upstreams()
 		if len(addresses) == 0 || !fo.needsPeers(time.Now()) {
 			worker.Sleep(ctx, turnInterval)
 			continue
 		}
+		if choice != slot && time.Now().After(returnAt) {
+			returnAt = time.Now().Add(returnInterval)
+			if fo.isBack(ctx, addresses[slot%len(addresses)]) {
+				choice = slot
+			}
+		}
 		pa, err := fo.upstream.FollowPolicy(ctx, addresses[choice%len(addresses)], fo.lacksWord())
 		inPlace := fo.noteFollowed(pa, err)
 		switch {
-		case err != nil || pa.StoreLost || time.Since(pa.Evidence) > fo.maxAge:
+		case !fo.hasWord(pa, err):
 			choice++
+			returnAt = time.Now().Add(returnInterval)
 			worker.Sleep(ctx, followDelay<<min(failures/2, maxFollowDoublings))
 			failures++
 			continue
@@ -308,6 +320,23 @@
 	}
 }
 
+// hasWord reports whether the answer of a peer shows that it has word from the store.
+func (fo *Follower) hasWord(pa Passed, err error) bool {
+	return err == nil && !pa.StoreLost && time.Since(pa.Evidence) <= fo.maxAge
+}
+
+// isBack reports whether the preferred peer of a slot has word from the store again. Only one
+// slot asks at a time: the others follow their peers meanwhile.
+func (fo *Follower) isBack(ctx context.Context, address string) bool {
+	if !fo.returning.TryLock() {
+		return false
+	}
+	defer fo.returning.Unlock()
+	pa, err := fo.upstream.FollowPolicy(ctx, address, fo.lacksWord())
+	fo.noteFollowed(pa, err)
+	return fo.hasWord(pa, err)
+}
+
 // noteFollowed records what a peer passed on, and reports whether this daemon watches the
 // store in place of others.
 func (fo *Follower) noteFollowed(pa Passed, err error) bool {
--- /dev/null
+++ b/configuration/follower_test.go
@@ -0,0 +1,86 @@
+package configuration_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/configuration"
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/store"
+	"tanagerpoint.example/tanager/worker"
+)
+
+// watchProgress is how long a watch call of the store waits, and so a peer's answer.
+const watchProgress = 900 * time.Millisecond
+
+// fakePeers is a configuration.Upstream of peers, the first two of which watch the store.
+type fakePeers struct {
+	holder *configuration.Holder
+
+	mu sync.Mutex
+	// lost reports whether the first two have lost the store.
+	lost bool
+	// asked counts the calls of each peer.
+	asked map[string]int
+}
+
+func (*fakePeers) Seed() bool     { return false }
+func (*fakePeers) Alone() bool    { return false }
+func (*fakePeers) WatchRank() int { return 9 }
+func (*fakePeers) Upstreams() []string {
+	return []string{"first", "second", "third", "fourth", "fifth"}
+}
+
+func (fp *fakePeers) FollowPolicy(ctx context.Context, address string, _ bool) (configuration.Passed, error) {
+	fp.mu.Lock()
+	fp.asked[address]++
+	watches := address == "first" || address == "second"
+	lost := watches && fp.lost
+	fp.mu.Unlock()
+	if lost {
+		return configuration.Passed{Evidence: time.Now(), StoreLost: true}, nil
+	}
+	worker.Sleep(ctx, watchProgress)
+	pa := configuration.Passed{Evidence: time.Now()}
+	if watches {
+		pa.StoreAnswered = pa.Evidence
+	}
+	fp.holder.Confirm(store.Revision(1), pa.Evidence)
+	return pa, nil
+}
+
+// setLost sets whether the first two peers have lost the store, and returns the calls since.
+func (fp *fakePeers) setLost(lost bool) map[string]int {
+	fp.mu.Lock()
+	defer fp.mu.Unlock()
+	asked := fp.asked
+	fp.lost, fp.asked = lost, map[string]int{}
+	return asked
+}
+
+// TestFollowerReturnsToThePeersThatWatch has the peers that watch the store lose it for a while.
+// A daemon stayed with those that it followed meanwhile, and heard of the next loss by age only.
+func TestFollowerReturnsToThePeersThatWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ho := configuration.NewHolder(event.Discard())
+		fp := &fakePeers{holder: ho, lost: true, asked: map[string]int{}}
+		fo := configuration.NewFollower(fp, ho, 3, configuration.MaxPassedAge(watchProgress), event.Discard())
+		gr := worker.NewGroup()
+		defer gr.Close()
+		gr.Go(fo.Run)
+		time.Sleep(5 * time.Second)
+		during := fp.setLost(false)
+		qt.Assert(t, during["third"]+during["fourth"] > 0, qt.IsTrue)
+		time.Sleep(8 * time.Second)
+		fp.setLost(false)
+		time.Sleep(5 * time.Second)
+		after := fp.setLost(false)
+		qt.Assert(t, after["first"] > 0 && after["second"] > 0, qt.IsTrue, qt.Commentf("%v", after))
+		qt.Assert(t, after, qt.HasLen, 2)
+	})
+}
