Do not wait for a path that nobody watches any more

A test saw (TestBrittleReplicasDoNotFallOverWithoutTheExchange, 1 of 15 runs, without the race detector): a request was still waiting after its router had closed, which ends the test with "deadlock: main bubble goroutine has exited but blocked goroutines remain"; callers see nothing, as their connections are closed by then.

Cause: closing the connections to endpoints raises doubt about the path, after the watch that would settle it has ended, and Settle waited for it until its time limit of a second. Evidence: the dump has one goroutine, in Settle, called by pathFailed.

Settle returns once the path's context is done, which it also is when Run ends.

--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -149,17 +149,19 @@
 }
 
 // Settle reports whether the path is lost. While that is in doubt, it blocks until it is known
-// or ctx is done.
+// or ctx is done, or Run has ended.
 func (pa *Path) Settle(ctx context.Context) (lost bool) {
 	for {
 		pa.mu.Lock()
-		lost, known, settled := pa.state.Lost(), pa.state.Settled(), pa.settled
+		lost, known, settled, lostOrClosed := pa.state.Lost(), pa.state.Settled(), pa.settled, pa.lost.Done()
 		pa.mu.Unlock()
 		if known {
 			return lost
 		}
 		select {
 		case <-settled:
+		case <-lostOrClosed:
+			return pa.Lost()
 		case <-ctx.Done():
 			return pa.Lost()
 		}
