Learn within the grace that brittle endpoints lack room beside free slots

Callers saw, at replicas that run 5 of the 8 slots that they report, let none wait and bear one refusal a second, all replicas of the service fall over at the moment at which brittleness took effect, 3 s after its first word.

Cause: of reported slots that are free while requests wait, the router took a quarter for free in earnest, since those that wait might only be about to run. Each replica got 7 requests for its 5 slots until brittleness took effect; then two were refused within 10 ms, before any router heard of the first. Stream replicas report as a request begins to run, so the last router with a place too many never saw anything wait.

Now the room shrinks by a quarter of the slots a second while requests wait beside free slots, and for 2 s after, but not below what ran at once within the last 5 s to 10 s. One replica that lacks room makes those of the same service shrink as well, to what each was seen to run. A replica that starts its requests late keeps its room, since what it runs shows it.

TestRoomShrinksToWhatRunsAtOnce fails before (57 places of 64, 40 run).

--- a/limit/brittle.go
+++ b/limit/brittle.go
@@ -78,6 +78,8 @@
 	dividedAt    time.Time
 	dividedFor   *policy.Set
 	endpoints    map[policy.EndpointID]*brittleEndpoint
+	// lackedAt is when requests last waited at an endpoint while slots were free.
+	lackedAt time.Time
 }
 
 type brittleEndpoint struct {
@@ -310,7 +312,10 @@
 
 // Reported records the load that an endpoint reported.
 func (br *Brittle) Reported(now time.Time, en policy.Endpoint, oc Occupancy) {
-	br.change(now, en, func(_ *brittleService, be *brittleEndpoint) { be.room = be.room.Reported(now, oc) })
+	br.change(now, en, func(se *brittleService, be *brittleEndpoint) {
+		be.room = be.room.SiblingLacked(se.lackedAt).Reported(now, oc)
+		se.lackedAt = be.room.lackedAt
+	})
 }
 
 // Abandoned records that a request was given up that an endpoint may still run.
--- a/limit/room.go
+++ b/limit/room.go
@@ -9,6 +9,11 @@
 	// roomGrowth is the part of an endpoint's slots by which the room known of it grows in a
 	// second in which it reports that nothing waits.
 	roomGrowth = 0.05
+	// roomDecay is the part of an endpoint's slots by which the room known of it shrinks in a
+	// second in which requests wait while slots are free.
+	roomDecay = 0.25
+	// growthDelay is the time from the last report of such requests until the room known grows.
+	growthDelay = 2 * time.Second
 	// refusedShare is the part of the known room that one refusal leaves at least: a request
 	// may be refused because it is larger than all memory of an idle endpoint.
 	refusedShare = 0.8
@@ -29,7 +34,11 @@
 type Room struct {
 	slots float64
 	known float64
-	at    time.Time
+	// ran is how many requests the endpoint ran at once lately.
+	ran recentMax
+	at  time.Time
+	// lackedAt is when requests last waited while slots were free.
+	lackedAt time.Time
 }
 
 // NewRoom returns the room of an endpoint of which only its slots are known.
@@ -37,19 +46,39 @@
 	return Room{slots: float64(slots), known: float64(slots), at: now}
 }
 
-// Reported returns the room after an endpoint has reported its load. If many requests wait
-// while slots are free, it lacks something else than slots, such as memory.
+// Reported returns the room after an endpoint has reported its load. If requests wait while slots
+// are free, it lacks something else than slots, such as memory. If only a few do, they may be about
+// to run: the room shrinks slowly then, to what ran at once lately.
 func (rm Room) Reported(now time.Time, oc Occupancy) Room {
 	if oc.Slots > 0 {
 		rm.slots = float64(oc.Slots)
 		rm.known = min(rm.known, rm.slots)
 	}
 	starting := startingShare * rm.slots
-	if float64(oc.Waiting) > starting {
-		return rm.atMost(now, float64(oc.Running)+starting)
+	running, waiting := float64(oc.Running), float64(oc.Waiting)
+	elapsed := max(0, now.Sub(rm.at).Seconds())
+	rm.ran = rm.ran.add(now, running)
+	if waiting > 0 && running < rm.slots && running+waiting >= rm.known-starting {
+		rm.lackedAt = now
+	}
+	if waiting > starting {
+		rm = rm.atMost(now, running+starting)
+	}
+	if now.Sub(rm.lackedAt) < growthDelay {
+		shrunk := rm.known - roomDecay*rm.slots*min(elapsed, growthDelay.Seconds())
+		return rm.atMost(now, max(rm.ran.value(), shrunk))
+	}
+	grown := rm.known + roomGrowth*rm.slots*elapsed
+	rm.known, rm.at = min(rm.slots, max(grown, running)), now
+	return rm
+}
+
+// SiblingLacked returns the room when another endpoint of the service let requests wait while
+// slots were free at a time: this one may lack the same, and shrinks to what ran at once lately.
+func (rm Room) SiblingLacked(at time.Time) Room {
+	if at.After(rm.lackedAt) {
+		rm.lackedAt = at
 	}
-	grown := rm.known + roomGrowth*rm.slots*max(0, now.Sub(rm.at).Seconds())
-	rm.known, rm.at = min(rm.slots, max(grown, float64(oc.Running))), now
 	return rm
 }
 
--- a/limit/room_test.go
+++ b/limit/room_test.go
@@ -44,6 +44,31 @@
 	qt.Assert(t, rm.Places(), qt.Equals, roomSlots)
 }
 
+// TestRoomShrinksToWhatRunsAtOnce has an endpoint run fewer requests than its slots, while a few
+// more wait: too few of them for it to lack room for certain at once.
+func TestRoomShrinksToWhatRunsAtOnce(t *testing.T) {
+	const runs = 40
+	rm, now := limit.NewRoom(roomStart, roomSlots), roomStart
+	for range 4 {
+		now = now.Add(500 * time.Millisecond)
+		waiting := min(rm.Places()-runs, 24)
+		rm = rm.Reported(now, limit.Occupancy{Running: runs, Waiting: waiting})
+	}
+	qt.Assert(t, rm.Places(), qt.Equals, runs)
+}
+
+// TestRoomKeepsWhatRunsAtOnce has an endpoint that runs all that its slots allow start each
+// request a little after it has arrived.
+func TestRoomKeepsWhatRunsAtOnce(t *testing.T) {
+	rm, now := limit.NewRoom(roomStart, roomSlots), roomStart
+	for n := range 40 {
+		now = now.Add(200 * time.Millisecond)
+		starting := n % 3
+		rm = rm.Reported(now, limit.Occupancy{Running: rm.Places() - starting, Waiting: starting})
+	}
+	qt.Assert(t, rm.Places() >= roomSlots-3, qt.IsTrue, qt.Commentf("%d", rm.Places()))
+}
+
 // TestRoomStaysBetweenOnePlaceAndTheSlots has an endpoint report and refuse anything.
 func TestRoomStaysBetweenOnePlaceAndTheSlots(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
