--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -152,18 +152,10 @@
 // endpoint, for calls that give no other limit. The first event of a stream may take
 // longer; see firstEventTimeoutFactor.
 func NewClient(ne network.Network, idleTimeout time.Duration) *Client {
-	return newClient(ne, ne, idleTimeout)
-}
-
-// NewPathClient returns a client whose connections to endpoints are watched by a path.
-func NewPathClient(pa *Path, idleTimeout time.Duration) *Client {
-	return newClient(pa.Network(), pa.network, idleTimeout)
-}
-
-func newClient(toEndpoints, toPeers network.Network, idleTimeout time.Duration) *Client {
-	toPeers.Dial = limitDial(toPeers.Dial)
+	toPeers := ne
+	toPeers.Dial = limitDial(ne.Dial)
 	return &Client{
-		pooled: toEndpoints.Client(idleConnections), unpooled: toEndpoints.UnpooledClient(),
+		pooled: ne.Client(idleConnections), unpooled: ne.UnpooledClient(),
 		hop: toPeers.Client(idleConnections), hopUnpooled: toPeers.UnpooledClient(), idleTimeout: idleTimeout,
 	}
 }
@@ -188,13 +180,10 @@
 
 // Close closes the idle pooled connections.
 func (cl *Client) Close() {
-	cl.CloseIdle()
+	cl.pooled.CloseIdleConnections()
 	cl.hop.CloseIdleConnections()
 }
 
-// CloseIdle closes the idle pooled connections to endpoints.
-func (cl *Client) CloseIdle() { cl.pooled.CloseIdleConnections() }
-
 // Dropped returns the number of answers and chunks that were dropped because they
 // belonged to another request.
 func (cl *Client) Dropped() int64 { return cl.dropped.Load() }
--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -35,6 +35,8 @@
 	GiveUp func() bool
 	// Via is the peer that carries the attempt, nil if this VM sends it itself.
 	Via *Via
+	// Path watches the connections of the call, nil if nothing does.
+	Path *Path
 	// Insist makes the client open a new connection also while the path is lost.
 	Insist bool
 }
@@ -68,10 +70,7 @@
 	if ca.Insist {
 		ctx = context.WithValue(ctx, insistent{}, true)
 	}
-	hc := cl.unpooled
-	if ca.Repeatable {
-		hc = cl.pooled
-	}
+	hc := cl.clientOf(ca)
 	co := &connection{idleTimeout: ca.IdleTimeout, giveUp: ca.GiveUp}
 	co, fa := cl.openConnection(ctx, co, hc, rq, time.Until(ca.HeaderDeadline))
 	if fa != nil {
@@ -85,6 +84,18 @@
 	}, nil
 }
 
+// clientOf returns the HTTP client that makes a call's connections.
+func (cl *Client) clientOf(ca ForwardCall) *http.Client {
+	pooled, unpooled := cl.pooled, cl.unpooled
+	if ca.Path != nil {
+		pooled, unpooled = ca.Path.pooled, ca.Path.unpooled
+	}
+	if ca.Repeatable {
+		return pooled
+	}
+	return unpooled
+}
+
 // request returns the HTTP request. An Opaque URL keeps net/http from re-encoding
 // the caller's path.
 func (ca ForwardCall) request() (*http.Request, error) {
--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,7 @@
 const (
 	// slowDial is how long a new connection may take before it raises doubt about the path.
 	slowDial = 250 * time.Millisecond
-	// silence is how long nothing may be received from any endpoint, while a request waits for
+	// silence is how long nothing may be received from any of the endpoints, while a request waits for
 	// its answer, before that raises doubt.
 	silence = time.Second
 	// probeTimeout bounds a round of probes.
@@ -29,17 +30,21 @@
 	// may be down at once while the path is sound.
 	doubtProbes = 16
 	lostProbes  = 4
+	// insistTimeout bounds a connection that is tried while the path is lost.
+	insistTimeout = 100 * time.Millisecond
 )
 
 // errPathLost is the error of connections to endpoints while the path is lost.
-var errPathLost = eris.New("this VM has no path to the endpoints")
+var errPathLost = eris.New("this VM has no path to the service's endpoints")
 
-// Path watches whether this VM has a path to the endpoints: whether new connections can be made
-// to any. While all is well it makes none of its own. It is safe for concurrent use.
+// Path watches whether this VM has a path to the endpoints of a service: whether new connections
+// can be made to any. While all is well it makes none of its own. It is safe for concurrent use.
 //
 // mu guards the fields below it. No other lock is taken while it is held.
 type Path struct {
 	network network.Network
+	// pooled and unpooled make the connections that the path watches.
+	pooled, unpooled *http.Client
 	// heardAt is when anything was last received from an endpoint, in Unix nanoseconds.
 	heardAt atomic.Int64
 	// wake has a value when a round of probes may be due.
@@ -52,12 +57,15 @@
 	// lost is done while the path is lost.
 	lost       context.Context
 	cancelLost context.CancelFunc
+	// closed reports whether nothing watches the path any more.
+	closed bool
 }
 
 // NewPath returns a path that is sound; Run watches it.
 func NewPath(ne network.Network) *Path {
 	pa := &Path{network: ne, wake: make(chan struct{}, 1), settled: make(chan struct{})}
 	pa.lost, pa.cancelLost = context.WithCancel(context.Background())
+	pa.pooled, pa.unpooled = pa.Network().Client(idleConnections), pa.Network().UnpooledClient()
 	return pa
 }
 
@@ -87,15 +95,17 @@
 }
 
 func (pa *Path) dial(ctx context.Context, nw, address string) (net.Conn, error) {
+	attempt, cancel := context.WithCancel(ctx)
+	defer cancel()
 	lost := pa.lostContext()
-	if ctx.Value(insistent{}) != nil {
+	if lost.Err() != nil && ctx.Value(insistent{}) != nil {
 		lost = context.Background()
+		attempt, cancel = context.WithTimeout(ctx, insistTimeout)
+		defer cancel()
 	}
 	if lost.Err() != nil {
 		return nil, errPathLost
 	}
-	attempt, cancel := context.WithCancel(ctx)
-	defer cancel()
 	defer context.AfterFunc(lost, cancel)()
 	slow := time.AfterFunc(slowDial, pa.Doubt)
 	defer slow.Stop()
@@ -104,7 +114,7 @@
 	case err == nil:
 		pa.proved()
 		return &heardConn{Conn: co, path: pa}, nil
-	case lost.Err() != nil:
+	case lost.Err() != nil || attempt.Err() != nil && ctx.Err() == nil:
 		return nil, errPathLost
 	case ctx.Err() == nil:
 		pa.Doubt()
@@ -148,12 +158,12 @@
 	}
 }
 
-// Settle reports whether the path is lost. While that is in doubt, it blocks until it is known
-// or ctx is done.
+// Settle reports whether the path is lost. While that is in doubt, it blocks until it is known,
+// ctx is done or the path is closed.
 func (pa *Path) Settle(ctx context.Context) (lost bool) {
 	for {
 		pa.mu.Lock()
-		lost, known, settled := pa.state.Lost(), pa.state.Settled(), pa.settled
+		lost, known, settled := pa.state.Lost(), pa.state.Settled() || pa.closed, pa.settled
 		pa.mu.Unlock()
 		if known {
 			return lost
@@ -186,7 +196,7 @@
 }
 
 // Run probes endpoints while the path is in doubt or lost, until ctx is done. addresses returns
-// those of all endpoints. changed is called when the path is lost or back.
+// those of the service's endpoints. changed is called when the path is lost or back.
 func (pa *Path) Run(ctx context.Context, addresses func() []string, changed func(lost bool)) {
 	defer pa.close()
 	told := false
@@ -210,11 +220,17 @@
 }
 
 func (pa *Path) close() {
+	pa.CloseIdle()
 	pa.mu.Lock()
 	defer pa.mu.Unlock()
+	pa.closed = true
 	pa.cancelLost()
+	pa.endDoubt()
 }
 
+// CloseIdle closes the idle pooled connections.
+func (pa *Path) CloseIdle() { pa.pooled.CloseIdleConnections() }
+
 func (pa *Path) waitForDoubt(ctx context.Context) {
 	select {
 	case <-pa.wake:
--- a/endpoint/path_test.go
+++ b/endpoint/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagerpoint.example/tanager/endpoint"
+	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/testsite"
 	"tanagerpoint.example/tanager/worker"
 )
@@ -151,6 +153,47 @@
 	}
 }
 
+// TestPathIsLostByService has new connections to the endpoints of one service refused. The path
+// to those of the other was taken for that of the first.
+func TestPathIsLostByService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw, addresses := testsite.NewNetwork(), someAddresses(6)
+		watchedPath(t, nw, addresses)
+		of := map[policy.ServiceID][]string{"reached": addresses[:3], "lost": addresses[3:]}
+		for _, address := range of["lost"] {
+			nw.RefuseNew(pathHost, address)
+		}
+		paths := endpoint.NewPaths(nw.ForHost(pathHost))
+		gr := worker.NewGroup()
+		t.Cleanup(gr.Close)
+		gr.Go(func(ctx context.Context) {
+			paths.Run(ctx, func(id policy.ServiceID) []string { return slices.Clone(of[id]) }, func(policy.ServiceID, bool) {})
+		})
+		for id, lost := range map[policy.ServiceID]bool{"reached": false, "lost": true, "without endpoints": false} {
+			paths.Of(id).Doubt()
+			qt.Check(t, paths.Of(id).Settle(t.Context()), qt.Equals, lost, qt.Commentf("%s", id))
+			qt.Check(t, paths.Lost(id), qt.Equals, lost, qt.Commentf("%s", id))
+		}
+		for _, address := range of["lost"] {
+			nw.Restore(pathHost, address)
+		}
+		time.Sleep(time.Second)
+		qt.Check(t, paths.Lost("lost"), qt.IsFalse)
+	})
+}
+
+// TestClosedPathIsSettled closes paths while they are in doubt. Requests must not wait for them.
+func TestClosedPathIsSettled(t *testing.T) {
+	paths := endpoint.NewPaths(testsite.NewNetwork().ForHost(pathHost))
+	gr := worker.NewGroup()
+	gr.Go(func(ctx context.Context) {
+		paths.Run(ctx, func(policy.ServiceID) []string { return nil }, func(policy.ServiceID, bool) {})
+	})
+	gr.Close()
+	paths.Of("new").Doubt()
+	qt.Check(t, paths.Of("new").Settle(t.Context()), qt.IsFalse)
+}
+
 // TestSilenceRaisesDoubt has requests wait while nothing is received from any endpoint.
 func TestSilenceRaisesDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/endpoint/pathstate.go
+++ b/endpoint/pathstate.go
@@ -11,7 +11,7 @@
 	provenFor = 100 * time.Millisecond
 )
 
-// PathState is what a VM knows of its path to the endpoints. Only a new connection proves the
+// PathState is what a VM knows of its path to a service's endpoints. Only a new connection proves the
 // path: while it is lost, open connections may live on. The zero value is a sound path. It is
 // not safe for concurrent use.
 type PathState struct {
--- a/peer/member.go
+++ b/peer/member.go
@@ -27,6 +27,9 @@
 	LinkMbps       float64
 	// PathLost reports whether the VM has no path to any endpoint.
 	PathLost bool
+	// LostServices are the services to whose endpoints the VM has no path, empty if PathLost
+	// is set.
+	LostServices []policy.ServiceID
 	// FailedAt is when the member counts as failed unless a newer heartbeat
 	// arrives.
 	FailedAt time.Time
@@ -104,10 +107,24 @@
 		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
 		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
 		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
-		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(), PathLost: ms.GetPathLost(),
+		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(), PathLost: ms.GetPathLost(), LostServices: serviceIDs(ms.GetLostServices()),
 	}
 }
 
+func serviceIDs(texts []string) []policy.ServiceID {
+	var out []policy.ServiceID
+	for _, text := range texts {
+		out = append(out, policy.ServiceID(text))
+	}
+	return out
+}
+
+// Reaches reports whether the daemon's VM has a path to endpoints of a service, as far as it
+// says.
+func (mb Member) Reaches(id policy.ServiceID) bool {
+	return !mb.PathLost && !slices.Contains(mb.LostServices, id)
+}
+
 // updateMembers records the live members and their number, and logs which have
 // joined or failed since the last call.
 func (gr *Group) updateMembers() {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -181,7 +181,7 @@
 		Repeatable: ca.route.Repeatable(), HeaderDeadline: at.headDeadline(), IdleTimeout: at.idleTimeout(), GiveUp: at.giveUp,
 	})
 	if err != nil {
-		if !at.pathFailed(err) {
+		if !at.excused(err) {
 			at.brokeBeforeHead(err)
 		}
 		fa := failureOf(err)
--- a/relay/router.go
+++ b/relay/router.go
@@ -58,7 +58,7 @@
 	backlogs *backlogAverages
 	budgets  *retryBudgets
 	releases *releaseSelector
-	path     *endpoint.Path
+	paths    *endpoint.Paths
 	carriers *carriers
 	shutdown *shutdown
 	// durations are those of the routes' requests.
@@ -72,8 +72,8 @@
 type Dependencies struct {
 	Holder *configuration.Holder
 	Client *endpoint.Client
-	// Path is the path that the client's connections to endpoints take.
-	Path  *endpoint.Path
+	// Paths are those that the client's connections to endpoints take.
+	Paths *endpoint.Paths
 	Peers *peer.Group
 	Pins  *session.Pins
 	// Quarantine holds the prompt parts that no endpoint may get.
@@ -85,7 +85,7 @@
 // New returns a Router.
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
-		holder: de.Holder, client: de.Client, path: de.Path, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
+		holder: de.Holder, client: de.Client, paths: de.Paths, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
 		shutdown: newShutdown(), durations: newDurations(),
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(),
 		brittle: limit.NewBrittle(time.Now(), de.Peers, de.Holder, de.Log), queue: newPlaceQueue(), backlogs: newBacklogAverages(),
@@ -283,13 +283,15 @@
 	Brittle map[policy.ServiceID]int `json:"brittle"`
 	// Blocked are the endpoints that get no request now.
 	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
-	// PathLost reports whether this router has no path to any endpoint; Carrying is the number
-	// of attempts that it carries for peers now.
-	PathLost bool  `json:"path_lost"`
-	Carrying int64 `json:"carrying"`
+	// PathLost reports whether this router has no path to any endpoint; LostServices are the
+	// services to whose endpoints it has none; Carrying is the number of attempts that it
+	// carries for peers now.
+	PathLost     bool               `json:"path_lost"`
+	LostServices []policy.ServiceID `json:"lost_services"`
+	Carrying     int64              `json:"carrying"`
 }
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), PathLost: ro.path.Lost(), Carrying: ro.carriers.carrying.Load()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -69,7 +69,7 @@
 	pins     *session.Pins
 	// barred holds the prompt parts and the requests in quarantine.
 	barred *quarantine.List
-	path   *endpoint.Path
+	paths  *endpoint.Paths
 	client *endpoint.Client
 	relay  *relay.Router
 	sums   *peer.Aggregator
@@ -106,12 +106,12 @@
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
 	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, lo)
-	da.path = endpoint.NewPath(ne)
-	da.client = endpoint.NewPathClient(da.path, endpointProgressTimeout)
+	da.paths = endpoint.NewPaths(ne)
+	da.client = endpoint.NewClient(ne, endpointProgressTimeout)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
-		relay.Dependencies{Holder: da.holder, Client: da.client, Path: da.path, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
+		relay.Dependencies{Holder: da.holder, Client: da.client, Paths: da.paths, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
 	)
 	da.sums = peer.NewAggregator(da.peers, da.relay.Sums, da.relay.ApplySums)
 	return da, eris.Wrap(da.addGauges(), "router.New")
@@ -137,12 +137,17 @@
 }
 
 // describe sets the fields of this router's member record that change while it
-// runs: whether it drains, whether it has lost its path to the endpoints and, unless
+// runs: whether it drains, to which services' endpoints it has no path and, unless
 // the group is large, its requests in flight. In a large group the peers' knowledge of
 // them would be out of date.
 func (da *Daemon) describe(me *rpc.Member) {
 	me.Draining = !da.relay.Ready()
 	me.PathLost = da.relay.PathLost()
+	if !me.GetPathLost() {
+		for _, id := range da.relay.LostServices() {
+			me.LostServices = append(me.LostServices, string(id))
+		}
+	}
 	if !da.peers.Large() {
 		me.InFlight = da.relay.InFlight()
 	}
@@ -192,7 +197,7 @@
 
 // watchPath watches the path to the endpoints, and tells peers of its changes, until ctx ends.
 func (da *Daemon) watchPath(ctx context.Context) {
-	da.relay.WatchPath(ctx, func() { da.group.Go(da.peers.Announce) })
+	da.relay.WatchPaths(ctx, func() { da.group.Go(da.peers.Announce) })
 }
 
 // exchange publishes this router's load and release health to its peers, and
