Keep a connection open while a request arrives on it

What callers saw: a request whose head arrived slowly got neither an answer nor a refusal when the idle timeout was shortened meanwhile, or when the router was stopped: its connection was closed. On a connection that had just been opened the same.

Cause: a connection counts as idle until the head of its next request is whole (net/http calls it active only then), so that IdleConns ended it although a part of the request had been read.

Why it works: the first byte of a request keeps its connection from being ended for 5 s, and takes back an end that was under way: the deadline that the server had set is put in force again.

--- a/network/idle.go
+++ b/network/idle.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -14,11 +13,14 @@
 // arrived is read at once.
 const lastReadTime = 10 * time.Millisecond
 
+// arrivalTime is for how long a connection is not ended after the first byte of a request.
+const arrivalTime = 5 * time.Second
+
 // IdleConns tracks the connections of http.Servers on which no request is under way, and ends
-// them. A request that has arrived on a connection, but has not been read, is still served: on
-// a busy VM it may have waited for long. It is safe for concurrent use.
+// them. A request that has begun to arrive on a connection, or has not been read, is still
+// served: a caller may be slow, and on a busy VM it may have waited for long. It is safe for concurrent use.
 //
-// mu guards since. No other lock is taken while it is held.
+// mu guards since. The locks of connections are taken after it.
 type IdleConns struct {
 	mu    sync.Mutex
 	since map[*idleConn]time.Time
@@ -50,6 +52,7 @@
 	defer ic.mu.Unlock()
 	if st == http.StateIdle {
 		ic.since[tracked] = time.Now()
+		tracked.await()
 		return
 	}
 	delete(ic.since, tracked)
@@ -86,27 +89,77 @@
 }
 
 // idleConn is a connection that can be ended while it is idle.
+//
+// mu guards all fields below it. No other lock is taken while it is held.
 type idleConn struct {
 	net.Conn
-	ending atomic.Bool
+
+	mu sync.Mutex
+	// arrivesBy is when the request of which a part has been read is to be whole, zero if there
+	// is none.
+	arrivesBy time.Time
+	// ending reports whether the connection's reads are to fail.
+	ending bool
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
+}
+
+// await notes that the connection waits for a request.
+func (ic *idleConn) await() {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	ic.arrivesBy = time.Time{}
 }
 
-// end makes a read that finds nothing fail.
+// end makes a read that finds nothing fail, unless a request has begun to arrive.
 func (ic *idleConn) end() {
-	ic.ending.Store(true)
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	if time.Now().Before(ic.arrivesBy) {
+		return
+	}
+	ic.ending = true
 	// A connection that takes no deadline is closed by its other end.
-	_ = ic.SetReadDeadline(time.Now())
+	_ = ic.Conn.SetReadDeadline(time.Now())
+}
+
+// SetReadDeadline implements net.Conn.
+func (ic *idleConn) SetReadDeadline(at time.Time) error {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	ic.deadline = at
+	return ic.Conn.SetReadDeadline(at)
 }
 
 // Read implements net.Conn. A read that the end of the connection interrupts looks once more
 // for what has arrived.
 func (ic *idleConn) Read(buf []byte) (int, error) {
 	n, err := ic.Conn.Read(buf)
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !ic.ending.Swap(false) {
-		return n, err
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && ic.mayReadOnce() {
+		n, err = ic.Conn.Read(buf)
+	}
+	if n > 0 {
+		ic.noteArrival()
+	}
+	return n, err
+}
+
+// mayReadOnce allows a last read if the connection is being ended.
+func (ic *idleConn) mayReadOnce() bool {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	return ic.ending && ic.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+}
+
+// noteArrival keeps the connection from being ended while the rest of a request is on its way.
+func (ic *idleConn) noteArrival() {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	if ic.arrivesBy.IsZero() {
+		ic.arrivesBy = time.Now().Add(arrivalTime)
 	}
-	if err := ic.SetReadDeadline(time.Now().Add(lastReadTime)); err != nil {
-		return 0, err
+	if ic.ending {
+		ic.ending = false
+		_ = ic.Conn.SetReadDeadline(ic.deadline)
 	}
-	return ic.Conn.Read(buf)
 }
