Do not pass on a status that no final answer can have

What callers saw: a request that a replica answered with status 099 ended without an answer; so would one of any status below 100.

Cause: net/http's client takes any three digits for a status, but its server panics when it is to write one below 100. The panic ended the caller's connection. A signed answer was not checked.

Evidence: TestImpossibleStatusIsNotPassedOn got EOF before ("panic serving pipe: invalid WriteHeader code 99"), and gets 502 now.

Why it works: an answer with a status below 200 is a failed attempt, which is repeated or answered as any other.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -57,6 +57,9 @@
 	case an.head.NotRun:
 		an.source.Close()
 		return nil, &failure{err: errNotRun, notRun: true, noEndpoint: an.refusalEndsCall()}
+	case an.status < http.StatusOK:
+		an.source.Close()
+		return nil, &failure{err: errInvalidStatus}
 	case !an.head.Signed && an.status < http.StatusMultipleChoices:
 		an.source.Close()
 		return nil, &failure{err: errUnsigned}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -44,6 +44,7 @@
 	errUnsigned        = eris.New("answer is not signed by the service")
 	errContentEncoding = eris.New("answer has a content encoding that was not requested")
 	errNotRun          = eris.New("endpoint did not run the request")
+	errInvalidStatus   = eris.New("answer's status is not one of a final answer")
 	errFailureStatus   = eris.New("endpoint answered with an error status")
 )
 
--- a/router/connection_end_test.go
+++ b/router/connection_end_test.go
@@ -1,7 +1,10 @@
 package router_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -69,3 +72,33 @@
 		}
 	})
 }
+
+// TestImpossibleStatusIsNotPassedOn has replicas answer with a status that is none. The router
+// closed the caller's connection without an answer.
+func TestImpossibleStatusIsNotPassedOn(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		id := testsite.ReplicaID(testsite.PlainService, 1, "v1")
+		li, err := rs.Net.ForHost(testsite.Host(id)).Listen(testsite.ReplicaAddress(testsite.PlainService, 1, "v1"))
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = li.Close() }()
+		go answerAll(li, "HTTP/1.1 099 None\r\nResponse-Signature: signed\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+		rs.Register(testsite.PlainService, 1, "v1", "ready")
+		time.Sleep(applyLimit)
+		an := do(rs, request{id: "a", path: testsite.UnsafeRoute})
+		qt.Assert(t, an.err, qt.IsNil)
+		qt.Assert(t, an.status, qt.Equals, http.StatusBadGateway)
+	})
+}
+
+// answerAll answers the first request on each connection with a text.
+func answerAll(li net.Listener, text string) {
+	for {
+		co, err := li.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+			_, _ = io.WriteString(co, text)
+		}
+	}
+}
