Give the end of a stream its own time to be written

What callers saw: a stream of which all events had arrived broke off, if its replica paused for more than 10 s between the last event and the end.

Cause: the time limit of a write to the caller runs from the last event, and the end of the answer is written without a new one.

Evidence: TestStreamWhoseEndComesLateIsComplete got "unexpected EOF" before, and all of the stream now.

Why it works: the limit is set anew when the end of the stream has been read, as before each event.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -157,6 +157,10 @@
 func (sr *streamRelay) forward(an *answer) error {
 	for ev := an.firstEvent; ; {
 		if len(ev.text) == 0 {
+			// net/http writes the end of the answer when the handler returns.
+			if err := sr.allowWrite(time.Now()); err != nil {
+				return errors.Join(errCallerGone, err)
+			}
 			return nil
 		}
 		an.noteEvent()
@@ -178,7 +182,7 @@
 		sr.longestPauseMs = max(sr.longestPauseMs, now.Sub(sr.lastWriteAt).Milliseconds())
 	}
 	sr.lastWriteAt = now
-	if err := sr.rc.SetWriteDeadline(now.Add(callerWriteTimeout)); err != nil {
+	if err := sr.allowWrite(now); err != nil {
 		return err
 	}
 	if _, err := sr.wr.Write(ev.text); err != nil {
@@ -188,6 +192,11 @@
 	return sr.rc.Flush()
 }
 
+// allowWrite gives the next write to the caller its time.
+func (sr *streamRelay) allowWrite(now time.Time) error {
+	return sr.rc.SetWriteDeadline(now.Add(callerWriteTimeout))
+}
+
 // resume continues the stream at another endpoint after the last event that the
 // caller has received. It tries again until the request's deadline while no endpoint takes
 // the request, as its caller has nothing better to wait for. It returns nil if the request
--- a/router/connection_end_test.go
+++ b/router/connection_end_test.go
@@ -102,3 +102,19 @@
 		}
 	}
 }
+
+// TestStreamWhoseEndComesLateIsComplete pauses a replica between the last event of its stream and
+// the end. The end was not written to the caller, for whom the stream broke off.
+func TestStreamWhoseEndComesLateIsComplete(t *testing.T) {
+	engine := standin.ReplicaOptions{Events: 3, Gap: 100 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "90"}}
+	withSite(t, testsite.RouterOptions{Routers: 1, Engines: 1, Engine: engine}, func(t *testing.T, rs *testsite.RouterSite) {
+		rs.Configure(longTimeouts)
+		time.Sleep(applyLimit)
+		time.AfterFunc(250*time.Millisecond, func() {
+			rs.Replicas[testsite.ReplicaID(testsite.EngineService, 1, "v1")].Pause(12 * time.Second)
+		})
+		an := do(rs, request{id: "a", path: testsite.EngineRoute + "x"})
+		qt.Assert(t, an.err, qt.IsNil)
+		qt.Assert(t, eventIDs(an.body), qt.DeepEquals, []string{"1", "2", "3"})
+	})
+}
