--- a/relay/stream.go
+++ b/relay/stream.go
@@ -209,7 +209,7 @@
 	}
 	if sr.outOfTime(an, cause) {
 		an.finish(placement.Neutral)
-		sr.logCut(an, cause, &failure{err: cause})
+		sr.logCut(ctx, an, cause, &failure{err: cause})
 		return nil
 	}
 	an.brokeOff(cause)
@@ -239,7 +239,7 @@
 			pause = refusedPause
 		}
 	}
-	sr.logCut(an, cause, fa)
+	sr.logCut(ctx, an, cause, fa)
 	return nil
 }
 
@@ -284,13 +284,14 @@
 	}
 }
 
-// logCut logs that the caller's connection is closed within its answer. cause is why the
-// answer broke, last the failure after which it was not resumed.
-func (sr *streamRelay) logCut(an *answer, cause error, last *failure) {
+// logCut logs that the caller's connection is closed within its answer, unless the caller has left
+// it already. cause is why the answer broke, last the failure after which it was not resumed.
+func (sr *streamRelay) logCut(ctx context.Context, an *answer, cause error, last *failure) {
 	ca := sr.call
 	fields := event.Fields{
 		"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends,
 		"cause": string(an.source.ReadFailure(cause).Cause), "last": last.err.Error(), "left_ms": time.Until(ca.deadline).Milliseconds(),
+		"caller_left": errors.Is(ctx.Err(), context.Canceled),
 	}
 	if last.noEndpoint {
 		fields["blocked"] = sr.router.blockedEndpoints(time.Now(), ca)
