Keep the connection of a caller that stands still for some seconds

What callers saw: a caller that read nothing for 2.5 s while an answer larger than its socket's buffers waited lost the connection, and the rest of the answer, although its kernel acknowledged every probe of the window. A stream's write has 10 s for that.

Cause: accepted connections had the TCP_USER_TIMEOUT of those to endpoints, 2.5 s. As on Linux, it decides when window probes give up too, whatever the peer acknowledges.

Why it works: accepted connections have 10 s, as long as a write of a stream may take. Connections that this VM dials keep 2.5 s, which is longer than a pause of a sound endpoint.

--- a/network/network.go
+++ b/network/network.go
@@ -31,15 +31,20 @@
 	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// unacknowledgedTimeout is how long sent data may stay unacknowledged before a
-// connection fails. A peer behind a network partition gives no other sign.
-const unacknowledgedTimeout = 2500 * time.Millisecond
+// dialledTimeout and acceptedTimeout are how long data that was sent may stay unacknowledged, or
+// its receiver without room for more, before a connection fails that this VM has dialled or
+// accepted. A peer behind a network partition gives no other sign. A caller that stands still for
+// some seconds goes on with its answer.
+const (
+	dialledTimeout  = 2500 * time.Millisecond
+	acceptedTimeout = 10 * time.Second
+)
 
 // Real returns the TCP network of the operating system. Keep-alive probes go out
 // every second, and a dial fails after a second.
 func Real() Network {
-	di := &net.Dialer{Timeout: time.Second, KeepAlive: time.Second, Control: setUserTimeout}
-	li := &net.ListenConfig{KeepAlive: time.Second, Control: setUserTimeout}
+	di := &net.Dialer{Timeout: time.Second, KeepAlive: time.Second, Control: userTimeout(dialledTimeout)}
+	li := &net.ListenConfig{KeepAlive: time.Second, Control: userTimeout(acceptedTimeout)}
 	return Network{
 		Listen: func(address string) (net.Listener, error) {
 			return li.Listen(context.Background(), "tcp", address)
@@ -48,14 +53,16 @@
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT to unacknowledgedTimeout on a socket.
-// Connections that a listening socket accepts inherit it.
-func setUserTimeout(_, _ string, rc syscall.RawConn) error {
-	var failed error
-	err := rc.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
+// userTimeout returns a function that sets TCP_USER_TIMEOUT on a socket. Connections that a
+// listening socket accepts inherit it.
+func userTimeout(du time.Duration) func(network, address string, rc syscall.RawConn) error {
+	return func(_, _ string, rc syscall.RawConn) error {
+		var failed error
+		err := rc.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(du.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	}
 }
 
 // Serve opens a listener and serves on it in a goroutine of gr until sv is closed.
