--- a/relay/answer.go
+++ b/relay/answer.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"mime"
@@ -58,6 +57,9 @@
 	case an.head.NotRun:
 		an.source.Close()
 		return nil, &failure{err: errNotRun, notRun: true, noEndpoint: an.refusalEndsCall()}
+	case an.status < http.StatusOK:
+		an.source.Close()
+		return nil, &failure{err: errInvalidStatus}
 	case !an.head.Signed && an.status < http.StatusMultipleChoices:
 		an.source.Close()
 		return nil, &failure{err: errUnsigned}
@@ -136,7 +138,7 @@
 	copyHeader(wr.Header(), an.header)
 	wr.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
 	wr.WriteHeader(status)
-	_, _ = io.Copy(wr, bytes.NewReader(an.body))
+	_, _ = wr.Write(an.body)
 }
 
 // connectionHeaders are headers that apply to one connection only, or that are set
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -157,6 +157,10 @@
 func (sr *streamRelay) forward(an *answer) error {
 	for ev := an.firstEvent; ; {
 		if len(ev.text) == 0 {
+			// net/http writes the end of the answer when the handler returns.
+			if err := sr.allowWrite(time.Now()); err != nil {
+				return errors.Join(errCallerGone, err)
+			}
 			return nil
 		}
 		an.noteEvent()
@@ -178,7 +182,7 @@
 		sr.longestPauseMs = max(sr.longestPauseMs, now.Sub(sr.lastWriteAt).Milliseconds())
 	}
 	sr.lastWriteAt = now
-	if err := sr.rc.SetWriteDeadline(now.Add(callerWriteTimeout)); err != nil {
+	if err := sr.allowWrite(now); err != nil {
 		return err
 	}
 	if _, err := sr.wr.Write(ev.text); err != nil {
@@ -188,6 +192,11 @@
 	return sr.rc.Flush()
 }
 
+// allowWrite gives the next write to the caller its time.
+func (sr *streamRelay) allowWrite(now time.Time) error {
+	return sr.rc.SetWriteDeadline(now.Add(callerWriteTimeout))
+}
+
 // resume continues the stream at another endpoint after the last event that the
 // caller has received. It tries again until the request's deadline while no endpoint takes
 // the request, as its caller has nothing better to wait for. It returns nil if the request
@@ -200,7 +209,7 @@
 	}
 	if sr.outOfTime(an, cause) {
 		an.finish(placement.Neutral)
-		sr.logCut(an, cause, &failure{err: cause})
+		sr.logCut(ctx, an, cause, &failure{err: cause})
 		return nil
 	}
 	an.brokeOff(cause)
@@ -230,7 +239,7 @@
 			pause = refusedPause
 		}
 	}
-	sr.logCut(an, cause, fa)
+	sr.logCut(ctx, an, cause, fa)
 	return nil
 }
 
@@ -275,13 +284,14 @@
 	}
 }
 
-// logCut logs that the caller's connection is closed within its answer. cause is why the
-// answer broke, last the failure after which it was not resumed.
-func (sr *streamRelay) logCut(an *answer, cause error, last *failure) {
+// logCut logs that the caller's connection is closed within its answer, unless the caller has left
+// it already. cause is why the answer broke, last the failure after which it was not resumed.
+func (sr *streamRelay) logCut(ctx context.Context, an *answer, cause error, last *failure) {
 	ca := sr.call
 	fields := event.Fields{
 		"request": ca.request.ID, "endpoint": an.endpoint.ID, "after_event": sr.lastEventID, "prompt": ca.request.sharedParts(), "sends": ca.sends,
 		"cause": string(an.source.ReadFailure(cause).Cause), "last": last.err.Error(), "left_ms": time.Until(ca.deadline).Milliseconds(),
+		"caller_left": errors.Is(ctx.Err(), context.Canceled),
 	}
 	if last.noEndpoint {
 		fields["blocked"] = sr.router.blockedEndpoints(time.Now(), ca)
--- a/router/connection_end_test.go
+++ b/router/connection_end_test.go
@@ -1,7 +1,10 @@
 package router_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -51,3 +54,67 @@
 		})
 	}
 }
+
+// TestConnectionStaysOpenAfterAnEmptyNotFound has replicas answer 404 without a body. The router
+// closed the caller's connection after that without saying so.
+func TestConnectionStaysOpenAfterAnEmptyNotFound(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 1, Plains: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		setFaults(rs, standin.ReplicaFaults{Status: http.StatusNotFound})
+		co, err := dialRouter(rs, 1)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = co.Close() }()
+		for n := range 3 {
+			an, sent := co.finish(head(http.MethodGet, testsite.SafeRoute, fmt.Sprint(n)) + drainBody)
+			qt.Assert(t, sent, qt.IsTrue)
+			qt.Assert(t, an.err, qt.IsNil)
+			qt.Assert(t, an.status, qt.Equals, http.StatusNotFound)
+			qt.Assert(t, an.body, qt.Equals, "")
+		}
+	})
+}
+
+// TestImpossibleStatusIsNotPassedOn has replicas answer with a status that is none. The router
+// closed the caller's connection without an answer.
+func TestImpossibleStatusIsNotPassedOn(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		id := testsite.ReplicaID(testsite.PlainService, 1, "v1")
+		li, err := rs.Net.ForHost(testsite.Host(id)).Listen(testsite.ReplicaAddress(testsite.PlainService, 1, "v1"))
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = li.Close() }()
+		go answerAll(li, "HTTP/1.1 099 None\r\nResponse-Signature: signed\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+		rs.Register(testsite.PlainService, 1, "v1", "ready")
+		time.Sleep(applyLimit)
+		an := do(rs, request{id: "a", path: testsite.UnsafeRoute})
+		qt.Assert(t, an.err, qt.IsNil)
+		qt.Assert(t, an.status, qt.Equals, http.StatusBadGateway)
+	})
+}
+
+// answerAll answers the first request on each connection with a text.
+func answerAll(li net.Listener, text string) {
+	for {
+		co, err := li.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+			_, _ = io.WriteString(co, text)
+		}
+	}
+}
+
+// TestStreamWhoseEndComesLateIsComplete pauses a replica between the last event of its stream and
+// the end. The end was not written to the caller, for whom the stream broke off.
+func TestStreamWhoseEndComesLateIsComplete(t *testing.T) {
+	engine := standin.ReplicaOptions{Events: 3, Gap: 100 * time.Millisecond, Confidence: map[string]string{testsite.SmallModel: "90"}}
+	withSite(t, testsite.RouterOptions{Routers: 1, Engines: 1, Engine: engine}, func(t *testing.T, rs *testsite.RouterSite) {
+		rs.Configure(longTimeouts)
+		time.Sleep(applyLimit)
+		time.AfterFunc(250*time.Millisecond, func() {
+			rs.Replicas[testsite.ReplicaID(testsite.EngineService, 1, "v1")].Pause(12 * time.Second)
+		})
+		an := do(rs, request{id: "a", path: testsite.EngineRoute + "x"})
+		qt.Assert(t, an.err, qt.IsNil)
+		qt.Assert(t, eventIDs(an.body), qt.DeepEquals, []string{"1", "2", "3"})
+	})
+}
