Let a router without a place at a brittle endpoint try for one again

Cause: each router learns of an endpoint's room from the loads in its own answers. A refusal takes the last places away from the routers that hold them; those send nothing there, hear no load, and take the endpoint for as small as it was then until its brittleness ends. The others know that it has room for more, but those places aren't theirs.

Now the room known at a router without a place there grows as it does by a report once 10 s have passed without a refusal, if the endpoint bears three refusals in a second: until all routers know of a refusal, another may come.

--- a/limit/brittle.go
+++ b/limit/brittle.go
@@ -34,8 +34,12 @@
 	// its first request on, while there is no answer that tells. Sound endpoints may be silent
 	// for longer, and have room.
 	UnheardTime = 300 * time.Millisecond
-	minSpare    = time.Second
-	maxSpare    = 8 * time.Second
+	// minProbeRefusals is how many refusals in a second an endpoint bears at least at which
+	// routers without a place there try whether it has more room: until all know of a refusal,
+	// another may come.
+	minProbeRefusals = 3
+	minSpare         = time.Second
+	maxSpare         = 8 * time.Second
 )
 
 // Brittle holds the services whose endpoints are brittle: one that refuses more than a few
@@ -238,6 +242,9 @@
 	}
 	br.divide(now, set, id, se)
 	be := se.endpoint(now, en)
+	if be.share == 0 && se.word.refusals >= minProbeRefusals {
+		be.room = be.room.Unreported(now)
+	}
 	be.setShare(now, se.division.Share(en.ID, be.room.Places()))
 	al := Allowance{Guarded: true, Places: be.share - be.stillAbandoned(now)}
 	if se.word.at.IsZero() {
--- a/limit/room.go
+++ b/limit/room.go
@@ -14,6 +14,9 @@
 	roomDecay = 0.25
 	// growthDelay is the time from the last report of such requests until the room known grows.
 	growthDelay = 2 * time.Second
+	// unreportedDelay is the time without a report or a refusal after which the room known grows
+	// at a router that sends no requests there.
+	unreportedDelay = 10 * time.Second
 	// refusedShare is the part of the known room that one refusal leaves at least: a request
 	// may be refused because it is larger than all memory of an idle endpoint.
 	refusedShare = 0.8
@@ -73,6 +76,18 @@
 	return rm
 }
 
+// Unreported returns the room of an endpoint that gets no request of this router, and so reports it
+// nothing. It grows when neither a report nor a refusal has shown less for a while.
+func (rm Room) Unreported(now time.Time) Room {
+	quiet := now.Sub(rm.at) - unreportedDelay
+	if quiet <= 0 {
+		return rm
+	}
+	rm.known = min(rm.slots, rm.known+roomGrowth*rm.slots*quiet.Seconds())
+	rm.at = now.Add(-unreportedDelay)
+	return rm
+}
+
 // SiblingLacked returns the room when another endpoint of the service let requests wait while
 // slots were free at a time: this one may lack the same, and shrinks to what ran at once lately.
 func (rm Room) SiblingLacked(at time.Time) Room {
--- a/router/brittle_disruption_test.go
+++ b/router/brittle_disruption_test.go
@@ -121,6 +121,24 @@
 	})
 }
 
+// TestRoomOfBrittleReplicasIsUsedAgain has brittle replicas refuse everything for a while, though
+// they have room. A router that has lost its places by that hears of no load, and must get them back.
+func TestRoomOfBrittleReplicasIsUsedAgain(t *testing.T) {
+	bc := brittleCase{8, testsite.PlainService, 4, 2, 1000, 2, 0}
+	bc.start(t, func(t *testing.T, rs *testsite.RouterSite, load *openLoad) {
+		fragile := &standin.Brittleness{Refusals: bc.refusals, Queue: bc.queue}
+		setFaults(rs, standin.ReplicaFaults{Brittle: fragile})
+		time.Sleep(4 * time.Second)
+		setFaults(rs, standin.ReplicaFaults{Brittle: fragile, NotRun: true})
+		time.Sleep(3 * time.Second)
+		setFaults(rs, standin.ReplicaFaults{Brittle: fragile})
+		time.Sleep(25 * time.Second)
+		from := time.Now()
+		time.Sleep(3 * time.Second)
+		bc.checkServed(t, load, from, from.Add(2*time.Second))
+	})
+}
+
 // TestRefusalByABrittleReplicaEndsTheCall has all replicas of a brittle service refuse requests
 // for want of room. A request must not go on from one to the next, and a replica that refused gets
 // nothing for a while.
--- a/router/brittle_test.go
+++ b/router/brittle_test.go
@@ -244,3 +244,21 @@
 func TestMostBrittleReplicasThatLackRoomUnsaid(t *testing.T) {
 	brittleCase{8, testsite.EngineService, 9, 2, 1, 0, 3}.runBrittle(t)
 }
+
+// TestBrittleReplicasThatLackRoomDoNotFallOverForLong has such replicas be brittle for a minute: the
+// routers must not find out again and again that there is no more room.
+func TestBrittleReplicasThatLackRoomDoNotFallOverForLong(t *testing.T) {
+	for _, refusals := range []int{1, 3} {
+		bc := brittleCase{8, testsite.EngineService, 9, 2, refusals, 0, 3}
+		t.Run(bc.String(), func(t *testing.T) {
+			bc.start(t, func(t *testing.T, rs *testsite.RouterSite, load *openLoad) {
+				bc.turnBrittle(rs)
+				began := time.Now()
+				time.Sleep(time.Minute)
+				bc.checkFalls(t, rs)
+				time.Sleep(time.Second)
+				bc.checkServed(t, load, began.Add(contactLimit), began.Add(time.Minute))
+			})
+		})
+	}
+}
