--- a/limit/room.go
+++ b/limit/room.go
@@ -11,7 +11,7 @@
 	roomGrowth = 0.05
 	// roomDecay is the part of an endpoint's slots by which the room known of it shrinks in a
 	// second in which requests wait while slots are free.
-	roomDecay = 0.25
+	roomDecay = 0.5
 	// growthDelay is the time from the last report of such requests until the room known grows.
 	growthDelay = 2 * time.Second
 	// unreportedDelay is the time without a report or a refusal after which the room known grows
