Tell a router that has just started that a service's answers go well

Cause: a crash counts only if answers of the service went well of late, at the router that saw it or at the holder that counts it, and each router knew its own answers only. One that has restarted has none, and while endpoints crash hardly any answer lasts long enough to show it.

Now a good answer is told to all routers as an item of the exchange, one per service, written again after 5 s at the earliest, whoever has it. A holder takes its age, so that it counts no longer than an answer of its own.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -121,6 +121,7 @@
 // Proven records that an answer of a service to a request with these subjects went well.
 func (li *List) Proven(now time.Time, id policy.ServiceID, sus []policy.Subject) {
 	li.proofs.Add(now, id, sus)
+	li.tellContrast(now, id)
 }
 
 // Crashed records that an endpoint of a service broke off its answer to a request with these
@@ -149,7 +150,7 @@
 		if li.proofs.Proven(now, cr.Subject) {
 			continue
 		}
-		cr.Contrast = cr.Contrast || li.proofs.Contrast(now, cr.Service)
+		cr.Contrast = cr.Contrast || li.contrast(now, cr.Service)
 		if _, ok := li.quarantined(now, cr.Subject); !ok && cr.Contrast {
 			li.addEvidence(now, cr)
 		}
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -358,6 +358,33 @@
 	})
 }
 
+// TestCrashesCountAfterAllRoutersRestarted replaces the routers one after another, and then has
+// endpoints crash. That sound prompts are answered was known only to routers that are gone.
+func TestCrashesCountAfterAllRoutersRestarted(t *testing.T) {
+	const routers = 4
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: 9, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
+		sound := &promptLoad{site: rs, routers: routers, callers: 16, pause: 500 * time.Millisecond}
+		stop := sound.start()
+		time.Sleep(4 * time.Second)
+		stop()
+		for n := 1; n <= routers; n++ {
+			rs.KillRouter(n)
+			time.Sleep(300 * time.Millisecond)
+			rs.StartRouter(n)
+			time.Sleep(1200 * time.Millisecond)
+		}
+		bad := &promptLoad{site: rs, routers: routers, crashEvery: 500 * time.Millisecond}
+		defer bad.start()()
+		rs.Eventually(10*time.Second, "five endpoints have crashed", func() bool { return len(crashTimes(rs)) >= crashesToKnow })
+		time.Sleep(contactLimit)
+		since := time.Now()
+		time.Sleep(5 * time.Second)
+		after := runsWithPartAfter(rs, since)
+		qt.Assert(t, after <= maxAfterFifthCrash, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints", after))
+	})
+}
+
 // TestQuarantineWithoutCauseEndsByItself puts a part in quarantine that does no harm, while
 // no answer to it is under way. One request is let through after a while, and its answer
 // ends the quarantine.
