--- a/router/restore_test.go
+++ b/router/restore_test.go
@@ -253,6 +253,30 @@
 	}
 }
 
+// TestLeaseInTheCopyDoesNotDelayARollout restores the store from a copy that was taken while a
+// router held the lease of a roll-out's task. The lease, which nobody holds any more, begins anew
+// with the copy, and kept the routers from writing the roll-out's state again until it ended.
+func TestLeaseInTheCopyDoesNotDelayARollout(t *testing.T) {
+	const routers = 3
+	withSite(t, testsite.RouterOptions{Routers: routers, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+		// A router takes as long to give a lease up as the store to answer.
+		rs.Store.SetFaults(standin.Faults{DelayMS: 40})
+		rs.OrderRollout(testsite.PlainService, "v2", rolloutLimit)
+		rs.Eventually(5*time.Second, "it runs", func() bool { return rs.RolloutState(testsite.PlainService) == "running" })
+		co := rs.Store.Copy()
+		rs.Store.SetFaults(standin.Faults{})
+		addRelease(rs, standin.ReplicaFaults{})
+		for ordered := time.Now(); rs.RolloutState(testsite.PlainService) != "completed" && time.Since(ordered) < rolloutLimit; {
+			sendLoad(rs, 200*time.Millisecond, routers)
+		}
+		sendLoad(rs, applyLimit, routers)
+		rs.RestoreStore(co, 500*time.Millisecond)
+		sendLoad(rs, rewriteDelay, routers)
+		rs.Store.WriteAgain()
+		rs.Eventually(applyLimit, "the store has the state again", func() bool { return rs.RolloutState(testsite.PlainService) == "completed" })
+	})
+}
+
 // TestPromotedReleaseStaysPromotedOverARestore restores the store, from a copy taken during
 // a roll-out's trial or before its order, after its release was promoted. Sessions went back.
 func TestPromotedReleaseStaysPromotedOverARestore(t *testing.T) {
