--- a/relay/carry.go
+++ b/relay/carry.go
@@ -27,6 +27,8 @@
 	// maxCarriedBytes that of the bytes of their requests' bodies.
 	maxCarried      = 256
 	maxCarriedBytes = 8 << 20
+	// insistTime is for how long a call tries endpoints to which nobody has a path.
+	insistTime = 300 * time.Millisecond
 	// carriedPollInterval is how often WaitCarried looks.
 	carriedPollInterval = 20 * time.Millisecond
 )
@@ -104,12 +106,21 @@
 			return at.forwardVia(ctx, ca, mbs[:min(maxAskedPeers, len(mbs))])
 		}
 		// Nobody has a path, or many endpoints are down, so that no probe found another one.
-		ca.Insist = true
+		ca.Insist = at.call.insists(time.Now())
 	}
 	defer ca.Path.WatchSilence()()
 	return ro.client.Forward(ctx, ca)
 }
 
+// insists reports whether a call tries endpoints to which there is no path. While all of them hang,
+// its caller had better be refused soon.
+func (ca *call) insists(now time.Time) bool {
+	if ca.insistsUntil.IsZero() {
+		ca.insistsUntil = now.Add(insistTime)
+	}
+	return now.Before(ca.insistsUntil)
+}
+
 // forwardVia sends an attempt's request by the first peer that takes it.
 func (at *attempt) forwardVia(ctx context.Context, ca endpoint.ForwardCall, mbs []peer.Member) (*endpoint.ForwardAnswer, error) {
 	ro := at.router
--- a/relay/router.go
+++ b/relay/router.go
@@ -164,6 +164,9 @@
 	givenUp []policy.EndpointID
 	// replacement is the attempt to go on with, after one was given up for it.
 	replacement *attempt
+	// insistsUntil is when the call stops to try endpoints to which there is no path, zero
+	// before the first one.
+	insistsUntil time.Time
 	// mayHaveRun reports whether an endpoint may have run the request.
 	mayHaveRun bool
 	// probing reports whether the request was let through although a part of its prompt is
--- a/router/path_test.go
+++ b/router/path_test.go
@@ -561,7 +561,7 @@
 func TestServiceIsDownForAWhile(t *testing.T) {
 	all := []int{1, 2, 3, 4}
 	for _, fault := range pathFaults[1:3] {
-		for _, plains := range []int{1, 2} {
+		for _, plains := range []int{1, 2, 12} {
 			t.Run(fmt.Sprint(fault.name, "/", plains), func(t *testing.T) {
 				opt := testsite.RouterOptions{Routers: len(all), Engines: 3, Plains: plains}
 				withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
