--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -18,8 +18,8 @@
 const (
 	// slowDial is how long a new connection may take before it raises doubt about the path.
 	slowDial = 250 * time.Millisecond
-	// silence is how long nothing may be received from any of the endpoints, while a request waits for
-	// its answer, before that raises doubt.
+	// silence is how long nothing may be received from any of the endpoints, while a request waits
+	// for its answer, before that raises doubt.
 	silence = time.Second
 	// probeTimeout bounds a round of probes.
 	probeTimeout = 400 * time.Millisecond
--- a/network/idle.go
+++ b/network/idle.go
@@ -18,7 +18,8 @@
 
 // IdleConns tracks the connections of http.Servers on which no request is under way, and ends
 // them. A request that has begun to arrive on a connection, or has not been read, is still
-// served: a caller may be slow, and on a busy VM it may have waited for long. It is safe for concurrent use.
+// served: a caller may be slow, and on a busy VM it may have waited for long. It is safe for
+// concurrent use.
 //
 // mu guards since. The locks of connections are taken after it.
 type IdleConns struct {
