Bring versions as large as the store takes into force

Cause: a tenant's keys are hashes of 67 bytes in one record, a record had 256 KiB at most, and one record that cannot be made drops the whole version (event 201). The store takes values of 1 MiB.

Change: a record may have 8 MiB. Since a router of the build before drops such a version and then tells its followers later revisions, routers say in which form they translate, and one of this build takes neither records nor evidence from a lower form, unless it could not read the store within a second of its start.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint generate modelcheck measure soak bench fuzz seefail soak-short
+.PHONY: build demo test lint generate modelcheck measure soak bench fuzz seefail soak-short upgrade
 
 build:
 	go build -o bin/ ./cmd/...
@@ -31,6 +31,9 @@
 soak-short:
 	go test -v -tags soak -count=1 -timeout 5m -run TestRouterSoak ./soak/ -args -seed $(SEED) -length 15s
 
+# Replaces routers of the landing before by this build's, one by one.
+upgrade:
+	go test -v -tags soak -count=1 -timeout 15m -run TestUpgrade ./soak/
 
 seefail:
 	./proof/seefail.sh
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/worker"
 )
 
@@ -120,7 +121,7 @@
 const (
 	// WatchNot: the daemon follows peers.
 	WatchNot WatchReason = "follows_peers"
-	// WatchNoPolicy: the daemon has no policy yet.
+	// WatchNoPolicy: the daemon has no policy yet, or one that a build of a lower form translated.
 	WatchNoPolicy WatchReason = "no_policy"
 	// WatchRank: the daemon is one of the first.
 	WatchRank WatchReason = "rank"
@@ -153,7 +154,7 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	reason := WatchNoPolicy
-	if se.Revision > 0 {
+	if se.Revision > 0 && se.Form == policy.NewestForm {
 		reason = fo.decide(now, rank, upstreams, evidence)
 	}
 	if reason != fo.reason {
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -98,7 +98,7 @@
 func (ho *Holder) Replace(revision store.Revision, records []policy.StoredRecord) {
 	ho.swap(func(old *policy.Set) *policy.Set {
 		switch {
-		case revision > old.Revision:
+		case revision > old.Revision, revision == old.Revision && old.Form < policy.NewestForm:
 			return old.WithSnapshot(revision, records)
 		case revision.Era() == old.Revision.Era():
 			return old.WithRetained(records)
@@ -108,6 +108,18 @@
 	})
 }
 
+// Bridge replaces an empty set, or one that Bridge has put in force, by all records at a
+// revision that a build of a lower form has translated. They are used until Replace is called:
+// serving with them beats refusing all requests.
+func (ho *Holder) Bridge(form policy.Form, revision store.Revision, records []policy.StoredRecord) {
+	ho.swap(func(old *policy.Set) *policy.Set {
+		if revision <= old.Revision || old.Revision > 0 && old.Form == policy.NewestForm {
+			return old
+		}
+		return old.WithBridge(form, revision, records)
+	})
+}
+
 // swap replaces the set in force by the one that fn returns for it, closes the
 // channel of Changed and logs the set's findings. It does nothing if fn returns
 // the same set.
--- a/peer/group.go
+++ b/peer/group.go
@@ -191,8 +191,15 @@
 
 func (gr *Group) publishSelf() { gr.Publish(memberKey(gr.opt.Self), gr.self()) }
 
+// identity returns the fields of this daemon's member record that Options.Describe does not set.
+func (gr *Group) identity() *rpc.Member {
+	me := proto.CloneOf(gr.opt.Self)
+	me.PolicyForm = gr.policyForm()
+	return me
+}
+
 func (gr *Group) self() *rpc.Member {
-	me := proto.Clone(gr.opt.Self).(*rpc.Member)
+	me := gr.identity()
 	if gr.opt.Describe != nil {
 		gr.opt.Describe(me)
 	}
@@ -256,7 +263,7 @@
 	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
 		From: gr.self(), Items: its,
 		SeenChange: ss.received, SeenIncarnation: ss.incarnation,
-		PolicyRevision: int64(gr.holder.Set().Revision), PolicyRetained: uint64(gr.holder.Set().Retained), PolicyAgeMs: gr.policyAgeMS(asked),
+		PolicyRevision: int64(gr.position().revision), PolicyRetained: uint64(gr.position().retained), PolicyAgeMs: gr.policyAgeMS(asked),
 		AcceptsKeyHashes: true,
 	})
 	if err != nil {
@@ -275,7 +282,7 @@
 	gr.lastContact[Incarnation(rs.GetFrom().GetIncarnation())] = asked
 	gr.mu.Unlock()
 	gr.offerPolicy(ctx, address, positionOf(rs))
-	gr.fetchPolicy(ctx, address, positionOf(rs), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+	gr.fetchPolicy(ctx, address, rs, asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
 }
 
 func (gr *Group) recordFailure(ctx context.Context, address string, err error) {
--- a/peer/holder.go
+++ b/peer/holder.go
@@ -21,15 +21,17 @@
 	Draining bool
 	// LinkMbps is the speed of the VM's network link in Mbit/s, 0 if it is not known.
 	LinkMbps float64
+	// PolicyForm is as in Member; for this daemon it is that of its build.
+	PolicyForm policy.Form
 }
 
 // Holders returns the live daemons that serve callers, this one included.
 func (gr *Group) Holders() []Holder {
-	out := []Holder{{VM: gr.VM(), Incarnation: gr.Incarnation(), FailureDomain: gr.FailureDomain(), LinkMbps: gr.opt.Self.GetLinkMbps()}}
+	out := []Holder{{VM: gr.VM(), Incarnation: gr.Incarnation(), FailureDomain: gr.FailureDomain(), LinkMbps: gr.opt.Self.GetLinkMbps(), PolicyForm: policy.Form(gr.opt.Self.GetPolicyForm())}}
 	for _, mb := range gr.Entries() {
 		out = append(out, Holder{
 			VM: mb.VM, Incarnation: mb.Incarnation, FailureDomain: mb.FailureDomain, Address: mb.PeerAddress,
-			Draining: mb.Draining, LinkMbps: mb.LinkMbps,
+			Draining: mb.Draining, LinkMbps: mb.LinkMbps, PolicyForm: mb.PolicyForm,
 		})
 	}
 	return out
--- a/peer/member.go
+++ b/peer/member.go
@@ -25,6 +25,8 @@
 	Draining       bool
 	InFlight       int64
 	LinkMbps       float64
+	// PolicyForm is the form in which the policy records that the daemon holds were translated.
+	PolicyForm policy.Form
 	// PathLost reports whether the VM has no path to any endpoint.
 	PathLost bool
 	// LostServices are the services to whose endpoints the VM has no path, empty if PathLost
@@ -107,7 +109,7 @@
 		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
 		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
 		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
-		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(), PathLost: ms.GetPathLost(), LostServices: serviceIDs(ms.GetLostServices()),
+		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(), PolicyForm: policy.Form(ms.GetPolicyForm()), PathLost: ms.GetPathLost(), LostServices: serviceIDs(ms.GetLostServices()),
 	}
 }
 
--- a/peer/policy.go
+++ b/peer/policy.go
@@ -17,14 +17,14 @@
 	defer cancel()
 	asked := time.Now()
 	rs, err := gr.Peer(address).Exchange(ctx, &rpc.ExchangeRequest{
-		From: gr.opt.Self, PolicyOnly: true,
-		PolicyRevision: int64(gr.holder.Set().Revision), PolicyRetained: uint64(gr.holder.Set().Retained), PolicyAgeMs: gr.policyAgeMS(asked),
+		From: gr.identity(), PolicyOnly: true,
+		PolicyRevision: int64(gr.position().revision), PolicyRetained: uint64(gr.position().retained), PolicyAgeMs: gr.policyAgeMS(asked),
 	})
 	if err != nil {
 		gr.recordFailure(ctx, address, err)
 		return
 	}
-	gr.fetchPolicy(ctx, address, positionOf(rs), asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+	gr.fetchPolicy(ctx, address, rs, asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
 }
 
 // position is what a daemon's policy set holds: the changes up to a revision, and the
@@ -38,11 +38,40 @@
 	return position{store.Revision(rs.GetPolicyRevision()), policy.RetainedDigest(rs.GetPolicyRetained())}
 }
 
+// position returns this daemon's position. That of a set which a build of a lower form has
+// translated is 0, so that peers return all records.
 func (gr *Group) position() position {
 	set := gr.holder.Set()
+	if !gr.isWhole(set.Form) {
+		return position{}
+	}
 	return position{set.Revision, set.Retained}
 }
 
+// isWhole reports whether records that were translated in a form lack nothing that this
+// daemon's build would have.
+func (gr *Group) isWhole(form policy.Form) bool { return int64(form) >= gr.opt.Self.GetPolicyForm() }
+
+// policyForm returns the form in which the records that this daemon holds were translated.
+func (gr *Group) policyForm() int64 {
+	return min(gr.opt.Self.GetPolicyForm(), int64(gr.holder.Set().Form))
+}
+
+// bridgeDelay is how long a daemon that has started tries to read the store before it uses
+// records of a lower form than its own.
+const bridgeDelay = time.Second
+
+// takes reports whether this daemon takes records of a form from a peer: also of a lower one
+// than its own, if it could get none that are whole.
+func (gr *Group) takes(form policy.Form) bool {
+	set := gr.holder.Set()
+	if gr.isWhole(form) {
+		return true
+	}
+	started := time.UnixMilli(gr.fence)
+	return (set.Revision == 0 || !gr.isWhole(set.Form)) && time.Since(started) >= bridgeDelay
+}
+
 // offers reports whether a daemon at this position may have what one at another lacks.
 func (po position) offers(other position) bool {
 	if po.revision.Era() == other.revision.Era() && po.retained != 0 && po.retained != other.retained {
@@ -61,18 +90,26 @@
 
 // fetchPolicy fetches and applies a peer's policy if it is newer, or retains other records
 // over a restore of the store. It also adopts the peer's evidence, the time at which that
-// revision was known to be the store's newest.
-func (gr *Group) fetchPolicy(ctx context.Context, address string, theirs position, evidence time.Time) {
-	if mine := gr.position(); theirs.offers(mine) {
+// revision was known to be the store's newest. rs is what the peer has answered.
+func (gr *Group) fetchPolicy(ctx context.Context, address string, rs *rpc.ExchangeResponse, evidence time.Time) {
+	theirs, form := positionOf(rs), policy.Form(rs.GetFrom().GetPolicyForm())
+	if mine := gr.position(); theirs.offers(mine) && gr.takes(form) {
 		rs, err := gr.Peer(address).FetchPolicy(ctx, &rpc.FetchPolicyRequest{AfterRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained)})
 		if err != nil {
 			gr.recordFailure(ctx, address, err)
 			return
 		}
 		gr.applyPolicy(rs)
-		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision()})
+		gr.log.Info(event.PolicyFromPeer, event.Fields{"address": address, "revision": rs.GetRevision(), "form": rs.GetPolicyForm()})
+	}
+	gr.confirm(form, theirs.revision, evidence)
+}
+
+// confirm adopts a peer's evidence, unless its records may lack something.
+func (gr *Group) confirm(form policy.Form, revision store.Revision, at time.Time) {
+	if gr.isWhole(form) {
+		gr.holder.Confirm(revision, at)
 	}
-	gr.holder.Confirm(theirs.revision, evidence)
 }
 
 // offerPolicy sends the policy in force to a peer whose policy is still older than
@@ -97,16 +134,25 @@
 func (gr *Group) rotateRevisions() {
 	gr.mu.Lock()
 	defer gr.mu.Unlock()
-	gr.previousRevision, gr.currentRevision = gr.currentRevision, gr.holder.Set().Revision
+	gr.previousRevision, gr.currentRevision = gr.currentRevision, gr.position().revision
 }
 
 // applyPolicy applies policy records from a peer. The holder ignores those that
-// are older than its own.
+// are older than its own. Records of a lower form than this build's are only used until there
+// are others: a version of the configuration may be missing from them.
 func (gr *Group) applyPolicy(rs *rpc.FetchPolicyResponse) {
+	form := policy.Form(rs.GetPolicyForm())
+	if !gr.takes(form) {
+		return
+	}
 	var changes []policy.StoredRecord
 	for _, en := range rs.GetEntries() {
 		changes = append(changes, policy.StoredRecord{Key: en.GetKey(), Value: en.GetValue(), ModRevision: store.Revision(en.GetModRevision())})
 	}
+	if !gr.isWhole(form) {
+		gr.holder.Bridge(form, store.Revision(rs.GetRevision()), changes)
+		return
+	}
 	if rs.GetComplete() {
 		gr.holder.Replace(store.Revision(rs.GetRevision()), changes)
 		return
@@ -121,7 +167,7 @@
 // or only the retained ones if the daemon is not behind.
 func (gr *Group) policyAfter(after position) *rpc.FetchPolicyResponse {
 	set := gr.holder.Set()
-	rs := &rpc.FetchPolicyResponse{Revision: int64(set.Revision)}
+	rs := &rpc.FetchPolicyResponse{Revision: int64(set.Revision), PolicyForm: gr.policyForm()}
 	changes := set.ChangedAfter(after.revision)
 	if after.revision < set.SnapshotRevision || after.retained != set.Retained {
 		rs.Complete, changes = true, set.Live()
--- a/peer/server.go
+++ b/peer/server.go
@@ -107,10 +107,11 @@
 	gr.lastContact[Incarnation(rq.GetFrom().GetIncarnation())] = now
 	gr.mu.Unlock()
 	theirs, mine := position{store.Revision(rq.GetPolicyRevision()), policy.RetainedDigest(rq.GetPolicyRetained())}, gr.position()
+	form := policy.Form(rq.GetFrom().GetPolicyForm())
 	if theirs.revision == mine.revision {
-		gr.holder.Confirm(theirs.revision, now.Add(-time.Duration(rq.GetPolicyAgeMs())*time.Millisecond))
+		gr.confirm(form, theirs.revision, now.Add(-time.Duration(rq.GetPolicyAgeMs())*time.Millisecond))
 	}
-	if theirs.urgent(mine) {
+	if theirs.urgent(mine) && gr.takes(form) {
 		// If the channel is full, a newer policy is already about to be fetched.
 		select {
 		case gr.aheadPeers <- rq.GetFrom().GetPeerAddress():
@@ -118,7 +119,7 @@
 		}
 	}
 	if rq.GetPolicyOnly() {
-		return &rpc.ExchangeResponse{From: gr.opt.Self, PolicyRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained), PolicyAgeMs: gr.policyAgeMS(now)}, nil
+		return &rpc.ExchangeResponse{From: gr.identity(), PolicyRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained), PolicyAgeMs: gr.policyAgeMS(now)}, nil
 	}
 	seen := rq.GetSeenChange()
 	if rq.GetSeenIncarnation() != string(gr.Incarnation()) {
@@ -143,7 +144,7 @@
 // between would be missing.
 func (se *Server) OfferPolicy(_ context.Context, rq *rpc.OfferPolicyRequest) (*rpc.OfferPolicyResponse, error) {
 	gr, rs := se.group, rq.GetPolicy()
-	mine := int64(gr.holder.Set().Revision)
+	mine := int64(gr.position().revision)
 	if rs.GetRevision() > mine && (rs.GetComplete() || rq.GetAfterRevision() <= mine) {
 		gr.applyPolicy(rs)
 		gr.log.Info(event.PolicyFromPeer, event.Fields{"revision": rs.GetRevision(), "offered": true})
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/policy"
@@ -82,13 +84,20 @@
 		return pl
 	}
 	order := gr.watchOrder()
+	// This daemon follows none whose records may lack something: others watch in their place.
+	whole := slices.DeleteFunc(slices.Clone(order), func(ho Holder) bool { return !gr.isWhole(ho.PolicyForm) })
 	pl = watchPlan{
-		rank: slices.IndexFunc(order, gr.isSelf), alone: len(order) <= 1, upstreams: gr.upstreamsOf(order),
+		rank: slices.IndexFunc(whole, gr.isSelf), alone: len(order) <= 1,
 		relays: relaysOf(order, gr.FailureDomain()), firstRelays: firstRelays(order),
 		expiresAt: now.Add(min(gr.ScaleInterval(planAge), maxPlanAge)),
 	}
 	if pl.rank < 0 {
-		pl.rank = len(order)
+		pl.rank = len(whole)
+	}
+	if pl.alone {
+		pl.upstreams = gr.otherSeeds()
+	} else {
+		pl.upstreams = gr.upstreamsOf(whole)
 	}
 	gr.mu.Lock()
 	gr.watch = pl
@@ -120,12 +129,13 @@
 	return all
 }
 
+// otherSeeds returns the addresses of the daemons to follow while no other one is known.
+func (gr *Group) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(gr.opt.Seeds), func(address string) bool { return address == gr.opt.Self.GetPeerAddress() })
+}
+
 // upstreamsOf returns the addresses of the daemons to follow, given the order.
 func (gr *Group) upstreamsOf(order []Holder) []string {
-	if len(order) <= 1 {
-		// No other daemon is known yet.
-		return slices.DeleteFunc(slices.Clone(gr.opt.Seeds), func(address string) bool { return address == gr.opt.Self.GetPeerAddress() })
-	}
 	watchers := order[:min(StoreWatchers, len(order))]
 	relays := relaysOf(order, gr.FailureDomain())
 	first, second := watchers, relays
@@ -190,6 +200,9 @@
 
 func (gr *Group) isSelf(ho Holder) bool { return ho.VM == gr.VM() }
 
+// errLowerForm is the error of a call to a daemon whose records may lack something.
+var errLowerForm = eris.New("peer holds policy records of a lower form")
+
 // FollowPolicy implements configuration.Upstream.
 func (gr *Group) FollowPolicy(ctx context.Context, address string, urgent bool) (configuration.Passed, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxPolicyWait+policyWaitMargin)
@@ -210,6 +223,9 @@
 		gr.applyPolicy(rs.GetPolicy())
 		gr.log.Debug(event.PolicyFromPeer, nil, event.Fields{"address": address, "revision": rs.GetPolicy().GetRevision()})
 	}
+	if !gr.isWhole(policy.Form(rs.GetPolicyForm())) {
+		return configuration.Passed{}, errLowerForm
+	}
 	pa := configuration.Passed{Evidence: ago(rs.GetPolicyAgeMs()), StoreAnswered: ago(rs.GetStoreAgeMs()), StoreLost: rs.GetStoreLost()}
 	gr.holder.Confirm(store.Revision(rs.GetPolicyRevision()), pa.Evidence)
 	return pa, nil
@@ -223,7 +239,7 @@
 	gr := se.group
 	theirs := position{store.Revision(rq.GetAfterRevision()), policy.RetainedDigest(rq.GetPolicyRetained())}
 	gr.awaitNews(ctx, theirs, ago(rq.GetPolicyAgeMs()), min(maxPolicyWait, time.Duration(rq.GetWaitMs())*time.Millisecond))
-	rs := &rpc.WatchPolicyResponse{PolicyRevision: int64(gr.position().revision), PolicyAgeMs: gr.policyAgeMS(time.Now()), StoreAgeMs: gr.storeAgeMS(time.Now()), StoreLost: isClosed(gr.storeLost())}
+	rs := &rpc.WatchPolicyResponse{PolicyRevision: int64(gr.position().revision), PolicyAgeMs: gr.policyAgeMS(time.Now()), StoreAgeMs: gr.storeAgeMS(time.Now()), StoreLost: isClosed(gr.storeLost()), PolicyForm: gr.policyForm()}
 	if gr.position().offers(theirs) {
 		rs.Policy = gr.policyAfter(theirs)
 		rs.PolicyRevision = rs.GetPolicy().GetRevision()
--- a/policy/organisation.go
+++ b/policy/organisation.go
@@ -1,9 +1,11 @@
 package policy
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"sort"
 
 	"tanagerpoint.example/tanager/finding"
 	"tanagerpoint.example/tanager/rpc"
@@ -102,6 +104,59 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// CallerKeys are those keys of an organisation for which its own record has no room.
+type CallerKeys struct {
+	ID OrganisationID
+	*rpc.CallerKeys
+}
+
+// digestBytes is the length of a key's digest. 128 bits of a SHA-256 suffice to tell keys
+// apart.
+const digestBytes = 16
+
+// DigestKeys returns the digests of keys as CallerKeys holds them, each once.
+func DigestKeys(keys []string) []byte {
+	digests := make([][digestBytes]byte, len(keys))
+	for i, key := range keys {
+		digests[i] = digestOf(key)
+	}
+	slices.SortFunc(digests, func(a, b [digestBytes]byte) int { return bytes.Compare(a[:], b[:]) })
+	var out []byte
+	for _, di := range slices.Compact(digests) {
+		out = append(out, di[:]...)
+	}
+	return out
+}
+
+func digestOf(key string) [digestBytes]byte {
+	sum := sha256.Sum256([]byte(key))
+	return [digestBytes]byte(sum[:digestBytes])
+}
+
+// Defaults does nothing.
+func (ck CallerKeys) Defaults() {}
+
+// Validate adds a finding to li for digests of the wrong length or order, and for an
+// organisation that does not exist in se.
+func (ck CallerKeys) Validate(li *finding.List, pl finding.Place, se *Set) {
+	if _, ok := se.Organisations.ByID(ck.ID); !ok {
+		li.Add(pl, "no organisation %q", ck.ID)
+	}
+	sorted := slices.IsSortedFunc(slices.Collect(slices.Chunk(ck.KeyDigests, digestBytes)), bytes.Compare)
+	if len(ck.KeyDigests)%digestBytes != 0 || !sorted {
+		li.Add(specPlace(pl)("key_digests"), "want sorted digests of %d bytes", digestBytes)
+	}
+}
+
+// Contains reports whether a key is one of the keys.
+func (ck CallerKeys) Contains(key string) bool {
+	di := digestOf(key)
+	at := func(i int) []byte { return ck.KeyDigests[i*digestBytes : (i+1)*digestBytes] }
+	n := len(ck.KeyDigests) / digestBytes
+	i := sort.Search(n, func(i int) bool { return bytes.Compare(at(i), di[:]) >= 0 })
+	return i < n && bytes.Equal(at(i), di[:])
+}
+
 func validateKeyHashes(li *finding.List, pl finding.Place, hashes []string) {
 	for _, ha := range hashes {
 		if raw, err := hex.DecodeString(ha); err != nil || len(raw) != sha256.Size {
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -49,6 +49,8 @@
 	switch sp := ms.(type) {
 	case *rpc.Organisation:
 		return Organisation{ID: OrganisationID(id), Organisation: sp}
+	case *rpc.CallerKeys:
+		return CallerKeys{ID: OrganisationID(id), CallerKeys: sp}
 	case *rpc.Operator:
 		return Operator{ID: OperatorID(id), Operator: sp}
 	case *rpc.Model:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,12 +16,21 @@
 // SchemaVersion is the newest schema version that this program supports.
 const SchemaVersion = 2
 
+// Form numbers the forms in which builds translate the values of a store to records. A build
+// of a lower form leaves out what it cannot represent.
+type Form int64
+
+// NewestForm is the form in which this build translates. Since form 1 a record
+// may be larger than 256 KiB.
+const NewestForm Form = 1
+
 // Kind names a kind of record.
 type Kind string
 
 // The kinds of records.
 const (
 	KindOrganisation Kind = "organisation"
+	KindCallerKeys   Kind = "caller_keys"
 	KindOperator     Kind = "operator"
 	KindModel        Kind = "model"
 	KindVersion      Kind = "version"
--- a/policy/record.go
+++ b/policy/record.go
@@ -16,8 +16,9 @@
 	"tanagerpoint.example/tanager/rpc"
 )
 
-// maxRecordBytes is the largest size of a record's JSON text.
-const maxRecordBytes = 256 << 10
+// maxRecordBytes is the largest size of a record's JSON text. A platform's value of 1 MiB
+// may grow to six times that where its characters are escaped.
+const maxRecordBytes = 8 << 20
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._@:-]{0,62}$`)
 
@@ -194,6 +195,8 @@
 	switch ki {
 	case KindOrganisation:
 		return &rpc.Organisation{}
+	case KindCallerKeys:
+		return &rpc.CallerKeys{}
 	case KindOperator:
 		return &rpc.Operator{}
 	case KindModel:
--- a/policy/restore.go
+++ b/policy/restore.go
@@ -20,7 +20,11 @@
 // configuration, to which all records of configurationKinds belong.
 const configurationKey = string(KindLimits) + "/" + string(LimitsSite)
 
-var configurationKinds = []Kind{KindRoute, KindService, KindOrganisation, KindLimits}
+var configurationKinds = []Kind{KindRoute, KindService, KindOrganisation, KindCallerKeys, KindLimits}
+
+// ConfigurationKinds returns the kinds of records that the operator's whole configuration
+// defines: a record of these kinds that it does not contain is removed.
+func ConfigurationKinds() []Kind { return slices.Clone(configurationKinds) }
 
 // writeOrder orders the writes of an endpoint: by its start, then by its own count.
 type writeOrder struct {
@@ -96,7 +100,7 @@
 // WithRetained returns the set with the records that a peer retains from earlier eras, as
 // far as this set has lost them. It returns the set itself if it lacks none.
 func (se *Set) WithRetained(records []StoredRecord) *Set {
-	next := &Set{Revision: se.Revision, SnapshotRevision: se.SnapshotRevision, byKey: maps.Clone(se.byKey)}
+	next := &Set{Revision: se.Revision, SnapshotRevision: se.SnapshotRevision, Form: se.Form, byKey: maps.Clone(se.byKey)}
 	candidates := map[string]parsedRecord{}
 	for _, st := range records {
 		if st.ModRevision.Era() < se.Revision.Era() {
--- a/policy/set.go
+++ b/policy/set.go
@@ -23,9 +23,13 @@
 	// Retained identifies the records from before a restore of the store that the set
 	// retains although the store has lost them; see retain.
 	Retained RetainedDigest
-	byKey    map[string]parsedRecord
+	// Form is the form in which the records were translated. A set of a lower form than
+	// NewestForm may lack what is in the store.
+	Form  Form
+	byKey map[string]parsedRecord
 
 	Organisations Table[OrganisationID, Organisation]
+	CallerKeys    Table[OrganisationID, CallerKeys]
 	Operators     Table[OperatorID, Operator]
 	Models        Table[ModelID, Model]
 	Versions      Table[VersionID, Version]
@@ -69,13 +73,13 @@
 }
 
 // NewSet returns an empty set.
-func NewSet() *Set { return (&Set{}).WithChanges(0, nil) }
+func NewSet() *Set { return (&Set{Form: NewestForm}).WithChanges(0, nil) }
 
 // WithChanges returns the set with changes applied. A change is ignored if the set
 // already has the record at the same or a greater ModRevision. The new revision is
 // the greatest of the set's, the given one and those of the applied changes.
 func (se *Set) WithChanges(revision store.Revision, changes []StoredRecord) *Set {
-	next := &Set{Revision: max(se.Revision, revision), SnapshotRevision: se.SnapshotRevision, byKey: make(map[string]parsedRecord, len(se.byKey)+len(changes))}
+	next := &Set{Revision: max(se.Revision, revision), SnapshotRevision: se.SnapshotRevision, Form: se.Form, byKey: make(map[string]parsedRecord, len(se.byKey)+len(changes))}
 	for key, pr := range se.byKey {
 		next.byKey[key] = pr
 	}
@@ -100,10 +104,10 @@
 // ModRevision is greater than the revision of the read is kept as it is; the new
 // set's revision is nevertheless that of the read. A record whose text has not
 // changed is not parsed again and keeps its ModRevision, unless that is of an earlier era.
-// Records of earlier eras that the read lacks, or has in an older form, may be retained;
-// see retain.
+// Records of earlier eras that the read lacks, or has in an older state, may be retained;
+// see retain. The records were translated in the newest form.
 func (se *Set) WithSnapshot(revision store.Revision, records []StoredRecord) *Set {
-	next := &Set{Revision: revision, SnapshotRevision: revision, byKey: make(map[string]parsedRecord, len(records))}
+	next := &Set{Revision: revision, SnapshotRevision: revision, Form: NewestForm, byKey: make(map[string]parsedRecord, len(records))}
 	for key, pr := range se.byKey {
 		if pr.stored.ModRevision > revision {
 			next.byKey[key] = pr
@@ -127,6 +131,17 @@
 	return next
 }
 
+// WithBridge returns the set after a complete copy of the records of a peer whose build
+// translates in a lower form. Kinds of records that it does not know may be out of date there.
+func (se *Set) WithBridge(form Form, revision store.Revision, records []StoredRecord) *Set {
+	known := slices.DeleteFunc(slices.Clone(records), func(st StoredRecord) bool {
+		return strings.HasPrefix(st.Key, string(KindCallerKeys)+"/")
+	})
+	next := se.WithSnapshot(revision, known)
+	next.Form = form
+	return next
+}
+
 // Live returns, in stored form, the records that are not deleted, ordered as by
 // ChangedAfter. It includes records that cannot be used.
 func (se *Set) Live() []StoredRecord {
@@ -212,12 +227,26 @@
 // OrganisationByKey returns the organisation to which a caller's key belongs.
 func (se *Set) OrganisationByKey(key string) (Organisation, bool) {
 	id, ok := se.byCallerKey[HashKey(key)]
+	if !ok {
+		id, ok = se.ownerOfFurtherKey(key)
+	}
 	if !ok {
 		return Organisation{}, false
 	}
 	return se.Organisations.ByID(id)
 }
 
+// ownerOfFurtherKey returns the organisation to which a key belongs that is not in the
+// organisation's own record.
+func (se *Set) ownerOfFurtherKey(key string) (OrganisationID, bool) {
+	for _, id := range se.CallerKeys.ids {
+		if se.CallerKeys.byID[id].Contains(key) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // OperatorByKey returns the operator to which a key belongs.
 func (se *Set) OperatorByKey(key string) (Operator, bool) {
 	id, ok := se.byOperatorKey[HashKey(key)]
@@ -301,6 +330,7 @@
 		se.addTyped(pr.value)
 	}
 	se.Organisations.sortIDs()
+	se.CallerKeys.sortIDs()
 	se.Operators.sortIDs()
 	se.Models.sortIDs()
 	se.Versions.sortIDs()
@@ -324,6 +354,8 @@
 		for _, ha := range va.KeyHashes {
 			se.byCallerKey[ha] = va.ID
 		}
+	case CallerKeys:
+		se.CallerKeys.add(va.ID, va)
 	case Operator:
 		se.Operators.add(va.ID, va)
 		for _, ha := range va.KeyHashes {
--- a/router/router.go
+++ b/router/router.go
@@ -124,6 +124,7 @@
 		Self: &rpc.Member{
 			Vm: rs.GetVm().GetId(), Role: peer.RoleRouter, FailureDomain: rs.GetVm().GetFailureDomain(),
 			PeerAddress: ls.GetPeers(), AdminAddress: ls.GetAdmin(), CallersAddress: ls.GetCallers(), LinkMbps: rs.GetServing().GetLinkMbps(),
+			PolicyForm: int64(policy.NewestForm),
 		},
 		SharedKey: ps.GetSharedKey(), Interval: ps.GetInterval().AsDuration(), Fanout: int(ps.GetFanout()),
 		FailedAfter: ps.GetFailedAfter().AsDuration(), Seeds: ps.GetSeeds(),
