Take names of the platform as they are, and keys as the version says

Cause: names became ids of records, and a record whose id did not fit the pattern of operators' own ids counted as absent; setOrganisation then took 'no organisation' for 'all keys are allowed'.

Change: an id may be any text; the pattern is checked where operators write records. Whether keys are needed follows from the version: it lists tenants, if only an empty list or unusable ones. Names that no header can hold unchanged are refused at once (tenant), left out (model) or not used (replica). Tenants of one name are merged, and of two with the same key the last one has it on every router.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,8 +20,8 @@
 // of a lower form leaves out what it cannot represent.
 type Form int64
 
-// NewestForm is the form in which this build translates. Since form 1 a record
-// may be larger than 256 KiB.
+// NewestForm is the form in which this build translates. Since form 1 an id may be any text
+// and a record may be larger than 256 KiB.
 const NewestForm Form = 1
 
 // Kind names a kind of record.
--- a/policy/record.go
+++ b/policy/record.go
@@ -22,7 +22,8 @@
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._@:-]{0,62}$`)
 
-// IsID reports whether a text can be the id of a record.
+// IsID reports whether operators may give a text to a record as its id. The ids of records
+// that are translated from a platform's values may be any text.
 func IsID(text string) bool { return idPattern.MatchString(text) }
 
 // Record is one policy record.
@@ -61,7 +62,16 @@
 	if err != nil {
 		return Record{}, eris.Wrap(err, "policy.NewRecord")
 	}
-	return newRecord(recordJSON{SchemaVersion: SchemaVersion, Kind: ki, ID: id, Spec: text})
+	return newRecord(recordJSON{SchemaVersion: schemaVersionOf(spec), Kind: ki, ID: id, Spec: text})
+}
+
+// schemaVersionOf returns the schema version of a record with a spec. It is later than
+// SchemaVersion if programs of SchemaVersion may lack one of its fields, which they then ignore.
+func schemaVersionOf(spec proto.Message) int64 {
+	if lm, ok := spec.(*rpc.Limits); ok && lm.GetKeysRequired() {
+		return SchemaVersion + 1
+	}
+	return SchemaVersion
 }
 
 // NewTombstone returns the record that replaces a deleted one.
@@ -184,10 +194,15 @@
 	if newSpec(Kind(re.GetKind())) == nil {
 		li.Add(at("kind"), "unknown kind %q", re.GetKind())
 	}
+	return len(*li) == before
+}
+
+// validateID adds a finding to li if operators may not give the record its id.
+func (re Record) validateID(li *finding.List, pl finding.Place) {
 	if !IsID(re.GetId()) {
-		li.Add(at("id"), "%q is not an id: lower-case letters, digits and ._@:- only, 63 at most", re.GetId())
+		pl.Key = "id"
+		li.Add(pl, "%q is not an id: lower-case letters, digits and ._@:- only, 63 at most", re.GetId())
 	}
-	return len(*li) == before
 }
 
 // newSpec returns an empty spec message of a kind, or nil if the kind is unknown.
--- a/policy/set.go
+++ b/policy/set.go
@@ -48,6 +48,8 @@
 	// byCallerKey and byOperatorKey map hashes of keys, as returned by HashKey.
 	byCallerKey   map[string]OrganisationID
 	byOperatorKey map[string]OperatorID
+	// hasOrganisation reports whether there is a record of an organisation, usable or not.
+	hasOrganisation bool
 	// byHost holds the routes of each host, longest prefix first.
 	byHost map[string][]Route
 }
@@ -236,6 +238,10 @@
 	return se.Organisations.ByID(id)
 }
 
+// KeysRequired reports whether routed requests need a caller's key, except on public routes:
+// if the configuration says so or has an organisation, even one that cannot be used.
+func (se *Set) KeysRequired() bool { return se.hasOrganisation || se.SiteLimits().KeysRequired }
+
 // ownerOfFurtherKey returns the organisation to which a key belongs that is not in the
 // organisation's own record.
 func (se *Set) ownerOfFurtherKey(key string) (OrganisationID, bool) {
@@ -290,6 +296,7 @@
 	for _, re := range se.Records() {
 		pr := se.byKey[re.Key()]
 		pl := place(re.Key())
+		re.validateID(&li, pl)
 		for _, fi := range pr.findings {
 			li.Add(finding.Place{File: pl.File, Section: pl.Section, Key: fi.Place.Key}, "%s", fi.Message)
 		}
@@ -320,16 +327,25 @@
 	return model || version || cascade
 }
 
+const organisationPrefix = string(KindOrganisation) + "/"
+
 // buildIndexes fills the tables, the indexes and Findings from byKey. It is called
 // once for each new set.
 func (se *Set) buildIndexes() {
 	se.byCallerKey = map[string]OrganisationID{}
 	se.byOperatorKey = map[string]OperatorID{}
-	for _, pr := range se.byKey {
+	for key, pr := range se.byKey {
 		se.Findings = append(se.Findings, pr.findings...)
 		se.addTyped(pr.value)
+		se.hasOrganisation = se.hasOrganisation || !pr.deleted() && strings.HasPrefix(key, organisationPrefix)
 	}
 	se.Organisations.sortIDs()
+	for _, or := range se.Organisations.List() {
+		// Of organisations with the same key the last one has it, on every VM.
+		for _, ha := range or.KeyHashes {
+			se.byCallerKey[ha] = or.ID
+		}
+	}
 	se.CallerKeys.sortIDs()
 	se.Operators.sortIDs()
 	se.Models.sortIDs()
@@ -351,9 +367,6 @@
 	switch va := value.(type) {
 	case Organisation:
 		se.Organisations.add(va.ID, va)
-		for _, ha := range va.KeyHashes {
-			se.byCallerKey[ha] = va.ID
-		}
 	case CallerKeys:
 		se.CallerKeys.add(va.ID, va)
 	case Operator:
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -9,9 +9,10 @@
 
 // SendParams describes one send of a request to an endpoint.
 type SendParams struct {
-	Request      *Request
-	Endpoint     policy.Endpoint
-	Organisation policy.OrganisationID
+	Request  *Request
+	Endpoint policy.Endpoint
+	// Organisation is the caller's, nil if it has none.
+	Organisation *policy.OrganisationID
 	// Model is the model selected by the router, "" if the caller chose one.
 	Model    policy.ModelID
 	Deadline time.Time
@@ -66,6 +67,8 @@
 	Header(se SendParams, now time.Time) http.Header
 	// Head parses the status and headers of an answer that began to arrive at a time.
 	Head(status int, he http.Header, arrived time.Time) AnswerHead
+	// Represents reports whether a header can hold a name unchanged.
+	Represents(name string) bool
 	// RemoveSignature removes the headers that show that the service itself made
 	// the answer.
 	RemoveSignature(he http.Header)
--- a/relay/health.go
+++ b/relay/health.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/url"
 	"slices"
 	"time"
 
@@ -128,7 +129,7 @@
 	var out rollout.Report
 	pe := rs.router.peers
 	own := healthKey(ro.Service, string(pe.VM()))
-	for _, it := range pe.Table().List(healthPrefix + ro.Service + "/") {
+	for _, it := range pe.Table().List(healthKeys(ro.Service)) {
 		var he rpc.VersionHealth
 		if it.Key == own || proto.Unmarshal(it.Value, &he) != nil || he.GetVersion() != ro.ToVersion {
 			continue
@@ -146,7 +147,11 @@
 // Its counts of answers and failures do not expire.
 const inFlightTTL = 4 * time.Second
 
-func healthKey(service, vm string) string { return healthPrefix + service + "/" + vm }
+func healthKey(service, vm string) string { return healthKeys(service) + vm }
+
+// healthKeys returns the prefix of the keys of all routers for a service, whose name may have
+// slashes.
+func healthKeys(service string) string { return healthPrefix + url.PathEscape(service) + "/" }
 
 // publish publishes this router's results of all roll-outs.
 func (rs *releaseSelector) publish() {
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -16,6 +16,7 @@
 	ReasonNoPolicy             Reason = "no_policy"
 	ReasonNoRoute              Reason = "no_route"
 	ReasonUnknownKey           Reason = "unknown_key"
+	ReasonUnrepresentable      Reason = "organisation_not_representable"
 	ReasonTooLarge             Reason = "body_too_large"
 	ReasonMalformed            Reason = "malformed"
 	ReasonDraining             Reason = "draining"
--- a/relay/router.go
+++ b/relay/router.go
@@ -147,10 +147,11 @@
 
 // call is the state of a request being served.
 type call struct {
-	request      *Request
-	route        policy.Route
-	service      policy.Service
-	organisation policy.OrganisationID
+	request *Request
+	route   policy.Route
+	service policy.Service
+	// organisation is the caller's, nil if it has none.
+	organisation *policy.OrganisationID
 	fingerprint  policy.Fingerprint
 	urgency      int64
 	deadline     time.Time
@@ -222,7 +223,7 @@
 // its route, service and deadline.
 func (ro *Router) admit(rq *Request) (*call, *Refusal) {
 	se := ro.holder.Set()
-	if se.Routes.Len() == 0 {
+	if se.Routes.Len() == 0 && se.ConfigurationVersion() == 0 {
 		return nil, refuseNotRun(ReasonNoPolicy, rq.ReceivedAt.Add(defaultRetryDelay))
 	}
 	rt, ok := se.RouteOf(rq.Host, rq.Path)
@@ -233,31 +234,42 @@
 	if !rq.Deadline.IsZero() && rq.Deadline.Before(ca.deadline) {
 		ca.deadline = rq.Deadline
 	}
-	if re := ca.setOrganisation(se); re != nil {
+	if re := ro.setOrganisation(ca, se); re != nil {
 		return nil, re
 	}
 	ca.service, ok = se.Services.ByID(rt.PickService(rq.sessionFraction(string(rt.ID))))
 	if !ok {
 		return nil, refuseNotRun(ReasonNoEndpoint, rq.ReceivedAt.Add(defaultRetryDelay))
 	}
-	ca.fingerprint = rq.fingerprint(ca.organisation)
+	ca.fingerprint = rq.fingerprint(ca.organisationID())
 	return ca, nil
 }
 
-// setOrganisation sets the organisation from the API key. It refuses unknown keys,
-// except on public routes or if there are no organisations.
-func (ca *call) setOrganisation(se *policy.Set) *Refusal {
+// setOrganisation sets the call's organisation from the API key. It refuses unknown keys,
+// except on public routes or if the configuration needs none, and the keys of an organisation
+// whose name endpoints cannot be told.
+func (ro *Router) setOrganisation(ca *call, se *policy.Set) *Refusal {
 	or, ok := se.OrganisationByKey(ca.request.Key)
-	if ok {
-		ca.organisation = or.ID
+	switch {
+	case ok && !ro.options().Dialect.Represents(string(or.ID)):
+		return refuseNotRun(ReasonUnrepresentable, ca.deadline)
+	case ok:
+		ca.organisation = &or.ID
 		if or.Urgency != nil {
 			ca.urgency = or.GetUrgency()
 		}
+	case !ca.route.Public && se.KeysRequired():
+		return &Refusal{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
 	}
-	if ok || ca.route.Public || se.Organisations.Len() == 0 {
-		return nil
+	return nil
+}
+
+// organisationID returns the ID of the caller's organisation, "" if it has none.
+func (ca *call) organisationID() policy.OrganisationID {
+	if ca.organisation == nil {
+		return ""
 	}
-	return &Refusal{Status: http.StatusUnauthorized, Reason: ReasonUnknownKey}
+	return *ca.organisation
 }
 
 // models returns the models that the router may select from, or a single "" if
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,7 +50,7 @@
 		if now.Before(da.repeatAt[done]) || !da.shouldAttempt(now, ro.ID) {
 			continue
 		}
-		if ho, ok := da.acquire(ctx, lease.Task(rolloutTaskPrefix+ro.Service)); ok {
+		if ho, ok := da.acquire(ctx, rolloutTask(ro.Service)); ok {
 			if da.advance(ctx, ho, ro) {
 				da.repeatAt[done] = time.Now().Add(da.repeatDelay(now, ro))
 			}
@@ -86,6 +88,19 @@
 	action  rollout.Action
 }
 
+// maxTaskName is the longest name of a service, in bytes, that is in the name of its task. A key
+// of the store has 200 bytes, and a lease's own key also names its holder.
+const maxTaskName = 100
+
+// rolloutTask returns the task of a service's roll-outs.
+func rolloutTask(service string) lease.Task {
+	if len(service) > maxTaskName {
+		sum := sha256.Sum256([]byte(service))
+		service = hex.EncodeToString(sum[:])
+	}
+	return lease.Task(rolloutTaskPrefix + service)
+}
+
 // shouldAttempt reports whether this router attempts a roll-out's due action.
 // The preferred routers attempt it at once. The others do so once the action has
 // been due for half the lease's time to live, because the preferred ones may be
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -64,6 +64,7 @@
 
 var upgradeCases = []upgradeCase{
 	{name: "many keys", tenant: "own", keys: 5000},
+	{name: "a name that was no id", tenant: "Map_Drawers", keys: 1},
 }
 
 // TestUpgradeBringsEveryVersionIntoForce runs routers of two builds side by side. A router of the
