Bound what unfinished answers and requests' bodies hold together

Cause: an answer may have 8 MiB and an event 1 MiB, and nothing bounds their sum, nor that of callers' bodies beside them. Each byte restarts the idle timeout, and a probe's head ended the suspension.

Change: answers that are not whole share a quarter of the process's memory, and bodies another. When there is no room, the endpoint that holds the most gives up its largest answer, and is suspended until an answer of it is whole; a body that finds no room gets 503. The first 16 KiB of each are free.

--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -130,6 +130,10 @@
 	return an.conn.readFailure(err)
 }
 
+// Abort ends the answer: a Read that waits, or the next one, fails. Unlike the other methods, it
+// may be called from any goroutine.
+func (an *ForwardAnswer) Abort() { an.conn.cancel() }
+
 // Close closes the body. It also closes the network connection, unless the body was
 // read to its end.
 func (an *ForwardAnswer) Close() { an.conn.close() }
--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -241,7 +241,7 @@
 		factor := min(maxSlowdown, max(minSlowdown, took.Seconds()/float64(as.Estimate)))
 		es.slowdown += slowdownSmoothing * (factor - es.slowdown)
 	}
-	if es.endProbe(as.JobID) {
+	if !es.flooded && es.endProbe(as.JobID) {
 		resumed = es.answered()
 	}
 	return resumed
@@ -279,7 +279,7 @@
 	switch re {
 	case Succeeded:
 		es.failureRate -= failureSmoothing * es.failureRate
-	case Failed, AnsweredWithError, Silent:
+	case Failed, AnsweredWithError, Silent, Flooded:
 		es.failureRate += failureSmoothing * (1 - es.failureRate)
 	}
 	switch re {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -275,13 +275,15 @@
 // requests cause on any endpoint: it raises the failure rate in Balancer, but
 // for suspensions it counts as a success. Silent is no answer in time: sound endpoints
 // pause, so that Balancer counts it for suspensions only once the endpoint has answered
-// nothing for longer than a pause.
+// nothing for longer than a pause. Flooded is an answer that did not end before it took memory
+// that others need: it suspends the endpoint at once, until an answer is whole.
 const (
 	Neutral Result = iota
 	Succeeded
 	Failed
 	AnsweredWithError
 	Silent
+	Flooded
 )
 
 // Done ends a request in flight with its result, and reports whether that
--- a/placement/suspension.go
+++ b/placement/suspension.go
@@ -11,6 +11,8 @@
 	Failures       int
 	SuspendedUntil time.Time
 	probing        bool
+	// flooded reports whether an answer did not end: that another one begins says nothing then.
+	flooded bool
 }
 
 // allows reports whether the endpoint may get a request, which may be a probe.
@@ -44,16 +46,21 @@
 	}
 	switch re {
 	case Succeeded, AnsweredWithError:
+		su.flooded = false
 		resumed = su.answered()
-	case Failed:
+	case Failed, Flooded:
+		su.flooded = su.flooded || re == Flooded
 		if !su.healthy() && !probe {
 			return false, false
 		}
 		su.Failures++
+		if re == Flooded {
+			su.Failures = max(su.Failures, failuresToSuspend)
+		}
 		if !su.healthy() {
 			wait := min(maxSuspension, firstSuspension<<min(su.Failures-failuresToSuspend, 8))
 			su.SuspendedUntil = now.Add(time.Duration(float64(wait) * (0.5 + chance)))
-			suspended = su.Failures == failuresToSuspend
+			suspended = su.Failures == failuresToSuspend || re == Flooded && !probe
 		}
 	}
 	return suspended, resumed
--- a/placement/suspension_test.go
+++ b/placement/suspension_test.go
@@ -122,3 +122,27 @@
 		qt.Assert(t, ba.Condition(begin.Add(tt.silence), "e0").Suspended, qt.Equals, tt.suspended, qt.Commentf("%s of silence", tt.silence))
 	}
 }
+
+// TestAnswerWithoutEndSuspendsUntilOneIsWhole has an endpoint's answer not end. That the next one
+// begins says nothing: it may not end either. The endpoint got requests again at each such probe,
+// and none any more if the probe failed after it had begun.
+func TestAnswerWithoutEndSuspendsUntilOneIsWhole(t *testing.T) {
+	ba := placement.NewBalancer(1, "")
+	first := placeJobs(t, ba, 2)
+	suspended, _ := ba.Done(begin, first[0], placement.Flooded)
+	qt.Assert(t, suspended, qt.IsTrue)
+	suspended, _ = ba.Done(begin, first[1], placement.Flooded)
+	qt.Assert(t, suspended, qt.IsFalse)
+	now := begin
+	for _, re := range []placement.Result{placement.Flooded, placement.Failed, placement.Succeeded} {
+		qt.Assert(t, ba.Condition(now, "e0").Suspended, qt.IsTrue)
+		now = now.Add(time.Minute)
+		probe, ok := ba.Choose(now, engines(1), placement.Job{Work: 0.01}, nil, anyEndpoint)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, ba.AnswerStarted(probe, time.Millisecond), qt.IsFalse)
+		qt.Assert(t, ba.Condition(now, "e0").Suspended, qt.IsTrue, qt.Commentf("a second probe after one that ends with %d began", re))
+		_, resumed := ba.Done(now, probe, re)
+		qt.Assert(t, resumed, qt.Equals, re == placement.Succeeded)
+	}
+	qt.Assert(t, ba.Condition(now, "e0").Suspended, qt.IsFalse)
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -5,13 +5,16 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"tanagerpoint.example/tanager/endpoint"
+	"tanagerpoint.example/tanager/limit"
 	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
 )
 
 const (
@@ -22,6 +25,14 @@
 	eventStreamType = "text/event-stream"
 )
 
+var (
+	// errEndless is the failure of an answer without a length that is too large, or did not end
+	// before it held memory that others need.
+	errEndless = eris.New("answer is too large, or does not end")
+	// errTooLarge is that of an answer with a length.
+	errTooLarge = eris.Errorf("answer is larger than %d bytes, or than there is memory for", maxBufferedBody)
+)
+
 // answer is an answer that has begun to arrive.
 type answer struct {
 	*attempt
@@ -35,6 +46,8 @@
 	// it, and is empty if the stream has no events.
 	stream     *eventReader
 	firstEvent streamEvent
+	// hold is what the body, or an event, holds of the VM's memory.
+	hold *limit.Hold[policy.EndpointID]
 	// provedRequest reports whether the answer has shown that its request does not crash
 	// endpoints.
 	provedRequest bool
@@ -79,7 +92,7 @@
 }
 
 func (an *answer) readFirstEvent() (*answer, *failure) {
-	an.stream = newEventReader(an.source, an.call.route.Resumable)
+	an.stream = newEventReader(an.source, an.call.route.Resumable, an.hold)
 	ev, err := an.stream.next()
 	if errors.Is(err, io.EOF) && an.source.EndsWithConnection {
 		// The end of the connection does not tell a stream without events from one that
@@ -87,7 +100,7 @@
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
-		an.source.Close()
+		an.close()
 		return nil, an.brokenOff(err)
 	}
 	an.firstEvent = ev
@@ -97,15 +110,20 @@
 
 func (an *answer) readBody() (*answer, *failure) {
 	defer an.source.Close()
-	body, err := io.ReadAll(io.LimitReader(an.source, maxBufferedBody+1))
+	if an.source.Length > maxBufferedBody {
+		return nil, &failure{err: errTooLarge}
+	}
+	body, err := readHeld(an.source, an.hold)
 	if err != nil {
+		an.hold.Close()
+		if errors.Is(err, errEndless) && an.source.Length >= 0 {
+			err = errTooLarge
+		}
 		return nil, an.brokenOff(err)
 	}
-	if len(body) > maxBufferedBody {
-		return nil, &failure{err: eris.Errorf("answer is larger than %d bytes", maxBufferedBody)}
-	}
 	an.body = body
 	if an.status >= http.StatusBadRequest {
+		an.hold.Close()
 		callerError := an.status < http.StatusInternalServerError && an.status != http.StatusTooManyRequests && an.status != http.StatusRequestTimeout
 		return nil, &failure{err: errFailureStatus, answer: an, callerError: callerError}
 	}
@@ -115,8 +133,41 @@
 	return an, nil
 }
 
+// readHeld reads a body to its end. It fails with errEndless if the body is too large, or holds
+// memory that others need.
+func readHeld(rd io.Reader, ho *limit.Hold[policy.EndpointID]) ([]byte, error) {
+	body := make([]byte, 0, readBufferSize)
+	for {
+		n, err := rd.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBufferedBody || ho.Revoked():
+			return nil, errEndless
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		}
+		body = slices.Grow(body, len(body))
+		if !ho.Grow(int64(cap(body))) {
+			return nil, errEndless
+		}
+	}
+}
+
+// close closes the answer's source, and gives up its memory.
+func (an *answer) close() {
+	an.source.Close()
+	an.hold.Close()
+}
+
 // brokenOff returns the failure for an error of reading the answer.
 func (an *answer) brokenOff(err error) *failure {
+	if errors.Is(err, errEndless) || errors.Is(err, errTooLarge) {
+		return &failure{err: err, begun: true}
+	}
 	fa := failureOf(an.source.ReadFailure(err))
 	fa.begun = true
 	an.brokeOff(err)
@@ -126,7 +177,7 @@
 // discard closes an answer of which the caller has received nothing. For the
 // endpoint the attempt counts as a success.
 func (an *answer) discard() {
-	an.source.Close()
+	an.close()
 	an.finish(placement.Succeeded)
 	if an.stream != nil {
 		an.router.brittle.Abandoned(time.Now(), an.endpoint)
@@ -139,6 +190,7 @@
 	wr.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
 	wr.WriteHeader(status)
 	_, _ = wr.Write(an.body)
+	an.hold.Close()
 }
 
 // connectionHeaders are headers that apply to one connection only, or that are set
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -193,6 +193,7 @@
 		return nil, fa
 	}
 	an := &answer{attempt: at, beganAt: time.Now(), status: source.Status, header: source.Header, source: source}
+	an.hold = ro.memory.Open(at.endpoint.ID, source.Abort)
 	an.head = ro.options().Dialect.Head(source.Status, source.Header, an.beganAt)
 	an.noteHead()
 	return an.receive()
@@ -276,6 +277,8 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled) || at.pathFault || fa.callerError || fa.notRun && errors.Is(fa.err, context.DeadlineExceeded):
 		result = placement.Neutral
+	case errors.Is(fa.err, errEndless):
+		result = placement.Flooded
 	case errors.Is(fa.err, errFailureStatus) || errors.Is(fa.err, errNotRun):
 		result = placement.AnsweredWithError
 	case !fa.unsent && (causeLabel(fa.err) == string(endpoint.CauseSilent) || errors.Is(ctx.Err(), context.DeadlineExceeded)):
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -150,26 +151,43 @@
 
 // Carry is the handler of peers' requests to carry an attempt to an endpoint.
 func (ro *Router) Carry(wr http.ResponseWriter, rq *http.Request) {
-	received := time.Now()
+	received, cr := time.Now(), ro.carriers
+	// The request's size counts before it is read: many may arrive at once.
+	size := max(0, rq.ContentLength)
+	cr.bytes.Add(size)
+	defer cr.bytes.Add(-size)
+	cr.carrying.Add(1)
+	defer cr.carrying.Add(-1)
+	if cr.isFull() {
+		// The peer reads the answer once it has written its request.
+		_, _ = io.Copy(io.Discard, rq.Body)
+		cr.refuse(wr, errCarrierFull)
+		return
+	}
 	ms, err := endpoint.ReadCarry(rq)
 	if err != nil {
 		http.Error(wr, "malformed", http.StatusBadRequest)
 		return
 	}
-	cr := ro.carriers
-	cr.bytes.Add(int64(len(ms.GetBody())))
-	defer cr.bytes.Add(-int64(len(ms.GetBody())))
-	cr.carrying.Add(1)
-	defer cr.carrying.Add(-1)
 	en, err := cr.endpointFor(received, ms)
 	if err != nil {
-		cr.notTaken.Add(1)
-		endpoint.WriteCarryFailure(wr, &endpoint.Failure{Cause: endpoint.CauseNotCarried, Err: err})
+		cr.refuse(wr, err)
 		return
 	}
 	cr.carry(rq.Context(), wr, ms, en, received)
 }
 
+// isFull reports whether this router carries more than it may, the attempt that asks included.
+func (cr *carriers) isFull() bool {
+	return cr.carrying.Load() > maxCarried || cr.bytes.Load() > maxCarriedBytes
+}
+
+// refuse tells a peer why its attempt is not carried.
+func (cr *carriers) refuse(wr http.ResponseWriter, err error) {
+	cr.notTaken.Add(1)
+	endpoint.WriteCarryFailure(wr, &endpoint.Failure{Cause: endpoint.CauseNotCarried, Err: err})
+}
+
 // endpointFor returns the endpoint to which a peer's request goes, or the reason why this
 // router does not carry it. Its limit is not looked at: the peer has taken the request from
 // its own part of that.
@@ -179,8 +197,6 @@
 	switch {
 	case !ro.Ready():
 		return en, errCarrierDraining
-	case cr.carrying.Load() > maxCarried || cr.bytes.Load() > maxCarriedBytes:
-		return en, errCarrierFull
 	case !ok || en.StartedAtMs != ms.GetStartedAtMs():
 		return en, errEndpointUnknown
 	case ro.paths.Lost(policy.ServiceID(en.Service)):
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -87,7 +87,7 @@
 // the caller left or the time was up.
 func (an *answer) brokeOff(err error) {
 	now := time.Now()
-	if an.excused(an.source.ReadFailure(err)) {
+	if errors.Is(err, errEndless) || an.excused(an.source.ReadFailure(err)) {
 		return
 	}
 	if !isCrash(an.source.ReadFailure(err), err) || now.Sub(an.beganAt) >= quarantine.ProvenAfter {
--- a/relay/refusal.go
+++ b/relay/refusal.go
@@ -18,6 +18,7 @@
 	ReasonUnknownKey           Reason = "unknown_key"
 	ReasonUnrepresentable      Reason = "organisation_not_representable"
 	ReasonTooLarge             Reason = "body_too_large"
+	ReasonNoMemory             Reason = "no_memory_for_body"
 	ReasonMalformed            Reason = "malformed"
 	ReasonDraining             Reason = "draining"
 	ReasonNoEndpoint           Reason = "no_endpoint"
--- a/relay/router.go
+++ b/relay/router.go
@@ -34,6 +34,20 @@
 	Rollout *rpc.RouterRolloutSection
 }
 
+// heldShare is the part of the process's memory that answers hold which are not whole, and bodies
+// of requests as much. The heap grows to twice what it holds.
+const heldShare = 0.25
+
+func (opt Options) heldBytes() int64 {
+	return int64(heldShare * opt.Serving.GetMemoryMb() * (1 << 20))
+}
+
+// MaxHeldBytes returns how much memory bodies of requests may hold.
+func (ro *Router) MaxHeldBytes() int64 { return ro.options().heldBytes() }
+
+// HeldBytes returns the memory that answers hold which are not whole.
+func (ro *Router) HeldBytes() int64 { return ro.memory.Used() }
+
 // Router serves the requests of routes. It is safe for concurrent use; each
 // part documents its own lock, and which others are taken after it.
 type Router struct {
@@ -61,6 +75,8 @@
 	paths    *endpoint.Paths
 	carriers *carriers
 	shutdown *shutdown
+	// memory is that of answers which are not whole yet.
+	memory *limit.Memory[policy.EndpointID]
 	// durations are those of the routes' requests.
 	durations *durations
 	inFlight  atomic.Int64
@@ -86,6 +102,7 @@
 func New(opt Options, de Dependencies) *Router {
 	ro := &Router{
 		holder: de.Holder, client: de.Client, paths: de.Paths, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
+		memory:   limit.NewMemory[policy.EndpointID](opt.heldBytes()),
 		shutdown: newShutdown(), durations: newDurations(),
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(),
 		brittle: limit.NewBrittle(time.Now(), de.Peers, de.Holder, de.Log), queue: newPlaceQueue(), backlogs: newBacklogAverages(),
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,6 +15,7 @@
 
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/limit"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
@@ -56,26 +57,33 @@
 	rd *bufio.Reader
 	// numbered reports whether every event must have an id.
 	numbered bool
+	// hold is what the event that is read holds of the VM's memory.
+	hold *limit.Hold[policy.EndpointID]
 }
 
-func newEventReader(rd io.Reader, numbered bool) *eventReader {
-	return &eventReader{rd: bufio.NewReaderSize(rd, readBufferSize), numbered: numbered}
+func newEventReader(rd io.Reader, numbered bool, ho *limit.Hold[policy.EndpointID]) *eventReader {
+	return &eventReader{rd: bufio.NewReaderSize(rd, readBufferSize), numbered: numbered, hold: ho}
 }
 
 // next returns the next event. It returns io.EOF after the last one,
-// errTruncatedEvent if the stream ends within an event, and errUnnumberedEvent if an event
-// lacks its id: it may be text of another answer.
+// errTruncatedEvent if the stream ends within an event, errEndless if an event is too large or
+// holds memory that others need, and errUnnumberedEvent if an event lacks its id: it may be text of
+// another answer.
 func (er *eventReader) next() (streamEvent, error) {
 	var ev streamEvent
+	er.hold.Grow(0)
 	for {
 		line, err := er.rd.ReadSlice('\n')
 		ev.text = append(ev.text, line...)
-		if len(ev.text) > maxEventSize {
-			return streamEvent{}, eris.Errorf("event is larger than %d bytes", maxEventSize)
+		if len(ev.text) > maxEventSize || !er.hold.Grow(int64(cap(ev.text))) {
+			return streamEvent{}, errEndless
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if err != nil && er.hold.Revoked() {
+			return streamEvent{}, errEndless
+		}
 		if errors.Is(err, io.EOF) && len(ev.text) > 0 {
 			return streamEvent{}, errTruncatedEvent
 		}
@@ -137,7 +145,7 @@
 	wr.WriteHeader(an.status)
 	for {
 		err := sr.forward(an)
-		an.source.Close()
+		an.close()
 		if err == nil {
 			an.noteEnd()
 			an.finish(placement.Succeeded)
@@ -251,7 +259,11 @@
 		return
 	}
 	ro, ca := sr.router, sr.call
-	an.finish(placement.Failed)
+	result := placement.Failed
+	if errors.Is(cause, errEndless) {
+		result = placement.Flooded
+	}
+	an.finish(result)
 	ca.failedEndpoints = append(ca.failedEndpoints, an.endpoint.ID)
 	if an.source.ReadFailure(cause).Cause != endpoint.CauseSilent {
 		sr.brokenAt = append(sr.brokenAt, an.endpoint.ID)
--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/lease"
+	"tanagerpoint.example/tanager/limit"
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/network"
 	"tanagerpoint.example/tanager/peer"
@@ -75,6 +76,8 @@
 	sums   *peer.Aggregator
 	leases *lease.Manager
 	idle   *network.IdleConns
+	// bodies is the memory of the bodies of requests.
+	bodies *limit.Memory[string]
 	// dueSince is when this router first saw that a roll-out has an action due.
 	// Only the goroutine of advanceRollouts uses it.
 	dueSince map[policy.RolloutID]time.Time
@@ -113,6 +116,7 @@
 		relay.Options{Dialect: platform.Dialect{}, Serving: rs.GetServing(), Rollout: rs.GetRollout()},
 		relay.Dependencies{Holder: da.holder, Client: da.client, Paths: da.paths, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
 	)
+	da.bodies = limit.NewMemory[string](da.relay.MaxHeldBytes())
 	da.sums = peer.NewAggregator(da.peers, da.relay.Sums, da.relay.ApplySums)
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
@@ -154,6 +158,9 @@
 	}
 }
 
+// HeldBytes returns the memory that answers of endpoints and bodies of requests hold.
+func (da *Daemon) HeldBytes() int64 { return da.relay.HeldBytes() + da.bodies.Used() }
+
 // Start opens the listeners and starts the background goroutines.
 func (da *Daemon) Start() error {
 	ls := da.settings.GetListen()
@@ -170,7 +177,7 @@
 			return eris.Wrap(err, "Daemon.Start")
 		}
 	}
-	callers := platform.NewCallerHandler(da.relay, da.holder)
+	callers := platform.NewCallerHandler(da.relay, da.holder, da.bodies)
 	if err := da.serve(ls.GetCallers(), callers, da.callers.track(da.network), da.callers.connState); err != nil {
 		return eris.Wrap(err, "Daemon.Start")
 	}
@@ -304,6 +311,9 @@
 			return time.Since(da.holder.Evidence()).Seconds()
 		})
 	}
+	if err == nil {
+		err = me.Gauge("tanager_held_bytes", "Memory that unfinished answers and bodies of requests hold.", func() float64 { return float64(da.HeldBytes()) })
+	}
 	if err == nil {
 		err = me.Gauge("tanager_log_lines_dropped", "Log lines that found no room.", func() float64 { return float64(da.log.Dropped()) })
 	}
