Divide any limit of an endpoint without an overflow

Cause: the number of routers that share a limit is twice the limit, converted to an int, which overflows from 4.6e18 on; SelectNearest was asked for a negative number of routers.

--- a/limit/share.go
+++ b/limit/share.go
@@ -46,8 +46,13 @@
 	return si
 }
 
+// maxSharers is more than there are routers. A limit may be any number.
+const maxSharers = 1 << 20
+
 // sharers returns how many routers share a limit.
-func sharers(ra Rate) int { return minSharers + int(math.Ceil(sharersPerRate*float64(ra))) }
+func sharers(ra Rate) int {
+	return minSharers + int(min(math.Ceil(sharersPerRate*float64(ra)), maxSharers))
+}
 
 // Share returns a router's part of the limit of an endpoint in a failure domain, 0 if
 // others of the routers share it.
