Send paths that begin with two slashes unchanged

Cause: net/http writes the scheme before an opaque URL that begins with two slashes.

Change: such a path is sent as the URL's RawPath.

--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // ForwardCall is one attempt to forward a caller's request unchanged.
@@ -96,15 +98,40 @@
 	return unpooled
 }
 
-// request returns the HTTP request. An Opaque URL keeps net/http from re-encoding
-// the caller's path.
+// IsTarget reports whether a call can send a request target unchanged.
+func IsTarget(target string) bool {
+	_, err := targetURL(&url.URL{Scheme: "http", Host: "endpoint"}, target)
+	return err == nil
+}
+
+// targetURL returns the URL of a request target, path and query, at an endpoint. An opaque path
+// keeps net/http from encoding it anew, but net/http writes the scheme before one that begins
+// with two slashes: such a path is not opaque, and must be one that net/http leaves as it is.
+func targetURL(base *url.URL, target string) (*url.URL, error) {
+	path, query, hasQuery := strings.Cut(target, "?")
+	out := &url.URL{Scheme: base.Scheme, Host: base.Host, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if strings.HasPrefix(path, "//") {
+		plain, err := url.PathUnescape(path)
+		if err != nil {
+			return nil, err
+		}
+		out.Opaque, out.Path, out.RawPath = "", plain, path
+	}
+	if sent := out.RequestURI(); sent != target {
+		return nil, eris.Errorf("target would be sent as %.100q", sent)
+	}
+	return out, nil
+}
+
+// request returns the HTTP request. It fails if net/http would send another target.
 func (ca ForwardCall) request() (*http.Request, error) {
 	rq, err := http.NewRequest(ca.Method, ca.URL, nil)
 	if err != nil {
 		return nil, err
 	}
-	path, query, hasQuery := strings.Cut(ca.Target, "?")
-	rq.URL = &url.URL{Scheme: rq.URL.Scheme, Host: rq.URL.Host, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if rq.URL, err = targetURL(rq.URL, ca.Target); err != nil {
+		return nil, err
+	}
 	rq.Host, rq.Header = ca.Host, ca.Header
 	if len(ca.Body) > 0 || !ca.Repeatable {
 		// net/http cannot send a request a second time that has a body but no
