--- a/peer/policy.go
+++ b/peer/policy.go
@@ -90,9 +90,9 @@
 
 // fetchPolicy fetches and applies a peer's policy if it is newer, or retains other records
 // over a restore of the store. It also adopts the peer's evidence, the time at which that
-// revision was known to be the store's newest. rs is what the peer has answered.
-func (gr *Group) fetchPolicy(ctx context.Context, address string, rs *rpc.ExchangeResponse, evidence time.Time) {
-	theirs, form := positionOf(rs), policy.Form(rs.GetFrom().GetPolicyForm())
+// revision was known to be the store's newest. er is what the peer has answered to an exchange.
+func (gr *Group) fetchPolicy(ctx context.Context, address string, er *rpc.ExchangeResponse, evidence time.Time) {
+	theirs, form := positionOf(er), policy.Form(er.GetFrom().GetPolicyForm())
 	if mine := gr.position(); theirs.offers(mine) && gr.takes(form) {
 		rs, err := gr.Peer(address).FetchPolicy(ctx, &rpc.FetchPolicyRequest{AfterRevision: int64(mine.revision), PolicyRetained: uint64(mine.retained)})
 		if err != nil {
