Bound the times that a policy names

Callers saw: with timeout_ms of a route at, an operator's "no limit", which the store accepts and no page bounds, all routers answered each request of that route 503 for as long as the version was in force.

Cause: milliseconds were multiplied to a time.Duration without a bound. From 9.2e12 on the product is negative, so that each deadline had passed before the request arrived. So did the targets of routes, the deadlines of ranks and services, the idle timeout and the length of a roll-out.

Change: the package quantity makes bounded, typed numbers of what others write. Times go through quantity.Milliseconds, 0 to ten years, of which sums and small multiples are durations too.

Evidence: TestAnyNumberOfAConfigurationIsServed plays 8 fields with 5 numbers through two routers. Without the change and as timeout_ms fail, on the streaming and on the unsafe route; the other fields are served either way.

--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -111,5 +112,5 @@
 // Deadline returns the time by which a call that arrived at the given time must
 // be answered.
 func (sv Service) Deadline(arrived time.Time) time.Time {
-	return arrived.Add(time.Duration(sv.TimeoutMs) * time.Millisecond)
+	return arrived.Add(quantity.Milliseconds(sv.TimeoutMs))
 }
--- a/policy/limits.go
+++ b/policy/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -58,7 +59,7 @@
 // IdleTimeout returns how long a caller's connection may stay open without a
 // request.
 func (lm Limits) IdleTimeout() time.Duration {
-	return time.Duration(lm.IdleTimeoutMs) * time.Millisecond
+	return quantity.Milliseconds(lm.IdleTimeoutMs)
 }
 
 // SiteLimits returns the limits of the site, or the defaults if there is no usable
--- a/policy/rank.go
+++ b/policy/rank.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -60,11 +61,11 @@
 // Deadline returns the time by which a request that arrived at the given time, and
 // that gave no deadline of its own, must be answered.
 func (ra Rank) Deadline(arrived time.Time) time.Time {
-	return arrived.Add(time.Duration(ra.DeadlineMs) * time.Millisecond)
+	return arrived.Add(quantity.Milliseconds(ra.DeadlineMs))
 }
 
 // FirstTokenDeadline returns the time at which the first token of a request that
 // arrived at the given time is due, by the rank's target.
 func (ra Rank) FirstTokenDeadline(arrived time.Time) time.Time {
-	return arrived.Add(time.Duration(ra.FirstTokenTargetMs) * time.Millisecond)
+	return arrived.Add(quantity.Milliseconds(ra.FirstTokenTargetMs))
 }
--- a/policy/route.go
+++ b/policy/route.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -77,16 +78,16 @@
 // Deadline returns the time by which a request that arrived at the given time must
 // have its final answer.
 func (rt Route) Deadline(arrived time.Time) time.Time {
-	return arrived.Add(time.Duration(rt.TimeoutMs) * time.Millisecond)
+	return arrived.Add(quantity.Milliseconds(rt.TimeoutMs))
 }
 
 // LatencyTarget returns the longest latency of an answer, or of a stream's first
 // event, that counts as in time.
-func (rt Route) LatencyTarget() time.Duration { return time.Duration(rt.TargetMs) * time.Millisecond }
+func (rt Route) LatencyTarget() time.Duration { return quantity.Milliseconds(rt.TargetMs) }
 
 // GapTarget returns the longest pause between two events of a stream that counts as
 // in time, 0 if none is set.
-func (rt Route) GapTarget() time.Duration { return time.Duration(rt.GapTargetMs) * time.Millisecond }
+func (rt Route) GapTarget() time.Duration { return quantity.Milliseconds(rt.GapTargetMs) }
 
 // Repeatable reports whether a request may run more than once. A stream may if it
 // can be resumed.
--- a/relay/release.go
+++ b/relay/release.go
@@ -9,6 +9,7 @@
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
 )
@@ -237,7 +238,7 @@
 	if ro.StartedAtMs > 0 {
 		started = time.UnixMilli(ro.StartedAtMs)
 	}
-	duration := time.Duration(ro.DurationMs) * time.Millisecond
+	duration := quantity.Milliseconds(ro.DurationMs)
 	delay := min(rs.router.peers.ScaleInterval(trialDelay), maxTrialDelay, time.Duration(maxTrialDelayShare*float64(duration)))
 	pl := rollout.Plan{StartedAt: started, TrialAt: started.Add(delay), DeadlineAt: started.Add(duration), TrialShare: ro.TrialShare}
 	if ro.PromotedAtMs > 0 {
--- /dev/null
+++ b/router/numbers_test.go
@@ -0,0 +1,48 @@
+package router_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagerpoint.example/tanager/testsite"
+)
+
+// outsideNumbers are numbers that an operator may write for "no limit", or by mistake. The users'
+// pages bound none of them.
+var outsideNumbers = []string{"0", "2147483648", "9007199254740993", "4611686018427387904", "9223372036854775807"}
+
+// configurationNumbers are the paths of the numbers in the configuration of a test site that
+// routers use.
+var configurationNumbers = []string{
+	"routes.0.timeout_ms", "routes.1.timeout_ms", "routes.0.target_latency_ms", "routes.1.target_latency_ms", "routes.2.target_latency_ms",
+	"routes.0.target_gap_ms", "limits.header_timeout_ms", "limits.idle_timeout_ms",
+}
+
+// TestAnyNumberOfAConfigurationIsServed has the operator write a configuration with one odd number.
+// With the largest integer as timeout_ms, all routers answered each request of the route 503.
+func TestAnyNumberOfAConfigurationIsServed(t *testing.T) {
+	for _, path := range configurationNumbers {
+		t.Run(path, func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: 2, Engines: 2, Plains: 2}, func(t *testing.T, rs *testsite.RouterSite) {
+				for i, number := range outsideNumbers {
+					key, comment := fmt.Sprint("key of ", i), qt.Commentf("%s = %.25s", path, number)
+					rs.ConfigureNumber(path, number, key)
+					time.Sleep(applyLimit)
+					for n := 1; n <= 2; n++ {
+						for _, prefix := range []string{testsite.EngineRoute, testsite.UnsafeRoute, testsite.SafeRoute} {
+							an := do(rs, request{router: n, id: fmt.Sprint("a", i, n, prefix[1:2]), key: key, path: prefix})
+							qt.Check(t, an.err, qt.IsNil, comment)
+							qt.Check(t, an.status, qt.Equals, http.StatusOK, comment)
+						}
+					}
+					an := doBody(rs, fmt.Sprint("b", i), "loan", true)
+					qt.Check(t, an.status, qt.Equals, http.StatusOK, qt.Commentf("%s = %.25s, body in chunks", path, number))
+				}
+			})
+		})
+	}
+}
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/tidwall/sjson"
 
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/router"
@@ -364,3 +365,20 @@
 	rs.Store.Restore(co)
 	rs.Store.SetFaults(standin.Faults{})
 }
+
+// ConfigureNumber writes the default configuration with one number of it, at a path such as
+// routes.0.timeout_ms, replaced by a JSON text, and with one more key of the tenant.
+func (rs *RouterSite) ConfigureNumber(path, text, key string) {
+	rs.version++
+	co := defaultConfiguration()
+	co.Version = rs.version
+	co.Tenants[0].APIKeys = append(co.Tenants[0].APIKeys, key)
+	out, err := json.Marshal(co)
+	if err != nil {
+		rs.tb.Fatal(err)
+	}
+	if out, err = sjson.SetRawBytes(out, path, []byte(text)); err != nil {
+		rs.tb.Fatal(err)
+	}
+	rs.Store.Write("op/config", out)
+}
