--- a/router/numbers_test.go
+++ b/router/numbers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,17 +14,23 @@
 
 // outsideNumbers are numbers that an operator may write for "no limit", or by mistake. The users'
 // pages bound none of them.
-var outsideNumbers = []string{"0", "2147483648", "9007199254740993", "4611686018427387904", "9223372036854775807"}
+var outsideNumbers = []string{
+	"0", "-1", "2147483648", "9007199254740993", "9223372036854775807", "-9223372036854775808", "9223372036854775808",
+	"18446744073709551616", "4611686018427387904", "1500.5", "2e3", "1e308", "1e400", strings.Repeat("9", 400),
+}
 
 // configurationNumbers are the paths of the numbers in the configuration of a test site that
 // routers use.
 var configurationNumbers = []string{
 	"routes.0.timeout_ms", "routes.1.timeout_ms", "routes.0.target_latency_ms", "routes.1.target_latency_ms", "routes.2.target_latency_ms",
-	"routes.0.target_gap_ms", "limits.header_timeout_ms", "limits.idle_timeout_ms",
+	"routes.0.target_gap_ms", "routes.0.priority", "routes.1.priority", "routes.0.max_attempts", "routes.1.max_attempts",
+	"services.0.max_connections", "services.1.max_connections", "services.0.engine.slots", "services.0.engine.kv_tokens",
+	"limits.max_header_bytes", "limits.header_timeout_ms", "limits.idle_timeout_ms",
 }
 
 // TestAnyNumberOfAConfigurationIsServed has the operator write a configuration with one odd number.
-// With the largest integer as timeout_ms, all routers answered each request of the route 503.
+// With the largest integer as timeout_ms, all routers answered each request of the route 503; a
+// larger number or a fraction dropped the version.
 func TestAnyNumberOfAConfigurationIsServed(t *testing.T) {
 	for _, path := range configurationNumbers {
 		t.Run(path, func(t *testing.T) {
