Bound the size of bodies that a configuration allows

Cause: the buffer of a body grows up to the limit plus one byte. That overflowed, so that the router asked for the memory of a buffer of negative size.

Change: limits of bodies above 1 TiB count as that, in policy.Limits, whoever wrote the record.

--- a/policy/limits.go
+++ b/policy/limits.go
@@ -16,6 +16,8 @@
 	defaultMaxBodyBytes    = 1 << 20
 	defaultHeaderTimeoutMS = 5_000
 	defaultIdleTimeoutMS   = 60_000
+	// maxBodyBytes bounds the limit of a body: no VM holds more, and buffers may still grow by it.
+	maxBodyBytes = 1 << 40
 )
 
 // Limits are the limits on callers' requests: the sizes of header and body, and the
@@ -25,7 +27,7 @@
 	*rpc.Limits
 }
 
-// Defaults sets each limit that is not set.
+// Defaults sets each limit that is not set, and bounds that of bodies.
 func (lm Limits) Defaults() {
 	if lm.MaxHeaderBytes == 0 {
 		lm.MaxHeaderBytes = defaultMaxHeaderBytes
@@ -33,6 +35,7 @@
 	if lm.MaxBodyBytes == 0 {
 		lm.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	lm.MaxBodyBytes = min(lm.MaxBodyBytes, maxBodyBytes)
 	if lm.HeaderTimeoutMs == 0 {
 		lm.HeaderTimeoutMs = defaultHeaderTimeoutMS
 	}
--- a/router/numbers_test.go
+++ b/router/numbers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -25,7 +26,7 @@
 	"routes.0.timeout_ms", "routes.1.timeout_ms", "routes.0.target_latency_ms", "routes.1.target_latency_ms", "routes.2.target_latency_ms",
 	"routes.0.target_gap_ms", "routes.0.priority", "routes.1.priority", "routes.0.max_attempts", "routes.1.max_attempts",
 	"services.0.max_connections", "services.1.max_connections", "services.0.engine.slots", "services.0.engine.kv_tokens",
-	"limits.max_header_bytes", "limits.header_timeout_ms", "limits.idle_timeout_ms",
+	"limits.max_header_bytes", "limits.max_body_bytes", "limits.header_timeout_ms", "limits.idle_timeout_ms",
 }
 
 // TestAnyNumberOfAConfigurationIsServed has the operator write a configuration with one odd number.
@@ -53,3 +54,25 @@
 		})
 	}
 }
+
+// TestLargestBodyLimitAllowsBodiesInChunks has the operator allow bodies of any size. All routers
+// refused chunked bodies of more than 4 KiB, as if there were no memory.
+func TestLargestBodyLimitAllowsBodiesInChunks(t *testing.T) {
+	withSite(t, testsite.RouterOptions{Routers: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+		whole := http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+			_, _ = io.Copy(io.Discard, rq.Body)
+			wr.Header().Set("Response-Signature", "signed")
+			wr.Header().Set("Attempt-Id", rq.Header.Get("Attempt-Id"))
+		})
+		rs.Serve("desk", testsite.ReplicaAddress(testsite.PlainService, 1, "v1"), whole)
+		rs.Register(testsite.PlainService, 1, "v1", "ready")
+		for i, number := range []string{"1048576", "1099511627776", "9223372036854775806", "9223372036854775807", "1e308"} {
+			rs.ConfigureNumber("limits.max_body_bytes", number, "any")
+			time.Sleep(applyLimit)
+			for _, chunked := range []bool{false, true} {
+				an := doBody(rs, fmt.Sprint("b", i, chunked), strings.Repeat("x", 6000), chunked)
+				qt.Check(t, an.status, qt.Equals, http.StatusOK, qt.Commentf("%s, chunked %t: %s", number, chunked, an.body))
+			}
+		}
+	})
+}
