Bound what a caller's stated prompt length does to others

Callers saw: after a few requests whose Prompt-Prefix names two parts of 2^62 tokens, the other callers of the service were sent unevenly, for as long as the router lived or some 150 answers of each model: the busiest of six endpoints got 1.7 times the mean. One part of 2^64 tokens was refused with 400.

Cause: the lengths were added without a bound, to a negative sum. It made the work of the request, which routers add to their endpoint's backlog and tell each other, and what the answer taught: the base latency that all callers of the service share rose to 1e13 s.

A prompt that no endpoint of the service can hold (kv_tokens, or 2^20 tokens) counts as one of unknown length, and its answer teaches nothing. No request counts as more work than the time that it has left.

Evidence: TestOddPromptLengthHarmsNoOtherCaller, 9 lengths on 3 routers and 6 engines.

A length within the memory of an endpoint that is not true still lowers the time per token of the service for a while, as a cached prompt does.

--- a/placement/balancer.go
+++ b/placement/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 const (
@@ -192,7 +193,7 @@
 	if probe {
 		es.probe = ba.lastJob
 	}
-	dueAt := now.Add(time.Duration(overdueFactor * float64(estimate) * float64(time.Second)))
+	dueAt := now.Add(quantity.Seconds(overdueFactor * float64(estimate)))
 	es.pending[ba.lastJob] = pendingJob{work: jo.Work, dueAt: dueAt}
 	ba.recordSent(now, jo.Prefix, en.ID)
 	return Assignment{Endpoint: en, JobID: ba.lastJob, Job: jo, Estimate: estimate}, true
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,6 +15,7 @@
 	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rollout"
 )
 
@@ -112,10 +113,8 @@
 // returns a failure if none may get the request.
 func (ro *Router) chooseEndpoint(ctx context.Context, ca *call) (*attempt, *failure) {
 	se := ro.releases.selectRelease(ctx, ca)
-	rq, now := ca.request, time.Now()
-	key := latencyKey{ca.service.ID, ca.modelID()}
-	work, cached := ro.latencies.estimate(key, rq.promptTokens(), rq.prefixTokens())
-	jo := placement.Job{Prefix: rq.prefix(ca.modelID()), Work: work, CacheSaving: cached}
+	now := time.Now()
+	jo := ro.job(now, ca)
 	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, se.endpoints)
 	usable := func(en policy.Endpoint, cn placement.Condition) bool { return ro.availableTo(now, ca, en, cn).ok() }
 	pl, ok := ro.place(now, ca, jo, se.endpoints, usable)
@@ -220,7 +219,7 @@
 
 // estimatedWait returns the estimated time until the endpoint's answer begins.
 func (at *attempt) estimatedWait() time.Duration {
-	return time.Duration(float64(at.placement.Estimate) * float64(time.Second))
+	return quantity.Seconds(float64(at.placement.Estimate))
 }
 
 // idleTimeout returns how long an answer that has begun may be silent.
@@ -241,7 +240,7 @@
 	if ro.balancer.AnswerStarted(at.placement, took) {
 		at.logResumed()
 	}
-	ro.latencies.observe(latencyKey{ca.service.ID, ca.modelID()}, ca.request.promptTokens(), took)
+	ro.observeLatency(ca, took)
 	ro.releases.observe(ca.service.ID, at.endpoint, rollout.Outcome{FirstToken: took.Seconds() / max(float64(at.placement.Estimate), 0.001)})
 	ro.metrics.Attempts.Add(context.Background(), 1, metric.With(metric.KeyOutcome, "answered", metric.KeyCause, ""))
 }
--- a/relay/latency.go
+++ b/relay/latency.go
@@ -74,6 +74,44 @@
 	ls.byKey[key] = la
 }
 
+// maxPromptTokens is the length of the longest prompts of which routers expect anything.
+const maxPromptTokens = 1 << 20
+
+// promptTokens returns the length of a call's prompt as its caller states it. It returns false, and
+// a length of 0, if no endpoint of the service can hold such a prompt: what callers state is not
+// checked, and the estimates are used for all of them.
+func (ca *call) promptTokens() (policy.Tokens, bool) {
+	longest := policy.Tokens(maxPromptTokens)
+	if held := ca.service.GetEngine().GetMemoryTokens(); held > 0 {
+		longest = min(longest, policy.Tokens(held))
+	}
+	tokens := tokensOf(ca.request.Prompt)
+	if tokens > longest {
+		return 0, false
+	}
+	return tokens, true
+}
+
+// job returns the work of a call for an endpoint. An endpoint works for no request beyond its
+// deadline.
+func (ro *Router) job(now time.Time, ca *call) placement.Job {
+	tokens, ok := ca.promptTokens()
+	part := policy.Tokens(0)
+	if ok {
+		part = ca.request.prefixTokens()
+	}
+	work, cached := ro.latencies.estimate(latencyKey{ca.service.ID, ca.modelID()}, tokens, part)
+	left := placement.Work(max(0, ca.deadline.Sub(now).Seconds()))
+	return placement.Job{Prefix: ca.request.prefix(ca.modelID()), Work: min(work, left), CacheSaving: min(cached, left)}
+}
+
+// observeLatency updates the estimates with a call's answer that took this long to begin.
+func (ro *Router) observeLatency(ca *call, took time.Duration) {
+	if tokens, ok := ca.promptTokens(); ok {
+		ro.latencies.observe(latencyKey{ca.service.ID, ca.modelID()}, tokens, took)
+	}
+}
+
 func smooth(old, measured float64) float64 {
 	measured = max(0, measured)
 	if measured < old {
--- a/relay/request.go
+++ b/relay/request.go
@@ -16,6 +16,7 @@
 
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // RequestID identifies a request as a caller sent it. A caller that sends the same
@@ -63,21 +64,18 @@
 	LastEventID EventID
 }
 
-// promptTokens returns the length of the prompt.
-func (rq *Request) promptTokens() policy.Tokens {
+// tokensOf returns the length of parts of a prompt.
+func tokensOf(parts []PromptPart) policy.Tokens {
 	sum := policy.Tokens(0)
-	for _, pa := range rq.Prompt {
-		sum += pa.Tokens
+	for _, pa := range parts {
+		sum = quantity.Sum(sum, pa.Tokens)
 	}
 	return sum
 }
 
 // prefixTokens returns the length of the prompt's shared prefix.
 func (rq *Request) prefixTokens() policy.Tokens {
-	if len(rq.Prompt) == 0 {
-		return 0
-	}
-	return rq.promptTokens() - rq.Prompt[len(rq.Prompt)-1].Tokens
+	return tokensOf(rq.Prompt[:max(0, len(rq.Prompt)-1)])
 }
 
 // sharedParts returns the IDs of the parts that other requests may share.
--- a/relay/run.go
+++ b/relay/run.go
@@ -69,7 +69,8 @@
 		return false
 	}
 	key := latencyKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
-	work, _ := ro.latencies.estimate(key, ca.request.promptTokens(), 0)
+	tokens, _ := ca.promptTokens()
+	work, _ := ro.latencies.estimate(key, tokens, 0)
 	left := time.Until(ca.request.ReceivedAt.Add(ca.route.LatencyTarget()))
 	es := cascade.Escalation{
 		Confidence: an.head.Confidence, Work: float64(work), Backlog: float64(ca.meanBacklog),
--- a/router/numbers_test.go
+++ b/router/numbers_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagerpoint.example/tanager/router"
 	"tanagerpoint.example/tanager/testsite"
 )
 
@@ -76,3 +77,42 @@
 		}
 	})
 }
+
+// TestOddPromptLengthHarmsNoOtherCaller has one caller state odd lengths of its prompts. Two of 2^62
+// tokens added up to a negative length: the router and its peers took the endpoint for one with the
+// least work, and what they learnt from its answer made every estimate of the service 1e13 s long.
+func TestOddPromptLengthHarmsNoOtherCaller(t *testing.T) {
+	const routers, engines, mostWork = 3, 6, 20.0 // seconds: the timeout of the route
+	for _, prompt := range []string{
+		"a:4611686018427387904,b:4611686018427387904", "a:9223372036854775807,b:9223372036854775807", "a:9223372036854775807", "a:4611686018427387904",
+		"a:9007199254740993,b:1", "a:2147483648,b:2147483648", "a:18446744073709551616", "a:484470,b:" + strings.Repeat("9", 400), "a:0",
+	} {
+		t.Run(fmt.Sprintf("%.60s", prompt), func(t *testing.T) {
+			withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines}, func(t *testing.T, rs *testsite.RouterSite) {
+				load := &promptLoad{site: rs, routers: routers, callers: 24, pause: 300 * time.Millisecond}
+				defer load.start()()
+				time.Sleep(5 * time.Second)
+				from := time.Now()
+				for n := range 30 {
+					an := do(rs, request{router: 1 + n%routers, id: fmt.Sprint("odd", n), path: testsite.EngineRoute, header: map[string]string{"Prompt-Prefix": prompt}})
+					qt.Check(t, an.status, qt.Equals, http.StatusOK, qt.Commentf("%s", an.body))
+					for r := 1; r <= routers; r++ {
+						for id, lo := range rs.Routers[r].Dump().(router.State).Relay.Endpoints {
+							work := float64(lo.Backlog)
+							qt.Check(t, work >= 0 && work <= float64(lo.Running)*mostWork, qt.IsTrue, qt.Commentf("router %d, %s: %g s for %d requests", r, id, work, lo.Running))
+						}
+					}
+				}
+				time.Sleep(5 * time.Second)
+				qt.Check(t, load.share(from, time.Now().Add(-time.Second)) >= 0.99, qt.IsTrue, qt.Commentf("%.3f served", load.share(from, time.Now().Add(-time.Second))))
+				most, sum := 0, 0
+				for n := 1; n <= engines; n++ {
+					runs := len(runsBetween(rs, n, from, time.Now()))
+					most, sum = max(most, runs), sum+runs
+				}
+				mean := float64(sum) / engines
+				qt.Check(t, float64(most) <= 1.5*mean, qt.IsTrue, qt.Commentf("the busiest endpoint got %d requests, the mean is %.0f", most, mean))
+			})
+		})
+	}
+}
