--- a/relay/request.go
+++ b/relay/request.go
@@ -29,6 +29,9 @@
 // EventID is the number of an event in a stream. It increases with each event.
 type EventID int64
 
+// MaxEventID is the largest number of an event. Larger ones of endpoints are no numbers of events.
+const MaxEventID EventID = 1 << 53
+
 // PromptPart is a part of a prompt, with its length.
 type PromptPart struct {
 	ID     policy.PromptPartID
