Bound the ages that peers tell

Callers saw: nothing certain. An item of a peer's message with an age of 2^63-1 ms counted as new, as the product with a millisecond wrapped, and one with a negative age as written in the future: kept for as long as the age said, and newer than all that others tell of the same thing.

Cause: ages were multiplied to a time.Duration without a bound.

Change: quantity.Ago takes them, 0 to ten years.

Evidence: TestItemsOfOddAgesAreNotOfTheFuture fails without the change for -5000, 2^62, 2^63-1 and -2^63, and passes with it.

--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -70,7 +71,7 @@
 		}
 		for _, el := range ms.GetLimits() {
 			id := policy.EndpointID(el.GetEndpoint())
-			at := it.WrittenAt.Add(-time.Duration(el.GetAgeMs()) * time.Millisecond)
+			at := quantity.Ago(it.WrittenAt, el.GetAgeMs())
 			if old, ok := out[id]; !ok || at.After(old.at) {
 				out[id] = word{rate: Rate(el.GetPerSecond()), ended: el.GetEnded(), at: at}
 			}
--- a/peer/group.go
+++ b/peer/group.go
@@ -18,6 +18,7 @@
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/network"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 	"tanagerpoint.example/tanager/vm"
@@ -282,7 +283,7 @@
 	gr.lastContact[Incarnation(rs.GetFrom().GetIncarnation())] = asked
 	gr.mu.Unlock()
 	gr.offerPolicy(ctx, address, positionOf(rs))
-	gr.fetchPolicy(ctx, address, rs, asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+	gr.fetchPolicy(ctx, address, rs, quantity.Ago(asked, rs.GetPolicyAgeMs()))
 }
 
 func (gr *Group) recordFailure(ctx context.Context, address string, err error) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -73,6 +74,23 @@
 	})
 }
 
+// TestItemsOfOddAgesAreNotOfTheFuture has a peer send items of odd ages. The largest one wrapped, so
+// that an item of unknown age counted as new, and negative ones kept an item for as long as they said.
+func TestItemsOfOddAgesAreNotOfTheFuture(t *testing.T) {
+	for age, kept := range map[int64]bool{0: true, 1000: true, -5000: true, math.MinInt64: true, 60_000: false, math.MaxInt64: false, 1 << 62: false} {
+		gr, ha := newHandler()
+		text, err := proto.Marshal(&rpc.ExchangeRequest{From: &rpc.Member{Vm: "b"}, Items: []*rpc.Item{{Key: "load/b", Fence: 1, Sequence: 1, Value: []byte{}, AgeMs: age}}})
+		qt.Assert(t, err, qt.IsNil)
+		rq := httptest.NewRequest(http.MethodPost, "/twirp/tanager.peer.PeerService/Exchange", bytes.NewReader(text))
+		rq.Header.Set("Content-Type", "application/protobuf")
+		rq.Header.Set("Authorization", "Bearer the shared key")
+		ha.ServeHTTP(httptest.NewRecorder(), rq)
+		it, ok := gr.Table().Get("load/b")
+		qt.Check(t, ok, qt.Equals, kept, qt.Commentf("%d", age))
+		qt.Check(t, it.WrittenAt.After(time.Now()), qt.IsFalse, qt.Commentf("%d: %v", age, it.WrittenAt))
+	}
+}
+
 // FuzzExchange sends arbitrary request bodies, such as items with a negative age
 // or undecodable members; the server must not panic.
 func FuzzExchange(f *testing.F) {
--- a/peer/policy.go
+++ b/peer/policy.go
@@ -6,6 +6,7 @@
 
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 )
@@ -24,7 +25,7 @@
 		gr.recordFailure(ctx, address, err)
 		return
 	}
-	gr.fetchPolicy(ctx, address, rs, asked.Add(-time.Duration(rs.GetPolicyAgeMs())*time.Millisecond))
+	gr.fetchPolicy(ctx, address, rs, quantity.Ago(asked, rs.GetPolicyAgeMs()))
 }
 
 // position is what a daemon's policy set holds: the changes up to a revision, and the
--- a/peer/server.go
+++ b/peer/server.go
@@ -8,6 +8,7 @@
 
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 )
@@ -109,7 +110,7 @@
 	theirs, mine := position{store.Revision(rq.GetPolicyRevision()), policy.RetainedDigest(rq.GetPolicyRetained())}, gr.position()
 	form := policy.Form(rq.GetFrom().GetPolicyForm())
 	if theirs.revision == mine.revision {
-		gr.confirm(form, theirs.revision, now.Add(-time.Duration(rq.GetPolicyAgeMs())*time.Millisecond))
+		gr.confirm(form, theirs.revision, quantity.Ago(now, rq.GetPolicyAgeMs()))
 	}
 	if theirs.urgent(mine) && gr.takes(form) {
 		// If the channel is full, a newer policy is already about to be fetched.
--- a/peer/table.go
+++ b/peer/table.go
@@ -17,6 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -220,7 +221,7 @@
 // merge stores a peer's items that are newer than the table's.
 func (ta *Table) merge(its []*rpc.Item, now time.Time) {
 	for _, it := range its {
-		writtenAt := now.Add(-time.Duration(it.GetAgeMs()) * time.Millisecond)
+		writtenAt := quantity.Ago(now, it.GetAgeMs())
 		ve := Version{Fence: it.GetFence(), Sequence: it.GetSequence()}
 		switch {
 		case now.Sub(writtenAt) > itemTTL:
--- a/peer/upstream.go
+++ b/peer/upstream.go
@@ -11,6 +11,7 @@
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 )
@@ -232,13 +233,13 @@
 }
 
 // ago returns the time that was a number of milliseconds ago.
-func ago(ms int64) time.Time { return time.Now().Add(-time.Duration(ms) * time.Millisecond) }
+func ago(ms int64) time.Time { return quantity.Ago(time.Now(), ms) }
 
 // WatchPolicy implements rpc.PeerService.
 func (se *Server) WatchPolicy(ctx context.Context, rq *rpc.WatchPolicyRequest) (*rpc.WatchPolicyResponse, error) {
 	gr := se.group
 	theirs := position{store.Revision(rq.GetAfterRevision()), policy.RetainedDigest(rq.GetPolicyRetained())}
-	gr.awaitNews(ctx, theirs, ago(rq.GetPolicyAgeMs()), min(maxPolicyWait, time.Duration(rq.GetWaitMs())*time.Millisecond))
+	gr.awaitNews(ctx, theirs, ago(rq.GetPolicyAgeMs()), min(maxPolicyWait, quantity.Milliseconds(rq.GetWaitMs())))
 	rs := &rpc.WatchPolicyResponse{PolicyRevision: int64(gr.position().revision), PolicyAgeMs: gr.policyAgeMS(time.Now()), StoreAgeMs: gr.storeAgeMS(time.Now()), StoreLost: isClosed(gr.storeLost()), PolicyForm: gr.policyForm()}
 	if gr.position().offers(theirs) {
 		rs.Policy = gr.policyAfter(theirs)
--- a/quantity/quantity.go
+++ b/quantity/quantity.go
@@ -102,6 +102,9 @@
 	return time.Duration(max(0, ms)) * time.Millisecond
 }
 
+// Ago returns the time that was a number of milliseconds before another one.
+func Ago(now time.Time, ms int64) time.Time { return now.Add(-Milliseconds(ms)) }
+
 // Seconds returns a number of seconds as a time from 0 to MaxDuration, 0 for what is not a number.
 func Seconds(va float64) time.Duration {
 	return Bounds[time.Duration]{0, MaxDuration}.Of(va * float64(time.Second))
