Bound the limits and places that peers tell

Callers saw: nothing yet, as no build tells a negative limit.

Change: quantity.Bounds converts the number of sharers, and holds for all limits that are used.

--- a/limit/brittle_exchange.go
+++ b/limit/brittle_exchange.go
@@ -1,11 +1,13 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -73,9 +75,16 @@
 	}
 }
 
+// The bounds of what other routers say: of the refusals in a second that endpoints bear, and of
+// the places of an endpoint.
+var (
+	refusalBounds = quantity.Bounds[int64]{Min: 0, Max: math.MaxInt32}
+	placeBounds   = quantity.Bounds[int64]{Min: 0, Max: 1 << 20}
+)
+
 // apply applies another router's word of a service, written at a time.
 func (br *Brittle) apply(now, writtenAt time.Time, set *policy.Set, bs *rpc.BrittleService) {
-	id, at := policy.ServiceID(bs.GetService()), writtenAt.Add(-time.Duration(bs.GetAgeMs())*time.Millisecond)
+	id, at := policy.ServiceID(bs.GetService()), quantity.Ago(writtenAt, bs.GetAgeMs())
 	if now.Sub(at) > wordTTL {
 		return
 	}
@@ -83,7 +92,7 @@
 	defer br.mu.Unlock()
 	se, ok := br.services[id]
 	if !bs.GetEnded() && (!ok || at.After(se.word.at)) || bs.GetEnded() && ok && !se.word.at.IsZero() && at.After(se.word.at) {
-		br.update(id, brittleWord{refusals: int(bs.GetRefusals()), ended: bs.GetEnded(), at: at})
+		br.update(id, brittleWord{refusals: int(refusalBounds.Clamp(bs.GetRefusals())), ended: bs.GetEnded(), at: at})
 	}
 	se = br.guarded(now, id)
 	if se == nil {
@@ -91,7 +100,7 @@
 	}
 	for _, rf := range bs.GetRefused() {
 		if en, ok := set.Endpoints.ByID(policy.EndpointID(rf.GetEndpoint())); ok {
-			se.endpoint(now, en).refusedElsewhere(now, writtenAt.Add(-time.Duration(rf.GetAgeMs())*time.Millisecond), int(rf.GetPlaces()))
+			se.endpoint(now, en).refusedElsewhere(now, quantity.Ago(writtenAt, rf.GetAgeMs()), int(placeBounds.Clamp(rf.GetPlaces())))
 		}
 	}
 }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // Bucket lets requests pass at one router's share of a limit. It holds one request at
@@ -40,5 +42,5 @@
 		return time.Time{}, false
 	}
 	missing := max(0, 1-bu.limiter.TokensAt(now))
-	return now.Add(time.Duration(missing / float64(bu.share) * float64(time.Second))), true
+	return now.Add(quantity.Seconds(missing / float64(bu.share))), true
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -13,11 +13,16 @@
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // Rate is a number of requests a second.
 type Rate float64
 
+// rateBounds are those of the limits that routers use. Only an answer can show that a limit has
+// ended, so that none is 0; above the largest one there is none to speak of.
+var rateBounds = quantity.Bounds[Rate]{Min: minRate, Max: 1e9}
+
 // wordTTL is how long what an endpoint said is used without newer word of it.
 const wordTTL = 30 * time.Second
 
--- a/limit/share.go
+++ b/limit/share.go
@@ -7,6 +7,7 @@
 
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 const (
@@ -46,13 +47,11 @@
 	return si
 }
 
-// maxSharers is more than there are routers. A limit may be any number.
-const maxSharers = 1 << 20
+// sharerBounds are those of the routers that share a limit besides minSharers: there are fewer.
+var sharerBounds = quantity.Bounds[int]{Min: 0, Max: 1 << 20}
 
 // sharers returns how many routers share a limit.
-func sharers(ra Rate) int {
-	return minSharers + int(min(math.Ceil(sharersPerRate*float64(ra)), maxSharers))
-}
+func sharers(ra Rate) int { return minSharers + sharerBounds.Of(math.Ceil(sharersPerRate*float64(ra))) }
 
 // Share returns a router's part of the limit of an endpoint in a failure domain, 0 if
 // others of the routers share it.
@@ -65,7 +64,7 @@
 }
 
 // used returns the part of a limit that the routers use together.
-func used(ra Rate) Rate { return usedShare * max(minRate, ra) }
+func used(ra Rate) Rate { return usedShare * rateBounds.Clamp(ra) }
 
 // shareOf returns this router's part of an endpoint's limit. Without word of the endpoint
 // for wordTTL, those that share it may have no callers, so that all routers share it.
