Bound the loads that peers tell

Cause: requests in flight and backlogs were added as they came, and wrapped; in messages among large groups they were cut to 32 bits, so that the most work became none.

Change: a load that is told, or heard, is 0 to 2^20 requests and 0 to an hour of work; requests in flight and link speeds of members are bounded too.

TestLoadsInMessagesDoNotWrap fails without it.

--- a/peer/load.go
+++ b/peer/load.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -29,6 +30,20 @@
 	Backlog time.Duration
 }
 
+// runningBounds are those of the requests in flight that daemons tell each other.
+var runningBounds = quantity.Bounds[int64]{Min: 0, Max: 1 << 20}
+
+// BoundedRunning returns a number of requests in flight as far as daemons believe it.
+func BoundedRunning(n int64) int64 { return runningBounds.Clamp(n) }
+
+// maxBacklog is more work than any endpoint gets.
+const maxBacklog = time.Hour
+
+// BoundedBacklog returns a backlog as far as daemons believe it.
+func BoundedBacklog(du time.Duration) time.Duration {
+	return quantity.Bounds[time.Duration]{Min: 0, Max: maxBacklog}.Clamp(du)
+}
+
 // Loads are the loads of endpoints.
 type Loads map[EndpointHash]EndpointLoad
 
@@ -71,8 +86,8 @@
 	ms := &rpc.EndpointLoads{}
 	for ha, el := range lo {
 		ms.Endpoints = append(ms.Endpoints, uint32(ha))
-		ms.Running = append(ms.Running, uint32(el.Running))
-		ms.BacklogMs = append(ms.BacklogMs, uint32(el.Backlog.Milliseconds()))
+		ms.Running = append(ms.Running, uint32(runningBounds.Clamp(el.Running)))
+		ms.BacklogMs = append(ms.BacklogMs, uint32(BoundedBacklog(el.Backlog).Milliseconds()))
 	}
 	return ms
 }
@@ -85,7 +100,7 @@
 	}
 	for n, ha := range ms.GetEndpoints() {
 		out[EndpointHash(ha)] = EndpointLoad{
-			Running: int64(ms.GetRunning()[n]), Backlog: time.Duration(ms.GetBacklogMs()[n]) * time.Millisecond,
+			Running: runningBounds.Clamp(int64(ms.GetRunning()[n])), Backlog: BoundedBacklog(quantity.Milliseconds(ms.GetBacklogMs()[n])),
 		}
 	}
 	return out
--- a/peer/member.go
+++ b/peer/member.go
@@ -8,6 +8,7 @@
 
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/vm"
 )
@@ -100,6 +101,9 @@
 	return 2*reached > listed
 }
 
+// linkBounds are those of the speed of a link in Mbit/s, as in the settings.
+var linkBounds = quantity.Bounds[float64]{Min: 0, Max: 1e7}
+
 func decodeMember(value []byte) Member {
 	var ms rpc.Member
 	if proto.Unmarshal(value, &ms) != nil {
@@ -109,7 +113,7 @@
 		VM: vm.ID(ms.GetVm()), Incarnation: Incarnation(ms.GetIncarnation()), Role: ms.GetRole(),
 		FailureDomain: policy.FailureDomain(ms.GetFailureDomain()),
 		PeerAddress:   ms.GetPeerAddress(), CallersAddress: ms.GetCallersAddress(),
-		Draining: ms.GetDraining(), InFlight: ms.GetInFlight(), LinkMbps: ms.GetLinkMbps(), PolicyForm: policy.Form(ms.GetPolicyForm()), PathLost: ms.GetPathLost(), LostServices: serviceIDs(ms.GetLostServices()),
+		Draining: ms.GetDraining(), InFlight: BoundedRunning(ms.GetInFlight()), LinkMbps: linkBounds.Clamp(ms.GetLinkMbps()), PolicyForm: policy.Form(ms.GetPolicyForm()), PathLost: ms.GetPathLost(), LostServices: serviceIDs(ms.GetLostServices()),
 	}
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -8,6 +8,7 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/rpc"
 )
@@ -31,12 +32,17 @@
 	us := &rpc.Usage{}
 	for id, lo := range ro.balancer.Loads() {
 		us.Endpoints = append(us.Endpoints, &rpc.EndpointUsage{
-			Endpoint: string(id), InFlight: int64(lo.Running), BacklogMs: int64(float64(lo.Backlog) * 1000),
+			Endpoint: string(id), InFlight: int64(lo.Running), BacklogMs: backlogOf(lo).Milliseconds(),
 		})
 	}
 	ro.peers.Publish(loadPrefix+string(ro.peers.VM()), us)
 }
 
+// backlogOf returns the backlog of a load as it is told.
+func backlogOf(lo placement.Load) time.Duration {
+	return peer.BoundedBacklog(quantity.Seconds(float64(lo.Backlog)))
+}
+
 // Refresh applies what the other routers have published.
 func (ro *Router) Refresh() {
 	now := time.Now()
@@ -64,8 +70,8 @@
 		}
 		for _, eu := range us.GetEndpoints() {
 			lo := out[policy.EndpointID(eu.GetEndpoint())]
-			lo.Running += int(eu.GetInFlight())
-			lo.Backlog += placement.Work(float64(eu.GetBacklogMs()) / 1000)
+			lo.Running += int(peer.BoundedRunning(eu.GetInFlight()))
+			lo.Backlog += placement.Work(peer.BoundedBacklog(quantity.Milliseconds(eu.GetBacklogMs())).Seconds())
 			out[policy.EndpointID(eu.GetEndpoint())] = lo
 		}
 	}
@@ -77,7 +83,7 @@
 func (ro *Router) Sums() peer.Sums {
 	out := peer.Sums{Loads: peer.Loads{}, Releases: map[peer.ReleaseKey]rollout.Report{}}
 	for id, lo := range ro.balancer.Loads() {
-		out.Loads[peer.HashEndpoint(id)] = peer.EndpointLoad{Running: int64(lo.Running), Backlog: time.Duration(float64(lo.Backlog) * float64(time.Second))}
+		out.Loads[peer.HashEndpoint(id)] = peer.EndpointLoad{Running: int64(lo.Running), Backlog: backlogOf(lo)}
 	}
 	for _, rec := range ro.releases.active() {
 		out.Releases[releaseKeyOf(rec)] = ro.releases.ownReport(time.Now(), rec)
