Bound the reports of releases that peers tell

Evidence that is not a number, from one router, stays in the sum of all, and a bad release is not found any more; counts that wrap do the same.

Cause: counts and evidence were added as they came.

Change: counts are 0 to 2^40, failures no more than the answers; evidence that is not a number is left out, other evidence is bounded far beyond what rejects a release.

Evidence: TestOddReportRollsNoReleaseBack fails without the change, and passes with it.

--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -1,6 +1,7 @@
 package rollout_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -121,3 +122,19 @@
 	}
 	qt.Assert(t, ht.RejectionReason(), qt.Equals, "slow first token")
 }
+
+// TestOddReportRollsNoReleaseBack has a router report odd numbers of a release. Evidence that is not a
+// number stayed in the sum, so that a bad release could not be found any more.
+func TestOddReportRollsNoReleaseBack(t *testing.T) {
+	bad := rollout.ReportOf(&rpc.VersionHealth{Answers: 50, Failures: 40, StableAnswers: 500, FailureEvidence: []float64{9, 9, 9, 9}})
+	qt.Assert(t, bad.Verdict(), qt.Not(qt.Equals), "")
+	for _, whole := range []int64{-1, math.MinInt64, math.MaxInt64, 1 << 62} {
+		for _, real := range []float64{math.NaN(), 0} {
+			odd := rollout.ReportOf(&rpc.VersionHealth{StableAnswers: whole, StableFailures: whole, StableInFlight: whole, Answers: whole, FailureEvidence: []float64{real, real, real, real}})
+			qt.Check(t, odd.Verdict(), qt.Equals, "", qt.Commentf("%d, %g", whole, real))
+			sum := bad.Add(odd).Add(odd)
+			qt.Check(t, sum.Verdict(), qt.Not(qt.Equals), "", qt.Commentf("%d, %g", whole, real))
+			qt.Check(t, sum.Candidate.Answers >= 50 && sum.Stable.Answers >= 500 && sum.StableInFlight >= 0, qt.IsTrue, qt.Commentf("%d: %v", whole, sum))
+		}
+	}
+}
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "tanagerpoint.example/tanager/rpc"
+import (
+	"tanagerpoint.example/tanager/quantity"
+	"tanagerpoint.example/tanager/rpc"
+)
 
 // Report is what one router, or several, have observed of a roll-out.
 type Report struct {
@@ -16,9 +19,9 @@
 // ReportOf returns the report of a message.
 func ReportOf(he *rpc.VersionHealth) Report {
 	re := Report{
-		Candidate:      Counts{Answers: he.GetAnswers(), Failures: he.GetFailures()},
-		Stable:         Counts{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()},
-		StableInFlight: he.GetStableInFlight(),
+		Candidate:      countsOf(he.GetAnswers(), he.GetFailures()),
+		Stable:         countsOf(he.GetStableAnswers(), he.GetStableFailures()),
+		StableInFlight: countBounds.Clamp(he.GetStableInFlight()),
 	}
 	if he.GetSuspect() {
 		re.RejectionReason = he.GetReason()
@@ -29,6 +32,15 @@
 	return re
 }
 
+// countBounds are those of a router's answers of a release.
+var countBounds = quantity.Bounds[int64]{Min: 0, Max: 1 << 40}
+
+// countsOf returns the counts of a message. Failures are among the answers.
+func countsOf(answers, failures int64) Counts {
+	answers = countBounds.Clamp(answers)
+	return Counts{Answers: answers, Failures: quantity.Bounds[int64]{Min: 0, Max: answers}.Clamp(failures)}
+}
+
 // Message returns the report of a candidate as a message.
 func (re Report) Message(candidate string) *rpc.VersionHealth {
 	return &rpc.VersionHealth{
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -17,6 +17,7 @@
 	"slices"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // alpha is the maximum probability that one test rejects a good version.
@@ -48,16 +49,19 @@
 // Add adds the evidence of another daemon's test, as LogWealth returned it there. Each test is
 // a bet that a good version does not win, and so is the product of all: together they reject a
 // good version no more often than one of them does. Evidence of another number of bets, from
-// another version of the program, is left out.
+// another version of the program, is left out, and so is what is not a number.
 func (st *SequentialTest) Add(logWealth []float64) {
-	if len(logWealth) != len(bets) {
+	if len(logWealth) != len(bets) || slices.ContainsFunc(logWealth, math.IsNaN) {
 		return
 	}
 	for i, lw := range logWealth {
-		st.logWealth[i] += lw
+		st.logWealth[i] += wealthBounds.Clamp(lw)
 	}
 }
 
+// wealthBounds are those of the logarithm of a wealth, far beyond what rejects a candidate.
+var wealthBounds = quantity.Bounds[float64]{Min: -1e6, Max: 1e6}
+
 // LogEvidence returns the logarithm of the mean wealth over all bets.
 func (st *SequentialTest) LogEvidence() float64 {
 	top := st.logWealth[0]
