Bound the deadline and the size of carried attempts

Callers saw: nothing certain. A peer's request to carry an attempt with a deadline of 2^63-1 ms would have no time at all, and the sizes of two that state 2^63-1 bytes add up to a negative one, which lets a router carry without a bound.

Cause: both numbers were used as they came.

Change: the deadline is bounded as all times, the size at one byte more than may be carried.

Evidence: read, not played: routers state neither.

--- a/endpoint/carried.go
+++ b/endpoint/carried.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -32,7 +33,7 @@
 // CarriedCall returns the call that a peer asks for, of an endpoint's base URL. How long to
 // wait for the endpoint is up to the peer, until the deadline.
 func CarriedCall(ms *rpc.CarryRequest, url string, received time.Time) ForwardCall {
-	left := time.Duration(ms.GetDeadlineMs()) * time.Millisecond
+	left := quantity.Milliseconds(ms.GetDeadlineMs())
 	return ForwardCall{
 		URL: url, Method: ms.GetMethod(), Target: ms.GetTarget(), Host: ms.GetHost(), Header: headerOf(ms.GetHeader()),
 		Body: ms.GetBody(), Repeatable: ms.GetRepeatable(), HeaderDeadline: received.Add(left), IdleTimeout: left,
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -15,6 +15,7 @@
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/vm"
 )
@@ -153,7 +154,7 @@
 func (ro *Router) Carry(wr http.ResponseWriter, rq *http.Request) {
 	received, cr := time.Now(), ro.carriers
 	// The request's size counts before it is read: many may arrive at once.
-	size := max(0, rq.ContentLength)
+	size := quantity.Bounds[int64]{Min: 0, Max: maxCarriedBytes + 1}.Clamp(rq.ContentLength)
 	cr.bytes.Add(size)
 	defer cr.bytes.Add(-size)
 	cr.carrying.Add(1)
