Take no odd number for that of an event

Callers saw: an answer that ended as complete without some of its pieces. The events of a replica that numbers them below zero were all left out, and so were those that follow one numbered 2^63-1.

Cause: a number is compared with that of the last event that the caller has, any number.

Change: numbers of events are 1 to 2^53 - 1. An event with another one counts as not numbered: on routes that are resumed the answer counts as broken, on others the event is passed on.

Evidence: TestEventsWithOddNumbersAreNotDropped, 9 numberings on both kinds of routes.

Numbers within the bounds that go back within one answer are still taken for events that the caller has, as those of a resumed answer are.

--- a/relay/request.go
+++ b/relay/request.go
@@ -29,7 +29,8 @@
 // EventID is the number of an event in a stream. It increases with each event.
 type EventID int64
 
-// MaxEventID is the largest number of an event. Larger ones of endpoints are no numbers of events.
+// MaxEventID is larger than the number of any event. Endpoints' events with such a number, or a
+// larger one, count as not numbered: all that follow would be taken for older ones.
 const MaxEventID EventID = 1 << 53
 
 // PromptPart is a part of a prompt, with its length.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +17,7 @@
 	"tanagerpoint.example/tanager/limit"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rollout"
 	"tanagerpoint.example/tanager/worker"
 )
@@ -92,10 +92,7 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			if err == nil {
-				ev.id = EventID(id)
-			}
+			ev.id = parseEventID(value)
 		}
 		if len(line) > 0 || len(bytes.TrimSpace(ev.text)) == 0 {
 			continue
@@ -107,6 +104,15 @@
 	}
 }
 
+// parseEventID returns the number of an event, 0 if the text is none.
+func parseEventID(text []byte) EventID {
+	id, err := quantity.Bounds[EventID]{Min: 1, Max: MaxEventID}.Parse(string(bytes.TrimSpace(text)))
+	if err != nil || id == MaxEventID {
+		return 0
+	}
+	return id
+}
+
 // isComment reports whether a text consists of comment lines only, which endpoints send to
 // keep a connection open.
 func isComment(text []byte) bool {
--- a/router/numbers_test.go
+++ b/router/numbers_test.go
@@ -116,3 +116,37 @@
 		})
 	}
 }
+
+// TestEventsWithOddNumbersAreNotDropped has a replica number its events oddly. Events with a negative
+// number, and those after one of 2^63-1, were left out of an answer that ended as complete.
+func TestEventsWithOddNumbersAreNotDropped(t *testing.T) {
+	for _, resumable := range []bool{false, true} {
+		for _, ids := range [][]string{
+			{"1", "2", "3"}, {"-3", "-2", "-1"}, {"9223372036854775807", "1", "2"}, {"18446744073709551616", "1", "2"}, {"-9223372036854775808", "1", "2"},
+			{"1.5", "1", "2"}, {"9007199254740993", "1", "2"}, {strings.Repeat("9", 400), "1", "2"}, {"NaN", "1", "2"},
+		} {
+			t.Run(fmt.Sprintf("resumable %t, %.20s", resumable, ids[0]), func(t *testing.T) {
+				withSite(t, testsite.RouterOptions{Routers: 1}, func(t *testing.T, rs *testsite.RouterSite) {
+					rs.Serve("scribe", testsite.ReplicaAddress(testsite.EngineService, 1, "v1"), http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+						wr.Header().Set("Content-Type", "text/event-stream")
+						wr.Header().Set("Response-Signature", "signed")
+						wr.Header().Set("Attempt-Id", rq.Header.Get("Attempt-Id"))
+						for n, id := range ids {
+							_, _ = fmt.Fprintf(wr, "id: %s\ndata: piece %d\n\n", id, n)
+						}
+					}))
+					rs.Register(testsite.EngineService, 1, "v1", "ready")
+					rs.Configure(func(co *testsite.Configuration) { co.Routes[0].StreamResume = resumable })
+					time.Sleep(applyLimit)
+					an := do(rs, request{id: "a", path: testsite.EngineRoute})
+					if an.err != nil || an.status != http.StatusOK {
+						return // not taken for a complete answer
+					}
+					for n := range ids {
+						qt.Check(t, strings.Count(an.body, fmt.Sprint("piece ", n)), qt.Equals, 1, qt.Commentf("%q", an.body))
+					}
+				})
+			})
+		}
+	}
+}
