Divide a route by any weights

Callers saw: with two weights of 2^62 or more, all requests of the route went to the first service.

Cause: the sum of the weights wrapped.

Change: the weights are added as floats, as the draw is one.

Evidence: TestWeightsOfASplitDoNotWrap fails without the change for 2^62 and 2^63-1, and passes with it.

--- a/policy/bounds_test.go
+++ b/policy/bounds_test.go
@@ -30,3 +30,16 @@
 		}
 	}
 }
+
+// TestWeightsOfASplitDoNotWrap divides a route by the largest weights. Their sum wrapped, and all
+// requests went to the first service.
+func TestWeightsOfASplitDoNotWrap(t *testing.T) {
+	for _, weight := range []int64{1, math.MaxInt32, 1 << 53, 1 << 62, math.MaxInt64} {
+		rt := policy.Route{Route: &rpc.Route{Splits: []*rpc.Split{{Service: "a", Weight: weight}, {Service: "b", Weight: weight}}}}
+		picked := map[policy.ServiceID]int{}
+		for n := range 100 {
+			picked[rt.PickService((float64(n)+0.5)/100)]++
+		}
+		qt.Check(t, picked, qt.DeepEquals, map[policy.ServiceID]int{"a": 50, "b": 50}, qt.Commentf("%d", weight))
+	}
+}
--- a/policy/route.go
+++ b/policy/route.go
@@ -99,11 +99,11 @@
 // splits. draw is a random number, at least 0 and less than 1. If all weights are 0,
 // the service of the last split is picked. Without splits, PickService returns "".
 func (rt Route) PickService(draw float64) ServiceID {
-	sum := int64(0)
+	sum := 0.0
 	for _, sp := range rt.Splits {
-		sum += sp.GetWeight()
+		sum += float64(sp.GetWeight())
 	}
-	left := draw * float64(sum)
+	left := draw * sum
 	for _, sp := range rt.Splits {
 		if left -= float64(sp.GetWeight()); left < 0 {
 			return ServiceID(sp.GetService())
