Start with any number that the platform fills into the settings

Callers saw: nobody served. A setting that is not a number (NaN) passed the bounds, as it is neither below nor above them; memory_mb = NaN became a memory limit of 0 or of -2^63 by the machine.

Cause: a number beyond a bound was a mistake of the operator's, also where the platform writes it; NaN compares with nothing.

Change: for the six keys that the template fills in, a number beyond a bound counts as the bound (rule `bounded`); durations may have any number of seconds. Numbers are decoded by quantity.Bounds, which refuses NaN and infinities.

Evidence: TestSettingsOfThePlatformBeyondABoundCountAsIt and TestSettingThatIsNoNumberIsFound fail without the change, the second for NaN and 0x1p-2 too, and pass with it.

--- a/setting/describe.go
+++ b/setting/describe.go
@@ -26,6 +26,9 @@
 			if ru.Min != nil {
 				fmt.Fprintf(&sb, " From %v to %v.", ru.GetMin(), ru.GetMax())
 			}
+			if ru.GetBounded() {
+				sb.WriteString(" A number beyond counts as the bound.")
+			}
 			fmt.Fprintf(&sb, "\n%s = %s\n", keys.Get(j).Name(), ru.GetDefault())
 		}
 		sb.WriteString("\n")
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -3,6 +3,7 @@
 package setting
 
 import (
+	"math"
 	"net"
 	"net/url"
 	"strconv"
@@ -15,6 +16,7 @@
 	"gopkg.in/ini.v1"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -110,8 +112,11 @@
 		return
 	}
 	if ru.Min != nil && num < ru.GetMin() || ru.Max != nil && num > ru.GetMax() {
-		rd.list.Add(pl, "%s is outside %v to %v", text, ru.GetMin(), ru.GetMax())
-		return
+		if !ru.GetBounded() {
+			rd.list.Add(pl, "%s is outside %v to %v", text, ru.GetMin(), ru.GetMax())
+			return
+		}
+		va = valueOf(fd, quantity.Bounds[float64]{Min: ru.GetMin(), Max: ru.GetMax()}.Clamp(num))
 	}
 	if fd.IsList() {
 		ls := ms.Mutable(fd).List()
@@ -138,13 +143,13 @@
 		}
 		return protoreflect.ValueOfInt64(num), float64(num), ""
 	case protoreflect.DoubleKind:
-		num, err := strconv.ParseFloat(text, 64)
+		num, err := anyReal.Parse(text)
 		if err != nil {
 			return protoreflect.Value{}, 0, strconv.Quote(text) + " is not a number"
 		}
 		return protoreflect.ValueOfFloat64(num), num, ""
 	case protoreflect.MessageKind:
-		du, err := time.ParseDuration(text)
+		du, err := parseDuration(text)
 		if err != nil {
 			return protoreflect.Value{}, 0, strconv.Quote(text) + " is not a duration such as 500ms or 2s"
 		}
@@ -154,6 +159,35 @@
 	}
 }
 
+// anyReal are the bounds of all numbers.
+var anyReal = quantity.Bounds[float64]{Min: -math.MaxFloat64, Max: math.MaxFloat64}
+
+// parseDuration returns a duration as time.ParseDuration does, or of any number of seconds.
+func parseDuration(text string) (time.Duration, error) {
+	du, err := time.ParseDuration(text)
+	if err == nil {
+		return du, nil
+	}
+	number, ok := strings.CutSuffix(text, "s")
+	seconds, notReal := anyReal.Parse(number)
+	if !ok || notReal != nil || seconds < 0 {
+		return 0, err
+	}
+	return quantity.Seconds(seconds), nil
+}
+
+// valueOf returns the value of a number, in seconds for a duration.
+func valueOf(fd protoreflect.FieldDescriptor, num float64) protoreflect.Value {
+	switch fd.Kind() {
+	case protoreflect.Int64Kind:
+		return protoreflect.ValueOfInt64(quantity.Bounds[int64]{Min: math.MinInt64, Max: math.MaxInt64}.Of(num))
+	case protoreflect.MessageKind:
+		return protoreflect.ValueOfMessage(durationpb.New(quantity.Seconds(num)).ProtoReflect())
+	default:
+		return protoreflect.ValueOfFloat64(num)
+	}
+}
+
 // ruleOf returns the rule of a key from schema/settings.proto, or an empty one.
 func ruleOf(fd protoreflect.FieldDescriptor) *rpc.Rule {
 	ru, ok := proto.GetExtension(fd.Options(), rpc.E_Rule).(*rpc.Rule)
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -84,6 +84,40 @@
 	}
 }
 
+// routerSettings are those of a router, with more lines.
+func routerSettings(more string) string {
+	return strings.Replace(validSettings, "[platform]\nvm_list_url = http://127.0.0.1:2\n", "", 1) +
+		"[listen]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\ndirectory = 127.0.0.1:3\npeers = 127.0.0.1:4\nadmin = 127.0.0.1:5\n" + more
+}
+
+// TestSettingsOfThePlatformBeyondABoundCountAsIt has the platform, whose pages bound no number, fill in
+// more than any router needs. Routers did not start.
+func TestSettingsOfThePlatformBeyondABoundCountAsIt(t *testing.T) {
+	for _, number := range []string{"1000000000", "9223372036", "9007199254740993", "9223372036854775807", "1e308", "1e400", strings.Repeat("9", 400)} {
+		var rs rpc.RouterSettings
+		err := load(t, routerSettings(strings.ReplaceAll("[serving]\nlink_mbps = N\nretry_ratio = N\nretry_slack = N\ndrain_limit = Ns\nretry_window = Ns\nsession_keep = Ns\n", "N", number)), &rs)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%.30s", number))
+		se := rs.GetServing()
+		qt.Check(t, []float64{se.GetLinkMbps(), se.GetRetryRatio(), se.GetRetrySlack()}, qt.DeepEquals, []float64{1e7, 10, 1e6}, qt.Commentf("%.30s", number))
+		for _, du := range []time.Duration{se.GetDrainLimit().AsDuration(), se.GetSessionKeep().AsDuration()} {
+			qt.Check(t, du, qt.Equals, time.Hour, qt.Commentf("%.30s", number))
+		}
+		qt.Check(t, se.GetRetryWindow().AsDuration(), qt.Equals, 10*time.Minute, qt.Commentf("%.30s", number))
+	}
+	var rs rpc.RouterSettings
+	qt.Assert(t, load(t, routerSettings("[serving]\nretry_window = 0s\n"), &rs), qt.IsNil)
+	qt.Check(t, rs.GetServing().GetRetryWindow().AsDuration(), qt.Equals, time.Second)
+}
+
+// TestSettingThatIsNoNumberIsFound has settings that no comparison with a bound finds.
+func TestSettingThatIsNoNumberIsFound(t *testing.T) {
+	for _, text := range []string{"NaN", "nan", "Inf", "-Inf", "0x1p-2", "1_0"} {
+		qt.Check(t, load(t, validSettings+"[serving]\nretry_budget = "+text+"\n", &rpc.EntrySettings{}), qt.ErrorMatches, "(?s).*is not a number.*", qt.Commentf("%s", text))
+		qt.Check(t, load(t, routerSettings("[serving]\nmemory_mb = "+text+"\n"), &rpc.RouterSettings{}), qt.IsNotNil, qt.Commentf("%s", text))
+		qt.Check(t, load(t, routerSettings("[serving]\nretry_ratio = "+text+"\n"), &rpc.RouterSettings{}), qt.IsNotNil, qt.Commentf("%s", text))
+	}
+}
+
 // FuzzLoad checks that Load does not panic. It may return any findings.
 func FuzzLoad(f *testing.F) {
 	f.Add(validSettings)
