Refuse records that hold no number, and costs that wrap

Operators saw: a record with "NaN" as a share, floor, headroom, quality or quality target was written, and one of "Infinity" as an organisation's share; all decisions that compare with it were off. Bills: the cost of an answer is tokens times prices, without a bound; with large ones it wrapped, also to a negative cost.

Cause: records hold floats as JSON texts too, and NaN is neither below nor above a bound; products of int64 wrap.

Change: quantity.Bounds.Contain takes the place of the comparisons; costs add up and multiply to the largest amount at most.

Evidence: TestRecordWithWhatIsNoNumberIsRefused fails without the change for NaN in 8 fields and Infinity in one, TestCostsDoNotWrap in 5 of 7 cases; both pass with it.

--- a/policy/bounds_test.go
+++ b/policy/bounds_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagerpoint.example/tanager/finding"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
 )
@@ -43,3 +45,37 @@
 		qt.Check(t, picked, qt.DeepEquals, map[policy.ServiceID]int{"a": 50, "b": 50}, qt.Commentf("%d", weight))
 	}
 }
+
+// TestRecordWithWhatIsNoNumberIsRefused has an operator write NaN, which JSON records of floats may
+// hold as a text and which no comparison with a bound finds.
+func TestRecordWithWhatIsNoNumberIsRefused(t *testing.T) {
+	for _, tc := range []struct{ kind, spec string }{
+		{"organisation", `{"share":X}`}, {"rank", `{"floor":X}`}, {"rank", `{"headroom":X}`}, {"version", `{"quality":X}`},
+		{"cascade", `{"quality_target":X}`}, {"cascade", `{"rated_share":X}`}, {"rollout", `{"share":X}`}, {"rollout", `{"steps":[X]}`},
+	} {
+		for _, text := range []string{`"NaN"`, `"Infinity"`, `"-Infinity"`, "-1", "1e308"} {
+			if tc.kind == "organisation" && text == "1e308" {
+				continue // a share has no largest value
+			}
+			re, err := policy.ParseRecord([]byte(`{"schema_version":2,"kind":"` + tc.kind + `","id":"x","spec":` + strings.ReplaceAll(tc.spec, "X", text) + `}`))
+			qt.Assert(t, err, qt.IsNil)
+			field := tc.spec[2 : 2+strings.Index(tc.spec[2:], `"`)]
+			found := false
+			for _, fi := range policy.NewSet().WithRecords([]policy.Record{re}).Validate(func(string) finding.Place { return finding.Place{} }) {
+				found = found || strings.Contains(fi.Place.Key, field)
+			}
+			qt.Check(t, found, qt.IsTrue, qt.Commentf("%s %s with %s", tc.kind, field, text))
+		}
+	}
+}
+
+// TestCostsDoNotWrap has prices and numbers of tokens whose products and sums are beyond 64 bits.
+func TestCostsDoNotWrap(t *testing.T) {
+	for _, tc := range []struct {
+		price, tokens int64
+		want          policy.MicroCredits
+	}{{2, 3, 12}, {math.MaxInt64, 1, math.MaxInt64}, {1 << 40, 1 << 40, math.MaxInt64}, {math.MaxInt64, math.MaxInt64, math.MaxInt64}, {2, -5, 0}, {-2, 5, 0}, {math.MaxInt64, 0, 0}} {
+		ve := policy.Version{Version: &rpc.Version{Cost: &rpc.Cost{Input: tc.price, Output: tc.price}}}
+		qt.Check(t, ve.Cost(policy.Tokens(tc.tokens), policy.Tokens(tc.tokens)), qt.Equals, tc.want, qt.Commentf("%+v", tc))
+	}
+}
--- a/policy/cascade.go
+++ b/policy/cascade.go
@@ -27,10 +27,10 @@
 			li.Add(at("models"), "no model %q", id)
 		}
 	}
-	if ca.QualityTarget < 0 || ca.QualityTarget > 1 {
+	if !shareBounds.Contain(ca.QualityTarget) {
 		li.Add(at("quality_target"), "%v is not between 0 and 1", ca.QualityTarget)
 	}
-	if ca.RatedShare < 0 || ca.RatedShare > 1 {
+	if !shareBounds.Contain(ca.RatedShare) {
 		li.Add(at("rated_share"), "%v is not between 0 and 1", ca.RatedShare)
 	}
 }
--- a/policy/organisation.go
+++ b/policy/organisation.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"math"
 	"slices"
 	"sort"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -50,8 +52,8 @@
 			li.Add(at("allowed_ranks"), "no rank %q", id)
 		}
 	}
-	if or.Share < 0 {
-		li.Add(at("share"), "%v is negative", or.Share)
+	if !(quantity.Bounds[float64]{Min: 0, Max: math.MaxFloat64}).Contain(or.Share) {
+		li.Add(at("share"), "%v is negative or not finite", or.Share)
 	}
 	if or.MaxInFlight < 0 {
 		li.Add(at("max_in_flight"), "%d is negative", or.MaxInFlight)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,6 +11,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // SchemaVersion is the newest schema version that this program supports.
@@ -24,6 +26,9 @@
 // and a record may be larger than 256 KiB.
 const NewestForm Form = 1
 
+// shareBounds are those of a share of a whole, or of a quality.
+var shareBounds = quantity.Bounds[float64]{Min: 0, Max: 1}
+
 // Kind names a kind of record.
 type Kind string
 
--- a/policy/rank.go
+++ b/policy/rank.go
@@ -40,10 +40,10 @@
 	if ra.FirstTokenTargetMs < 0 {
 		li.Add(at("first_token_target_ms"), "%d is negative", ra.FirstTokenTargetMs)
 	}
-	if ra.Floor < 0 || ra.Floor > 1 {
+	if !shareBounds.Contain(ra.Floor) {
 		li.Add(at("floor"), "%v is not between 0 and 1", ra.Floor)
 	}
-	if ra.Headroom < 0 || ra.Headroom >= 1 {
+	if !shareBounds.Contain(ra.Headroom) || ra.Headroom == 1 {
 		li.Add(at("headroom"), "%v must be at least 0 and less than 1", ra.Headroom)
 	}
 	sum := 0.0
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -64,12 +64,12 @@
 	if ro.FromVersion == ro.ToVersion {
 		li.Add(at("to_version"), "same as from_version")
 	}
-	if ro.Share < 0 || ro.Share > 1 {
+	if !shareBounds.Contain(ro.Share) {
 		li.Add(at("share"), "%v is not between 0 and 1", ro.Share)
 	}
 	previous := 0.0
 	for _, st := range ro.Steps {
-		if st <= previous || st > 1 {
+		if !shareBounds.Contain(st) || st <= previous {
 			li.Add(at("steps"), "%v are not increasing shares, each greater than 0 and at most 1", ro.Steps)
 			break
 		}
--- a/policy/version.go
+++ b/policy/version.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"tanagerpoint.example/tanager/finding"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 )
 
@@ -58,11 +59,14 @@
 		ve.EngineModel = string(ve.ID)
 	}
 	if ve.Version.Cost == nil {
-		price := int64(math.Round(ve.CostPer_1KTokens * creditsPer1KToMicroCreditsPerToken))
+		price := anyPrice.Of(math.Round(ve.CostPer_1KTokens * creditsPer1KToMicroCreditsPerToken))
 		ve.Version.Cost = &rpc.Cost{Input: price, Output: price}
 	}
 }
 
+// anyPrice are the bounds of a price, which may be negative until it is validated.
+var anyPrice = quantity.Bounds[int64]{Min: math.MinInt64, Max: math.MaxInt64}
+
 // Validate adds a finding to li for a model that does not exist, a negative price,
 // and a quality outside 0 to 1.
 func (ve Version) Validate(li *finding.List, pl finding.Place, se *Set) {
@@ -73,7 +77,7 @@
 	if ve.Version.Cost.GetInput() < 0 || ve.Version.Cost.GetOutput() < 0 {
 		li.Add(at("cost"), "input or output price is negative")
 	}
-	if ve.Quality < 0 || ve.Quality > 1 {
+	if !shareBounds.Contain(ve.Quality) {
 		li.Add(at("quality"), "%v is not between 0 and 1", ve.Quality)
 	}
 }
@@ -81,8 +85,14 @@
 // Live reports whether the version may get new work, that is, is not withdrawn.
 func (ve Version) Live() bool { return ve.State == rpc.VersionState_LIVE }
 
-// Cost returns the price of an answer with the given numbers of tokens.
+// Cost returns the price of an answer with the given numbers of tokens, or the largest one if it
+// is larger.
 func (ve Version) Cost(input, output Tokens) MicroCredits {
 	co := ve.Version.Cost
-	return MicroCredits(int64(input)*co.GetInput() + int64(output)*co.GetOutput())
+	return MicroCredits(quantity.Sum(priceOf(input, co.GetInput()), priceOf(output, co.GetOutput())))
+}
+
+// priceOf returns the price of tokens. Neither they nor their price are negative.
+func priceOf(tokens Tokens, price int64) int64 {
+	return quantity.Product(max(0, int64(tokens)), max(0, price))
 }
--- a/quantity/quantity.go
+++ b/quantity/quantity.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// Contain reports whether a number is within the bounds. What is not a number never is.
+func (bo Bounds[T]) Contain(va T) bool { return va >= bo.Min && va <= bo.Max }
+
 // Of returns the value within the bounds that is nearest to a number, rounded towards zero where T
 // holds no fractions. Conversions of a float beyond an integer differ between machines.
 func (bo Bounds[T]) Of(va float64) T {
