Allow an organisation the largest limits

Callers saw: with max_in_flight at 2^63-1, an operator's "no limit", each entry answered each request of the organisation 429. Slots of endpoints, and totals of bills, wrapped in sums; the orders of two ranks were compared by a difference that wraps.

Cause: the limit is divided among the entries by way of a sum that overflowed to a negative share.

Change: it is divided without a sum; an endpoint has 2^20 slots at most, whoever wrote its record; orders are compared as they are; totals of bills add up to the largest amount at most.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"slices"
@@ -131,7 +132,7 @@
 			next = append(next, rq)
 		}
 	}
-	slices.SortFunc(next, func(a, b *rankQueue) int { return int(a.Order - b.Order) })
+	slices.SortFunc(next, func(a, b *rankQueue) int { return cmp.Compare(a.Order, b.Order) })
 	qu.ranks = next
 }
 
--- a/bill/list.go
+++ b/bill/list.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 )
@@ -82,9 +83,9 @@
 			sums[gr] = su
 		}
 		su.Bills++
-		su.InputTokens += bi.GetInputTokens()
-		su.OutputTokens += bi.GetOutputTokens()
-		su.Cost += bi.GetCost()
+		su.InputTokens = quantity.Sum(su.InputTokens, max(0, bi.GetInputTokens()))
+		su.OutputTokens = quantity.Sum(su.OutputTokens, max(0, bi.GetOutputTokens()))
+		su.Cost = quantity.Sum(su.Cost, max(0, bi.GetCost()))
 	}
 	out := make([]Total, 0, len(sums))
 	for _, su := range sums {
--- a/entry/inflight.go
+++ b/entry/inflight.go
@@ -28,7 +28,10 @@
 func (in *inFlightLimiter) acquire(or policy.Organisation, entries int) *problem {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	limit := (or.MaxInFlight + int64(entries) - 1) / int64(entries)
+	limit := or.MaxInFlight / int64(entries)
+	if or.MaxInFlight%int64(entries) > 0 {
+		limit++
+	}
 	if or.MaxInFlight > 0 && in.counts[or.ID] >= limit {
 		return &problem{
 			status: http.StatusTooManyRequests, code: string(admission.ReasonOrganisationLimit),
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -220,13 +220,13 @@
 	if pl == nil {
 		return 0
 	}
-	sum := int64(0)
+	sum := 0.0
 	for _, en := range pl.Endpoints {
 		if po.daemon.usable(en) && po.daemon.tracker.Healthy(en.ID) {
-			sum += en.Slots
+			sum += float64(en.Slots)
 		}
 	}
-	return float64(sum)
+	return sum
 }
 
 // usable reports whether an endpoint may get new work: it is still in the policy,
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -14,6 +14,8 @@
 const (
 	defaultSlots            = 8
 	defaultServiceTimeoutMS = 10_000
+	// maxSlots is more than any endpoint has: slots are added and multiplied.
+	maxSlots = 1 << 20
 )
 
 // Endpoint is one replica of a model engine or of a plain service.
@@ -22,7 +24,7 @@
 	*rpc.Endpoint
 }
 
-// Defaults sets the kind and the number of slots if they are not set.
+// Defaults sets the kind and the number of slots if they are not set, and bounds the latter.
 func (en Endpoint) Defaults() {
 	if en.Kind == rpc.EndpointKind_ENDPOINT_KIND_UNSPECIFIED {
 		en.Kind = rpc.EndpointKind_ENGINE
@@ -30,6 +32,7 @@
 	if en.Slots == 0 {
 		en.Slots = defaultSlots
 	}
+	en.Slots = min(en.Slots, maxSlots)
 }
 
 // Validate adds a finding to li for an invalid URL, a missing failure domain, a
