Keep one answer's odd usage from the other callers

Callers saw: after one answer for which an engine of the own front's reports 2^31 tokens or more, all requests of the rank to that model that state no max_tokens were refused with deadline_unreachable, 19 of 20, for as long as the entry lived: refused requests teach it nothing.

Cause: reported tokens were used as they came, in bills and in the expected length of an answer, which decides whether a request can be in time.

Change: tokens of an answer are 0 to 2^24; an answer counts at most ten times as long, and as slow, as expected. max_tokens beyond 64 bits is bounded, not converted. What other entries tell of their use is bounded too.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/sjson"
 
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // usage is the usage object of the OpenAI API.
@@ -19,6 +20,15 @@
 	TotalTokens      policy.Tokens `json:"total_tokens"`
 }
 
+// usageBounds are those of the tokens of an answer: more than the context of any model.
+var usageBounds = quantity.Bounds[policy.Tokens]{Min: 0, Max: 1 << 24}
+
+// usageOf returns the usage that an endpoint reports.
+func usageOf(object gjson.Result) *usage {
+	tokens := func(name string) policy.Tokens { return usageBounds.Of(object.Get(name).Num) }
+	return &usage{PromptTokens: tokens("prompt_tokens"), CompletionTokens: tokens("completion_tokens"), TotalTokens: tokens("total_tokens")}
+}
+
 // chunk is the chat.completion.chunk object of the OpenAI API.
 type chunk struct {
 	ID      string        `json:"id"`
@@ -90,8 +100,7 @@
 // to the choices only when keepText is set.
 func (an *answerBuilder) addChunk(data []byte, keepText bool) {
 	if us := gjson.GetBytes(data, "usage"); us.IsObject() {
-		an.usage = &usage{}
-		_ = json.Unmarshal([]byte(us.Raw), an.usage)
+		an.usage = usageOf(us)
 	}
 	if gjson.GetBytes(data, "choices.0.delta.content").Str != "" {
 		an.contentChunks++
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -83,10 +83,10 @@
 	}
 	for _, path := range []string{"max_completion_tokens", "max_tokens"} {
 		if va := body.Get(path); va.Exists() {
-			if va.Type != gjson.Number || va.Int() < 1 {
+			if va.Type != gjson.Number || va.Num < 1 {
 				return nil, invalidRequest(path, "not a positive whole number")
 			}
-			ch.maxTokens = va.Int()
+			ch.maxTokens = int64(usageBounds.Of(va.Num))
 		}
 	}
 	return ch, nil
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -11,6 +11,7 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
+	"tanagerpoint.example/tanager/quantity"
 	"tanagerpoint.example/tanager/rpc"
 	"tanagerpoint.example/tanager/store"
 )
@@ -31,6 +32,8 @@
 	// estimateSmoothing is the weight of a new answer in the exponential moving
 	// averages of answerEstimate.
 	estimateSmoothing = 0.05
+	// maxOutlier bounds the weight of an answer that is much longer or slower than the others.
+	maxOutlier = 10
 	// minReportedUsage is the smoothed usage, in slots, below which a level without
 	// running requests is left out of the report. Each rank has two levels: one for
 	// organisations within their share and one for those over it.
@@ -273,6 +276,9 @@
 	return re
 }
 
+// usageRange bounds the numbers of another entry's usage.
+var usageRange = quantity.Bounds[float64]{Min: 0, Max: 1 << 40}
+
 // addItem adds one entry's usage item. It ignores an item that does not decode.
 func (re *remoteUsage) addItem(it peer.Item) {
 	var us rpc.Usage
@@ -280,21 +286,21 @@
 		return
 	}
 	for _, eu := range us.GetEndpoints() {
-		re.inFlight[policy.EndpointID(eu.GetEndpoint())] += int(eu.GetInFlight())
+		re.inFlight[policy.EndpointID(eu.GetEndpoint())] += int(peer.BoundedRunning(eu.GetInFlight()))
 	}
 	for _, pu := range us.GetPools() {
 		id := poolID(pu.GetPool())
-		re.demand[id] += pu.GetDemand()
+		re.demand[id] += usageRange.Clamp(pu.GetDemand())
 		rp := re.reports[id]
 		for _, ou := range pu.GetOrganisations() {
 			rp.Organisations = append(rp.Organisations, admission.Usage{
-				Organisation: policy.OrganisationID(ou.GetOrganisation()), Rank: policy.RankID(ou.GetRank()), Cost: admission.Cost(ou.GetTokens()),
+				Organisation: policy.OrganisationID(ou.GetOrganisation()), Rank: policy.RankID(ou.GetRank()), Cost: admission.Cost(usageRange.Clamp(ou.GetTokens())),
 			})
 		}
 		for _, lu := range pu.GetLevels() {
 			rp.Levels = append(rp.Levels, admission.LevelUsage{
 				Rank: policy.RankID(lu.GetRank()), OverShare: lu.GetOverShare(),
-				Running: admission.Slots(lu.GetRunning()), Used: admission.Slots(lu.GetUsed()),
+				Running: admission.Slots(usageRange.Clamp(lu.GetRunning())), Used: admission.Slots(usageRange.Clamp(lu.GetUsed())),
 			})
 		}
 		re.reports[id] = rp
@@ -359,7 +365,7 @@
 	if maxTokens > 0 {
 		tokens = min(tokens, float64(maxTokens))
 	}
-	return tokens, time.Duration(tokens * ae.secondsPerToken * float64(time.Second))
+	return tokens, quantity.Seconds(tokens * ae.secondsPerToken)
 }
 
 // estimateLocked returns the rank's estimate, or the initial one. mu must be held.
@@ -371,7 +377,8 @@
 }
 
 // observe updates the rank's estimate with a complete answer. An answer without
-// tokens is ignored.
+// tokens is ignored. One answer's numbers count as maxOutlier times the estimate at most, as all
+// callers of the rank are refused once the expected time is longer than their deadlines.
 func (pq *poolQueue) observe(id policy.RankID, tokens int64, took time.Duration) {
 	if tokens <= 0 {
 		return
@@ -379,8 +386,8 @@
 	pq.mu.Lock()
 	defer pq.mu.Unlock()
 	ae := pq.estimateLocked(id)
-	ae.tokensPerAnswer += estimateSmoothing * (float64(tokens) - ae.tokensPerAnswer)
-	ae.secondsPerToken += estimateSmoothing * (took.Seconds()/float64(tokens) - ae.secondsPerToken)
+	ae.tokensPerAnswer += estimateSmoothing * (min(float64(tokens), maxOutlier*ae.tokensPerAnswer) - ae.tokensPerAnswer)
+	ae.secondsPerToken += estimateSmoothing * (min(took.Seconds()/float64(tokens), maxOutlier*ae.secondsPerToken) - ae.secondsPerToken)
 	pq.estimates[id] = ae
 }
 
--- a/proof/numbers_test.go
+++ b/proof/numbers_test.go
@@ -10,9 +10,41 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagerpoint.example/tanager/entry"
+	"tanagerpoint.example/tanager/standin"
 	"tanagerpoint.example/tanager/testsite"
 )
 
+// TestOddUsageOfAnEngineStaysWithItsAnswer has an engine report odd numbers of tokens for one answer in
+// five. Costs wrapped to negative bills, and the expected length of an answer grew until all callers of
+// the model were refused because no answer could be in time.
+func TestOddUsageOfAnEngineStaysWithItsAnswer(t *testing.T) {
+	// mostTokens is more than any model's context holds.
+	const mostTokens, prices = 1 << 24, 1 + 2
+	for _, number := range []string{"-1", "2147483648", "9007199254740993", "4611686018427387904", "9223372036854775807", "18446744073709551616", "1e308", strings.Repeat("9", 400), "1.5"} {
+		t.Run(fmt.Sprintf("%.20s", number), func(t *testing.T) {
+			withSite(t, testsite.Options{Entries: 1, Engines: 1, EntrySettings: singleEntrySettings()}, func(t *testing.T, si *testsite.Site) {
+				en := si.Engines["engine-1"]
+				for n := range 20 {
+					en.SetFaults(standin.Faults{})
+					if n%5 == 0 {
+						en.SetFaults(standin.Faults{Usage: strings.ReplaceAll(`{"prompt_tokens":N,"completion_tokens":N,"total_tokens":N}`, "N", number)})
+					}
+					an := si.Chat(testsite.Call{Tokens: testsite.NoTokenLimit})
+					qt.Check(t, an.Status, qt.Equals, http.StatusOK, qt.Commentf("request %d: %s", n, an.Body))
+				}
+				time.Sleep(2 * time.Second)
+				bis := si.Bills().Bills
+				qt.Check(t, bis, qt.HasLen, 20)
+				for _, bi := range bis {
+					for name, value := range map[string]int64{"input": bi.GetInputTokens(), "output": bi.GetOutputTokens(), "cost": bi.GetCost()} {
+						qt.Check(t, value >= 0 && value <= prices*mostTokens, qt.IsTrue, qt.Commentf("%s %d", name, value))
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestLargestNumbersOfAnOrganisationAllowAll has the policy name the largest numbers, an operator's "no
 // limit". An organisation that may have 2^63-1 requests in service was refused each of them.
 func TestLargestNumbersOfAnOrganisationAllowAll(t *testing.T) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -326,7 +326,7 @@
 		if !ge.waitForToken(rq, min(ev, ge.tokens)) {
 			return
 		}
-		_, _ = fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", ev, ge.eventData(ev, id))
+		_, _ = fmt.Fprintf(wr, "id: %d\ndata: %s\n\n", ev, ge.eventData(ev, id, fa.Usage))
 		wr.(http.Flusher).Flush()
 		sent++
 		if cut && sent >= fa.CutAfter {
@@ -357,8 +357,9 @@
 
 // eventData returns the data of the event with number ev. Events are numbered from
 // 0: one for each token, then the finish reason, the usage and the end marker. The
-// number is also the event's ID. id is the request's ID in the event.
-func (ge *generation) eventData(ev int, id string) string {
+// number is also the event's ID. id is the request's ID in the event; usage, if not empty, replaces
+// the usage.
+func (ge *generation) eventData(ev int, id, usage string) string {
 	head := fmt.Sprintf(`{"id":"chatcmpl-%s","object":"chat.completion.chunk","created":%d,"model":%q`, id, ge.startedAt.Unix(), ge.model)
 	switch {
 	case ev < ge.tokens:
@@ -366,8 +367,11 @@
 	case ev == ge.tokens:
 		return head + `,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`
 	case ev == ge.tokens+1:
-		prompt := len(strings.Fields(ge.prompt)) + 1
-		return fmt.Sprintf(`%s,"choices":[],"usage":{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}}`, head, prompt, ge.tokens, prompt+ge.tokens)
+		if usage == "" {
+			prompt := len(strings.Fields(ge.prompt)) + 1
+			usage = fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}`, prompt, ge.tokens, prompt+ge.tokens)
+		}
+		return fmt.Sprintf(`%s,"choices":[],"usage":%s}`, head, usage)
 	default:
 		return "[DONE]"
 	}
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -56,6 +56,9 @@
 	// CrossAnswers is the number of following streams of an engine whose events
 	// carry another request's ID.
 	CrossAnswers int `json:"cross_answers"`
+	// Usage, if not empty, replaces the JSON object in which an engine reports the tokens of
+	// an answer.
+	Usage string `json:"usage"`
 }
 
 // FaultInjector holds the faults of a stand-in and injects them into its
--- a/testsite/caller.go
+++ b/testsite/caller.go
@@ -48,7 +48,7 @@
 	Model string
 	// Key is the caller's API key.
 	Key string
-	// Tokens is the value of max_tokens, 4 if it is 0.
+	// Tokens is the value of max_tokens, 4 if it is 0, none if it is NoTokenLimit.
 	Tokens int
 	Prompt string
 	Stream bool
@@ -60,6 +60,9 @@
 	Context context.Context
 }
 
+// NoTokenLimit leaves max_tokens out of a call.
+const NoTokenLimit = -1
+
 // Chat requests a chat completion from an entry.
 func (si *Site) Chat(ca Call) Answer {
 	if ca.Model == "" {
@@ -71,7 +74,11 @@
 	if ca.Prompt == "" {
 		ca.Prompt = "summarise drawer 12"
 	}
-	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":%q}]}`, ca.Model, ca.Tokens, ca.Stream, ca.Prompt)
+	limit := ""
+	if ca.Tokens != NoTokenLimit {
+		limit = fmt.Sprintf(`"max_tokens":%d,`, ca.Tokens)
+	}
+	body := fmt.Sprintf(`{"model":%q,%s"stream":%t,"messages":[{"role":"user","content":%q}]}`, ca.Model, limit, ca.Stream, ca.Prompt)
 	return si.send(ca, http.MethodPost, "/v1/chat/completions", body)
 }
 
