Bound what engines of the own front number and report

Callers saw: an answer without its later chunks that ended as complete, if an engine numbers an event 2^63-1; entries chose endpoints by a utilisation of NaN, which compares with nothing.

Change: events are numbered 0 to 2^53 - 1, others count as not numbered; a utilisation is 0 to 1000.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,6 +22,7 @@
 	"github.com/tidwall/gjson"
 
 	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/quantity"
 )
 
 // AttemptID identifies one attempt: a request sent once to one endpoint.
@@ -113,16 +113,19 @@
 // loadKey is the name of the utilisation in the ORCA standard.
 const loadKey = "application_utilization" //nolint:misspell // as in the standard
 
+// utilisationBounds are those of a utilisation: with many requests waiting it is above 1.
+var utilisationBounds = quantity.Bounds[float64]{Min: 0, Max: 1000}
+
 // parseLoad parses the value of HeaderLoad, in its text form "TEXT key=value,
 // key=value" or its JSON form "JSON {...}".
 func parseLoad(header string) Load {
 	if text, ok := strings.CutPrefix(header, "JSON "); ok {
 		va := gjson.Get(text, loadKey)
-		return Load{Utilisation: va.Float(), Known: va.Exists()}
+		return Load{Utilisation: utilisationBounds.Clamp(va.Float()), Known: va.Exists()}
 	}
 	for part := range strings.SplitSeq(strings.TrimPrefix(header, "TEXT "), ",") {
 		key, text, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if va, err := strconv.ParseFloat(text, 64); err == nil && key == loadKey {
+		if va, err := utilisationBounds.Parse(text); err == nil && key == loadKey {
 			return Load{Utilisation: va, Known: true}
 		}
 	}
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -12,6 +12,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/tidwall/gjson"
+
+	"tanagerpoint.example/tanager/quantity"
 )
 
 const (
@@ -243,10 +245,14 @@
 	}
 }
 
-// parseEventID returns an event's id, or -1 if it is not a number.
+// eventBounds are those of an event's id. After one of Max, all others would be taken for repeated
+// ones.
+var eventBounds = quantity.Bounds[int64]{Min: 0, Max: 1 << 53}
+
+// parseEventID returns an event's id, or -1 if it is not a number below Max.
 func parseEventID(text []byte) int64 {
-	id, err := strconv.ParseInt(string(bytes.TrimSpace(text)), 10, 64)
-	if err != nil {
+	id, err := eventBounds.Parse(string(bytes.TrimSpace(text)))
+	if err != nil || id == eventBounds.Max {
 		return -1
 	}
 	return id
--- a/endpoint/stream_test.go
+++ b/endpoint/stream_test.go
@@ -102,6 +102,39 @@
 	qt.Assert(t, fa.Cause, qt.Equals, endpoint.CauseUnreachable)
 }
 
+// TestOddLoadsOfAnEndpointAreBounded has an endpoint report odd utilisations, from which entries choose.
+func TestOddLoadsOfAnEndpointAreBounded(t *testing.T) {
+	for text, want := range map[string]endpoint.Load{
+		"TEXT application_utilization=0.5":       {Utilisation: 0.5, Known: true},  //nolint:misspell // as in the standard
+		"TEXT application_utilization=1e308":     {Utilisation: 1000, Known: true}, //nolint:misspell // as in the standard
+		"TEXT application_utilization=NaN":       {},                               //nolint:misspell // as in the standard
+		"TEXT application_utilization=-Inf":      {},                               //nolint:misspell // as in the standard
+		"TEXT application_utilization=-1":        {},                               //nolint:misspell // as in the standard
+		`JSON {"application_utilization":1e400}`: {Utilisation: 1000, Known: true}, //nolint:misspell // as in the standard
+		`JSON {"application_utilization":-7}`:    {Known: true},                    //nolint:misspell // as in the standard
+		`JSON {"application_utilization":"NaN"}`: {Known: true},                    //nolint:misspell // as in the standard
+	} {
+		sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) { wr.Header().Set(endpoint.HeaderLoad, text) }))
+		cl := endpoint.NewClient(network.Real(), time.Second)
+		an, err := cl.CallPlain(t.Context(), endpoint.PlainCall{URL: sv.URL, Attempt: "a", Method: http.MethodGet, Path: "/", MaxBytes: 100, Header: http.Header{}, FirstByteDeadline: time.Now().Add(time.Minute)})
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, an.Load, qt.Equals, want, qt.Commentf("%s", text))
+		cl.Close()
+		sv.Close()
+	}
+}
+
+// TestEventsWithOddNumbersAreRead has an engine number its events oddly. All that followed one of 2^63-1
+// were taken for repeated ones, and left out.
+func TestEventsWithOddNumbersAreRead(t *testing.T) {
+	for _, id := range []string{"9223372036854775807", "9007199254740993", "9223372036854775808", "-9223372036854775808", "1e308", "NaN"} {
+		text := "id: " + id + "\ndata: {\"id\":\"chatcmpl-a\",\"n\":1}\n\nid: 1\ndata: {\"id\":\"chatcmpl-a\",\"n\":2}\n\ndata: [DONE]\n\n"
+		got, err := readAnswer(t, text, true)
+		qt.Check(t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%s: %v", id, err))
+		qt.Check(t, strings.Count(got, "chatcmpl-a"), qt.Equals, 2, qt.Commentf("%s: %s", id, got))
+	}
+}
+
 func FuzzStream(f *testing.F) {
 	f.Add("id: 0\ndata: {\"id\":\"chatcmpl-a\"}\n\ndata: [DONE]\n\n")
 	f.Add("data:\n\ndata: \n\nid: -5\nid: x\r\ndata: [DONE]")
