Take no word of a build that drops versions with odd numbers

Callers would see, while routers of the landing before are replaced: a router of this build that follows one of them does not get a version with a number such as 1500.5, which that one drops whole although it confirms its revision.

Cause: both builds named the form 1 in which they translate the store's values, and this build translates more.

Change: this build's form is 2, so that its routers take neither records nor evidence from lower ones while they reach the store. Records of callers' keys, which form 1 has, are kept over a bridge from it.

--- a/peer/form_test.go
+++ b/peer/form_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -74,9 +75,15 @@
 // version of the configuration, be at a later revision than two of this build. One that took its
 // records, or its word that there was nothing newer, never got the version.
 func TestPeerOfAnEarlierBuildHidesNoVersion(t *testing.T) {
+	for earlier := range policy.NewestForm {
+		t.Run(fmt.Sprint("form ", earlier), func(t *testing.T) { hidesNoVersion(t, earlier) })
+	}
+}
+
+func hidesNoVersion(t *testing.T, earlier policy.Form) {
 	synctest.Test(t, func(t *testing.T) {
 		behind := func(ho *configuration.Holder) { ho.Replace(7, serviceRecords(t, 6, "a")) }
-		gps, stop := startGroups(t, map[string]policy.Form{"old": 0, "new": policy.NewestForm, "behind": policy.NewestForm}, map[string]func(*configuration.Holder){
+		gps, stop := startGroups(t, map[string]policy.Form{"old": earlier, "new": policy.NewestForm, "behind": policy.NewestForm}, map[string]func(*configuration.Holder){
 			"new": behind, "behind": behind, "old": func(ho *configuration.Holder) {
 				ho.Replace(9, serviceRecords(t, 6, "a"))
 				ho.Confirm(9, time.Now())
@@ -101,20 +108,28 @@
 // and only a router of an earlier build is there: it uses that one's records until it has read
 // the store itself, even at the same revision.
 func TestRecordsOfAnEarlierBuildBridgeAStart(t *testing.T) {
+	for earlier := range policy.NewestForm {
+		t.Run(fmt.Sprint("form ", earlier), func(t *testing.T) { bridgeAStart(t, earlier) })
+	}
+}
+
+func bridgeAStart(t *testing.T, earlier policy.Form) {
+	// Builds of form 0 do not know records of callers' keys, and so do not take them away.
+	known := min(1, int(earlier))
 	synctest.Test(t, func(t *testing.T) {
 		stale := serviceRecords(t, 6, "a")
 		keys, err := policy.NewRecord(policy.KindCallerKeys, "t", &rpc.CallerKeys{KeyDigests: policy.DigestKeys([]string{"taken away"})})
 		qt.Assert(t, err, qt.IsNil)
 		stale = append(stale, policy.StoredRecord{Key: keys.Key(), Value: keys.JSON, ModRevision: 6})
-		gps, stop := startGroups(t, map[string]policy.Form{"old": 0, "new": policy.NewestForm}, map[string]func(*configuration.Holder){
+		gps, stop := startGroups(t, map[string]policy.Form{"old": earlier, "new": policy.NewestForm}, map[string]func(*configuration.Holder){
 			"old": func(ho *configuration.Holder) { ho.Replace(9, stale) },
 		})
 		defer stop()
 		time.Sleep(3 * time.Second)
 		se := gps["new"].holder.Set()
 		qt.Assert(t, se.Services.Len(), qt.Equals, 1)
-		qt.Assert(t, se.Form, qt.Equals, policy.Form(0))
-		qt.Assert(t, se.CallerKeys.Len(), qt.Equals, 0, qt.Commentf("an earlier build does not take keys away"))
+		qt.Assert(t, se.Form, qt.Equals, earlier)
+		qt.Assert(t, se.CallerKeys.Len(), qt.Equals, known)
 		qt.Assert(t, time.Since(gps["new"].holder.Evidence()) > time.Hour, qt.IsTrue)
 		gps["new"].holder.Replace(9, serviceRecords(t, 8, "a", "b"))
 		qt.Assert(t, gps["new"].holder.Set().Services.Len(), qt.Equals, 2)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,8 +23,11 @@
 type Form int64
 
 // NewestForm is the form in which this build translates. Since form 1 an id may be any text
-// and a record may be larger than 256 KiB.
-const NewestForm Form = 1
+// and a record may be larger than 256 KiB, since form 2 a number of a configuration may be any.
+const NewestForm Form = 2
+
+// formOfCallerKeys is the first form with records of KindCallerKeys.
+const formOfCallerKeys Form = 1
 
 // shareBounds are those of a share of a whole, or of a quality.
 var shareBounds = quantity.Bounds[float64]{Min: 0, Max: 1}
--- a/policy/set.go
+++ b/policy/set.go
@@ -149,7 +149,7 @@
 // translates in a lower form. Kinds of records that it does not know may be out of date there.
 func (se *Set) WithBridge(form Form, revision store.Revision, records []StoredRecord) *Set {
 	known := slices.DeleteFunc(slices.Clone(records), func(st StoredRecord) bool {
-		return strings.HasPrefix(st.Key, string(KindCallerKeys)+"/")
+		return form < formOfCallerKeys && strings.HasPrefix(st.Key, string(KindCallerKeys)+"/")
 	})
 	next := se.WithSnapshot(revision, known)
 	next.Form = form
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -24,7 +24,7 @@
 )
 
 // landingBefore is the commit whose routers the upgrade starts with.
-var landingBefore = flag.String("before", "ffcbc54", "commit of the routers before the upgrade")
+var landingBefore = flag.String("before", "17248de", "commit of the routers before the upgrade")
 
 const (
 	upgradeRouters = 6
@@ -36,6 +36,8 @@
 	upgradeApply = 2 * time.Second
 	// settleTime is how long routers that have started may take to share the watch of the store.
 	settleTime = 3 * time.Second
+	// plainTimeout is a timeout that all builds take.
+	plainTimeout = "2000"
 )
 
 // upgrade replaces routers of the landing before by routers of this build, one by one, while the
@@ -60,11 +62,15 @@
 	// tenant is the name of the only tenant, and keys the number of its keys.
 	tenant string
 	keys   int
+	// timeout is the timeout_ms of the route.
+	timeout string
 }
 
 var upgradeCases = []upgradeCase{
-	{name: "many keys", tenant: "own", keys: 5000},
-	{name: "a name that was no id", tenant: "Map_Drawers", keys: 1},
+	{name: "many keys", tenant: "own", keys: 5000, timeout: plainTimeout},
+	{name: "a name that was no id", tenant: "Map_Drawers", keys: 1, timeout: plainTimeout},
+	{name: "a number that was no integer", tenant: "own", keys: 1, timeout: "1500.5"},
+	{name: "a time that was over", tenant: "own", keys: 1, timeout: "9223372036854775807"},
 }
 
 // TestUpgradeBringsEveryVersionIntoForce runs routers of two builds side by side. A router of the
@@ -100,7 +106,7 @@
 	kv := up.serve(up.store.KVHandler())
 	up.address = up.serve(up.desk.Handler())
 	up.register()
-	up.configure(1, "own", "taken away")
+	up.configure(1, "own", plainTimeout, "taken away")
 	for n := range upgradeRouters {
 		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", upgradePort+10*n+k) }
 		file := filepath.Join(up.dir, fmt.Sprintf("%d.ini", n))
@@ -139,9 +145,9 @@
 }
 
 // configure writes a version with one route and one tenant.
-func (up *upgrade) configure(version int, tenant string, keys ...string) {
-	up.store.Write("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":%q,"prefix":"/","kind":"safe","service":"desk","target_latency_ms":500,"timeout_ms":2000,"max_attempts":2}],`+
-		`"services":[{"name":"desk"}],"limits":{"max_body_bytes":65536,"idle_timeout_ms":15000},"tenants":[{"name":%q,"api_keys":["%s"]}]}`, version, routeHost, tenant, strings.Join(keys, `","`)))
+func (up *upgrade) configure(version int, tenant, timeout string, keys ...string) {
+	up.store.Write("op/config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"r","host":%q,"prefix":"/","kind":"safe","service":"desk","target_latency_ms":500,"timeout_ms":%s,"max_attempts":2}],`+
+		`"services":[{"name":"desk"}],"limits":{"max_body_bytes":65536,"idle_timeout_ms":15000},"tenants":[{"name":%q,"api_keys":["%s"]}]}`, version, routeHost, timeout, tenant, strings.Join(keys, `","`)))
 }
 
 func (up *upgrade) awaitReady(n int) {
@@ -193,7 +199,7 @@
 	order := up.followersFirst()
 	for n := range upgradeRouters + 1 {
 		if n == writeAt {
-			up.configure(2, uc.tenant, keys...)
+			up.configure(2, uc.tenant, uc.timeout, keys...)
 			written = time.Now()
 		}
 		for end := time.Now().Add(upgradeStep); time.Now().Before(end); time.Sleep(150 * time.Millisecond) {
