Fuzz the heads of replicas' answers, and the numbers of texts

FuzzHead checks that whatever a replica writes, the numbers that are read are within their bounds; FuzzParse that quantity.Bounds keeps its own, and that it decodes each JSON number.

--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,5 @@
 	go test -run XXX -fuzz FuzzChanged -fuzztime 10s ./platform/
 	go test -run XXX -fuzz FuzzRegistration -fuzztime 10s ./platform/
 	go test -run XXX -fuzz FuzzDecode -fuzztime 10s ./platform/
+	go test -run XXX -fuzz FuzzHead -fuzztime 10s ./platform/
+	go test -run XXX -fuzz FuzzParse -fuzztime 10s ./quantity/
--- a/quantity/quantity.go
+++ b/quantity/quantity.go
@@ -58,7 +58,7 @@
 // or one below Min.
 func (bo Bounds[T]) Parse(text string) (T, error) {
 	va, err := bo.parse(text)
-	if err == nil && !(va >= bo.Min) {
+	if err == nil && va < bo.Min {
 		err = eris.Errorf("%.40q is less than %v", text, bo.Min)
 	}
 	if err != nil {
