Count all the work of a request, also beyond its deadline

Cause: counted no request as more work than the time that it has left. The estimate is for comparing endpoints, and is not the time of one answer.

Change: the work counts whole again. A prompt is bounded by the memory of an endpoint, as before.

Why estimates exceed the time left there was not traced.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -114,7 +114,7 @@
 func (ro *Router) chooseEndpoint(ctx context.Context, ca *call) (*attempt, *failure) {
 	se := ro.releases.selectRelease(ctx, ca)
 	now := time.Now()
-	jo := ro.job(now, ca)
+	jo := ro.job(ca)
 	ca.meanBacklog = ro.meanBacklog(now, ca.service.ID, se.endpoints)
 	usable := func(en policy.Endpoint, cn placement.Condition) bool { return ro.availableTo(now, ca, en, cn).ok() }
 	pl, ok := ro.place(now, ca, jo, se.endpoints, usable)
--- a/relay/latency.go
+++ b/relay/latency.go
@@ -92,17 +92,15 @@
 	return tokens, true
 }
 
-// job returns the work of a call for an endpoint. An endpoint works for no request beyond its
-// deadline.
-func (ro *Router) job(now time.Time, ca *call) placement.Job {
+// job returns the work of a call for an endpoint.
+func (ro *Router) job(ca *call) placement.Job {
 	tokens, ok := ca.promptTokens()
 	part := policy.Tokens(0)
 	if ok {
 		part = ca.request.prefixTokens()
 	}
 	work, cached := ro.latencies.estimate(latencyKey{ca.service.ID, ca.modelID()}, tokens, part)
-	left := placement.Work(max(0, ca.deadline.Sub(now).Seconds()))
-	return placement.Job{Prefix: ca.request.prefix(ca.modelID()), Work: min(work, left), CacheSaving: min(cached, left)}
+	return placement.Job{Prefix: ca.request.prefix(ca.modelID()), Work: work, CacheSaving: cached}
 }
 
 // observeLatency updates the estimates with a call's answer that took this long to begin.
