Know the release in use by the roll-out's record

Cause: splitByRelease took all that is not the new candidate for the release in use. The next order replaces the record that said what had become of the release before.

Change: a roll-out's record holds the release that an earlier roll-out completed (from_version) and the releases that were ordered and did not come into use (withdrawn_versions): rolled back, or replaced by another order midway. Routers derive both from the record that an order replaces, or from the older state and start in a complete read; the recorded start keeps them in the store (in_use, withdrawn in tanager/rollout/SERVICE). Withdrawn releases get nothing, also if nothing else is left: their callers are refused with 503 and may come back.

--- a/policy/record.go
+++ b/policy/record.go
@@ -73,7 +73,14 @@
 // schemaVersionOf returns the schema version of a record with a spec. It is later than
 // SchemaVersion if programs of SchemaVersion may lack one of its fields, which they then ignore.
 func schemaVersionOf(spec proto.Message) int64 {
-	if lm, ok := spec.(*rpc.Limits); ok && lm.GetKeysRequired() {
+	newer := false
+	switch sp := spec.(type) {
+	case *rpc.Limits:
+		newer = sp.GetKeysRequired()
+	case *rpc.Rollout:
+		newer = len(sp.GetWithdrawnVersions()) > 0
+	}
+	if newer {
 		return SchemaVersion + 1
 	}
 	return SchemaVersion
--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"slices"
+
 	"tanagerpoint.example/tanager/finding"
 	"tanagerpoint.example/tanager/rpc"
 )
@@ -101,6 +103,50 @@
 	}
 }
 
+// maxWithdrawn is the number of withdrawn releases that are remembered. Their endpoints drain
+// within seconds, and a service has few roll-outs in that time.
+const maxWithdrawn = 8
+
+// Succeed records in a roll-out of a service's release which releases are in use and which are
+// withdrawn, given the service's roll-out before it. A completed release is in use; any other that
+// was ordered is withdrawn, unless it is ordered again.
+func (ro Rollout) Succeed(previous Rollout) {
+	inUse, withdrawn := previous.FromVersion, previous.WithdrawnVersions
+	switch {
+	case previous.State == rpc.RolloutState_DONE:
+		inUse = previous.ToVersion
+	case previous.ToVersion != "":
+		withdrawn = append(slices.Clone(withdrawn), previous.ToVersion)
+	}
+	ro.FromVersion, ro.WithdrawnVersions = inUse, nil
+	ro.AddWithdrawn(withdrawn)
+}
+
+// TakeReleases adds what another record of the same roll-out knows of the service's releases. The
+// store lacks it if an order was replaced before a router recorded its start, or if a program
+// wrote the start that does not know of it.
+func (ro Rollout) TakeReleases(other Rollout) {
+	if ro.FromVersion == "" {
+		ro.FromVersion = other.FromVersion
+	}
+	ro.AddWithdrawn(other.WithdrawnVersions)
+}
+
+// AddWithdrawn adds withdrawn releases, without the release that is ordered and the one in use.
+func (ro Rollout) AddWithdrawn(releases []string) {
+	for _, re := range releases {
+		if re != "" && re != ro.ToVersion && re != ro.FromVersion && !ro.Withdrawn(re) {
+			ro.WithdrawnVersions = append(ro.WithdrawnVersions, re)
+		}
+	}
+	ro.WithdrawnVersions = ro.WithdrawnVersions[max(0, len(ro.WithdrawnVersions)-maxWithdrawn):]
+}
+
+// Withdrawn reports whether a release was ordered before and did not come into use.
+func (ro Rollout) Withdrawn(release string) bool {
+	return slices.Contains(ro.WithdrawnVersions, release)
+}
+
 // Active reports whether the roll-out is running or paused.
 func (ro Rollout) Active() bool {
 	return ro.State == rpc.RolloutState_RUNNING || ro.State == rpc.RolloutState_PAUSED
--- a/relay/release.go
+++ b/relay/release.go
@@ -114,7 +114,7 @@
 
 // endpointsOf returns the endpoints of the release in use and of the candidate.
 func (rs *releaseSelector) endpointsOf(ro policy.Rollout) (stable, candidate []policy.Endpoint) {
-	return splitByRelease(rs.router.fleet.forService(time.Now(), policy.ServiceID(ro.Service)), ro.ToVersion)
+	return splitByRelease(rs.router.fleet.forService(time.Now(), policy.ServiceID(ro.Service)), ro)
 }
 
 // planFor returns the schedule of a roll-out, and whether the candidate was rejected. It
@@ -198,15 +198,30 @@
 	})
 }
 
-func splitByRelease(ens []policy.Endpoint, release string) (others, matching []policy.Endpoint) {
+// splitByRelease returns the endpoints of the release in use and of a roll-out's candidate. The
+// roll-out's record tells which release is in use. Without endpoints of that release, all are in
+// use whose release no order has named. Endpoints of a withdrawn release get nothing, even
+// if there are no others: the release was found to be bad, and a refused caller may come back.
+func splitByRelease(ens []policy.Endpoint, ro policy.Rollout) (inUse, candidate []policy.Endpoint) {
+	var unordered []policy.Endpoint
 	for _, en := range ens {
-		if en.Release == release {
-			matching = append(matching, en)
-		} else {
-			others = append(others, en)
+		switch {
+		case en.Release == ro.ToVersion:
+			candidate = append(candidate, en)
+		case ro.FromVersion != "" && en.Release == ro.FromVersion:
+			inUse = append(inUse, en)
+		case !ro.Withdrawn(en.Release):
+			unordered = append(unordered, en)
 		}
 	}
-	return others, matching
+	switch {
+	case ro.FromVersion == ro.ToVersion:
+		// The release in use was ordered again.
+		return candidate, candidate
+	case len(inUse) == 0:
+		return unordered, candidate
+	}
+	return inUse, candidate
 }
 
 // stateOf returns the state of a roll-out. It creates one if there is none or if
--- a/router/rollout.go
+++ b/router/rollout.go
@@ -146,6 +146,9 @@
 	if current.ToVersion != ro.ToVersion {
 		return true
 	}
+	if !lost {
+		current.TakeReleases(ro)
+	}
 	next, why := da.nextState(current)
 	if next == nil && lost {
 		next, why = current.Rollout, "the restored store had lost it"
@@ -221,6 +224,7 @@
 	}
 	da.log.Info(nu, event.Fields{
 		"service": next.GetService(), "release": next.GetToVersion(), "state": next.GetState().String(), "why": why, "fencing_token": ho.Token,
+		"in_use": next.GetFromVersion(), "withdrawn": next.GetWithdrawnVersions(),
 	})
 	return true
 }
