--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 	go test -run XXX -fuzz FuzzChat -fuzztime 10s ./entry/
 	go test -run XXX -fuzz FuzzExchange -fuzztime 10s ./peer/
 	go test -run XXX -fuzz FuzzChanged -fuzztime 10s ./platform/
+	go test -run XXX -fuzz FuzzCheck -fuzztime 10s ./platform/
 	go test -run XXX -fuzz FuzzRegistration -fuzztime 10s ./platform/
 	go test -run XXX -fuzz FuzzDecode -fuzztime 10s ./platform/
 	go test -run XXX -fuzz FuzzHead -fuzztime 10s ./platform/
--- a/cmd/tanagerctl/record.go
+++ b/cmd/tanagerctl/record.go
@@ -19,13 +19,31 @@
 
 const checkHelp = `Check the records in files, together with those in the store, and print every
 finding with its file, record and field. With --offline the store is not asked.
-Exits with 3 when there are findings.`
+Exits with 3 when there are findings.
+
+A single file, or "-" for standard input, may hold a configuration of the users'
+platform (op/config). Its mistakes are printed with line and field: what the store
+or the routers refuse, entries that never match, and limits that contradict each
+other; then in what it differs from the configuration in force, which is read from
+--store, if that is given, or from the file --against. Keys are printed as
+fingerprints. Nothing is changed. Exits with 0 when there are no mistakes, with 1
+when there are, and with 2 when something could not be read.`
 
 func newCheckCommand(opt *options) *cobra.Command {
 	var offline bool
+	cf := &configurationFlags{}
 	co := &cobra.Command{
-		Use: "check FILE...", Short: "Check records in files", Long: checkHelp, Args: requireFiles,
+		Use: "check FILE...", Short: "Check records in files, or a configuration", Long: checkHelp, Args: requireFiles,
 		RunE: func(co *cobra.Command, files []string) error {
+			if len(files) == 1 {
+				text, err := readInput(co, files[0])
+				if err != nil {
+					return command.Exit(exitUnreadable, err)
+				}
+				if files[0] == stdin || isConfiguration(text) {
+					return opt.checkConfiguration(co, cf, text)
+				}
+			}
 			frs, err := policy.ReadFiles(files)
 			if err != nil {
 				return withExitCode(err)
@@ -44,6 +62,7 @@
 		},
 	}
 	co.Flags().BoolVar(&offline, "offline", false, "check the files by themselves")
+	cf.add(co)
 	return co
 }
 
--- a/relay/router.go
+++ b/relay/router.go
@@ -38,9 +38,10 @@
 // of requests as much. The heap grows to twice what it holds.
 const heldShare = 0.25
 
-func (opt Options) heldBytes() int64 {
-	return int64(heldShare * opt.Serving.GetMemoryMb() * (1 << 20))
-}
+// HeldBytes returns how much memory bodies of requests may hold in a router with a number of MiB.
+func HeldBytes(memoryMB float64) int64 { return int64(heldShare * memoryMB * (1 << 20)) }
+
+func (opt Options) heldBytes() int64 { return HeldBytes(opt.Serving.GetMemoryMb()) }
 
 // MaxHeldBytes returns how much memory bodies of requests may hold.
 func (ro *Router) MaxHeldBytes() int64 { return ro.options().heldBytes() }
