Evacuate failure domains at the operator's word

Callers' requests went on to a failure domain that the operator had evacuated (op/evacuate/ZONE): nothing read that key.

The key becomes a policy record, so that every router learns of it as of an endpoint: by its watch, from peers, after a restart, without the store, and over a restore of the store. No endpoint of such a domain is chosen for anything, and peers carry nothing there; running requests end. A service with endpoints only there is refused at once, not run, with two seconds to come back.

The form of translation rises to 3: builds of form 2 leave the records out.

Evidence: with the key not read, the four tests of router/evacuation_test.go and platform's fail; without the rule for restores, policy's and the router's for restores. All pass with the change.

--- a/policy/index.go
+++ b/policy/index.go
@@ -45,6 +45,7 @@
 	finishTable(&se.Routes, same[KindRoute], func(from *Set) *Table[RouteID, Route] { return &from.Routes })
 	finishTable(&se.Limits, same[KindLimits], func(from *Set) *Table[LimitsID, Limits] { return &from.Limits })
 	finishTable(&se.Quarantines, same[KindQuarantine], func(from *Set) *Table[QuarantineID, Quarantine] { return &from.Quarantines })
+	finishTable(&se.Evacuations, same[KindEvacuation], func(from *Set) *Table[FailureDomain, Evacuation] { return &from.Evacuations })
 	se.indexKeys(same[KindOrganisation], same[KindOperator])
 	if from := same[KindRoute]; from != nil {
 		se.byHost = from.byHost
@@ -120,5 +121,7 @@
 		se.Limits.add(va.ID, va)
 	case Quarantine:
 		se.Quarantines.add(va.ID, va)
+	case Evacuation:
+		se.Evacuations.add(va.ID, va)
 	}
 }
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -88,6 +88,8 @@
 		return Limits{ID: LimitsID(id), Limits: sp}
 	case *rpc.Quarantine:
 		return Quarantine{ID: QuarantineID(id), Quarantine: sp}
+	case *rpc.Evacuation:
+		return Evacuation{ID: FailureDomain(id), Evacuation: sp}
 	default:
 		return Rollout{ID: RolloutID(id), Rollout: ms.(*rpc.Rollout), FencingToken: re.GetFencingToken()}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,11 +24,15 @@
 
 // NewestForm is the form in which this build translates. Since form 1 an id may be any text
 // and a record may be larger than 256 KiB, since form 2 a number of a configuration may be any.
-const NewestForm Form = 2
+// Since form 3 there are evacuations, and records say how long endpoints are cold.
+const NewestForm Form = 3
 
 // formOfCallerKeys is the first form with records of KindCallerKeys.
 const formOfCallerKeys Form = 1
 
+// formOfEvacuations is the first form with records of KindEvacuation.
+const formOfEvacuations Form = 3
+
 // shareBounds are those of a share of a whole, or of a quality.
 var shareBounds = quantity.Bounds[float64]{Min: 0, Max: 1}
 
@@ -50,12 +54,13 @@
 	KindRoute        Kind = "route"
 	KindLimits       Kind = "limits"
 	KindQuarantine   Kind = "quarantine"
+	KindEvacuation   Kind = "evacuation"
 )
 
 // kinds are all kinds of records.
 var kinds = []Kind{
 	KindOrganisation, KindCallerKeys, KindOperator, KindModel, KindVersion, KindCascade, KindRank, KindEndpoint, KindService, KindRollout,
-	KindRoute, KindLimits, KindQuarantine,
+	KindRoute, KindLimits, KindQuarantine, KindEvacuation,
 }
 
 // The ids of records, each unique within its kind, and of releases and prompt parts,
--- a/policy/record.go
+++ b/policy/record.go
@@ -248,6 +248,8 @@
 		return &rpc.Limits{}
 	case KindQuarantine:
 		return &rpc.Quarantine{}
+	case KindEvacuation:
+		return &rpc.Evacuation{}
 	}
 	return nil
 }
--- a/policy/restore.go
+++ b/policy/restore.go
@@ -135,6 +135,8 @@
 //   - A roll-out, until its order and what has been decided about it are in the store, or
 //     another is ordered.
 //   - A quarantine, until it is in the store again.
+//   - An evacuation, until the operator's order is in the store again. One that the copy brings
+//     back is in force, as long as it is there.
 //
 // Other records are as the store has them. The set must not be in use yet.
 func (se *Set) retain(earlier map[string]parsedRecord) {
@@ -212,6 +214,8 @@
 		return pr.rolloutOutlives(read, found)
 	case KindQuarantine:
 		return !found || pr.deleted() && pr.lostWrite(read)
+	case KindEvacuation:
+		return !found && !pr.deleted()
 	default:
 		return false
 	}
--- a/policy/set.go
+++ b/policy/set.go
@@ -42,6 +42,7 @@
 	Routes        Table[RouteID, Route]
 	Limits        Table[LimitsID, Limits]
 	Quarantines   Table[QuarantineID, Quarantine]
+	Evacuations   Table[FailureDomain, Evacuation]
 
 	// Findings lists why records cannot be used. These records count as absent.
 	Findings finding.List
@@ -149,7 +150,8 @@
 // translates in a lower form. Kinds of records that it does not know may be out of date there.
 func (se *Set) WithBridge(form Form, revision store.Revision, records []StoredRecord) *Set {
 	known := slices.DeleteFunc(slices.Clone(records), func(st StoredRecord) bool {
-		return form < formOfCallerKeys && strings.HasPrefix(st.Key, string(KindCallerKeys)+"/")
+		ki := kindOfKey(st.Key)
+		return form < formOfCallerKeys && ki == KindCallerKeys || form < formOfEvacuations && ki == KindEvacuation
 	})
 	next := se.WithSnapshot(revision, known)
 	next.Form = form
--- a/relay/availability.go
+++ b/relay/availability.go
@@ -14,6 +14,8 @@
 const (
 	// blockedLeaving: the endpoint is leaving, as the store, an answer or a peer says.
 	blockedLeaving blockedReason = "leaving"
+	// blockedEvacuated: the endpoint's failure domain is evacuated.
+	blockedEvacuated blockedReason = "evacuated"
 	// blockedPaused: the endpoint asked this router for a pause.
 	blockedPaused blockedReason = "paused"
 	// blockedSuspended: the endpoint failed too often.
@@ -37,7 +39,7 @@
 
 func (av availability) ok() bool { return av.blocked == "" }
 
-// availability decides whether an endpoint that is not leaving may get a request of any kind.
+// availability decides whether an endpoint that is not spared may get a request of any kind.
 // It is made for endpoints that ask to be spared in several ways at once: the strictest holds.
 // The balancer's lock may be held.
 func (ro *Router) availability(now time.Time, en policy.Endpoint, cn placement.Condition) availability {
@@ -58,7 +60,7 @@
 	return availability{}
 }
 
-// availableTo decides whether an endpoint that is not leaving may get a call's request. The
+// availableTo decides whether an endpoint that is not spared may get a call's request. The
 // balancer's lock may be held.
 func (ro *Router) availableTo(now time.Time, ca *call, en policy.Endpoint, cn placement.Condition) availability {
 	av := ro.availability(now, en, cn)
@@ -88,6 +90,9 @@
 		}
 	}
 	at := now.Add(ro.fleet.retryAfter(ca))
+	if ro.fleet.allEvacuated(now, ca.service.ID) {
+		at = now.Add(evacuatedRetryDelay)
+	}
 	if soonest.After(at) {
 		at = soonest
 	}
@@ -103,8 +108,8 @@
 			continue
 		}
 		av := ro.availableTo(now, ca, en, ro.balancer.Condition(now, en.ID))
-		if ro.fleet.leaves(en) {
-			av = availability{blocked: blockedLeaving}
+		if reason := ro.fleet.spared(en); reason != "" {
+			av = availability{blocked: reason}
 		}
 		if !av.ok() {
 			out[av.blocked]++
@@ -124,8 +129,8 @@
 	out, now := map[policy.EndpointID]Blocked{}, time.Now()
 	for _, en := range ro.holder.Set().Endpoints.List() {
 		av := ro.availability(now, en, ro.balancer.Condition(now, en.ID))
-		if ro.fleet.leaves(en) {
-			av = availability{blocked: blockedLeaving}
+		if reason := ro.fleet.spared(en); reason != "" {
+			av = availability{blocked: reason}
 		}
 		if av.ok() {
 			continue
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -42,7 +42,7 @@
 	errCarrierFull       = eris.New("router carries as many attempts as it may")
 	errEndpointUnknown   = eris.New("router does not know this run of the endpoint")
 	errEndpointSuspended = eris.New("endpoint failed at the router, which another peer may reach")
-	errEndpointSpared    = eris.New("endpoint is leaving or asked the router for a pause")
+	errEndpointSpared    = eris.New("endpoint is leaving, evacuated or asked the router for a pause")
 )
 
 // carriers are the peers that carry this router's attempts while it has no path to a service's
@@ -202,7 +202,7 @@
 		return en, errEndpointUnknown
 	case ro.paths.Lost(policy.ServiceID(en.Service)):
 		return en, errCarrierPathLost
-	case ro.fleet.leaves(en):
+	case ro.fleet.spared(en) != "":
 		return en, errEndpointSpared
 	case ro.balancer.Condition(now, en.ID).Suspended:
 		return en, errEndpointSuspended
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -37,6 +37,8 @@
 	// they leave; published reports whether the last message to the peers had any.
 	departures map[policy.EndpointRun]departure
 	published  bool
+	// evacuated holds the failure domains that were evacuated in the policy that was used last.
+	evacuated map[policy.FailureDomain]bool
 }
 
 type lapsedEndpoint struct {
@@ -47,19 +49,19 @@
 func newFleet(ro *Router) *fleet {
 	return &fleet{
 		router: ro, byService: map[policy.ServiceID][]policy.Endpoint{}, lapsed: map[policy.EndpointID]lapsedEndpoint{},
-		departures: map[policy.EndpointRun]departure{},
+		departures: map[policy.EndpointRun]departure{}, evacuated: map[policy.FailureDomain]bool{},
 	}
 }
 
-// forService returns the endpoints of a service that are not leaving, including
-// lapsed ones that are still used.
+// forService returns the endpoints of a service that are neither leaving nor in an evacuated
+// failure domain, including lapsed ones that are still used.
 func (fl *fleet) forService(now time.Time, id policy.ServiceID) []policy.Endpoint {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.rebuild(now)
 	ens := fl.byService[id]
 	for _, le := range fl.lapsed {
-		if le.endpoint.Service == string(id) && now.Before(le.until) && !fl.leavesLocked(le.endpoint) {
+		if le.endpoint.Service == string(id) && now.Before(le.until) && fl.sparedLocked(le.endpoint) == "" {
 			ens = append(ens[:len(ens):len(ens)], le.endpoint)
 		}
 	}
@@ -81,9 +83,10 @@
 		return
 	}
 	fl.retainLapsed(now, se)
+	fl.noteEvacuations(se)
 	fl.byService = map[policy.ServiceID][]policy.Endpoint{}
 	for _, en := range se.Endpoints.List() {
-		if !fl.leavesLocked(en) {
+		if fl.sparedLocked(en) == "" {
 			id := policy.ServiceID(en.Service)
 			fl.byService[id] = append(fl.byService[id], en)
 		}
--- a/relay/leaving.go
+++ b/relay/leaving.go
@@ -26,14 +26,8 @@
 	own bool
 }
 
-// leaves reports whether an endpoint leaves, and so gets no new request: the store says so,
-// or the endpoint has said so in an answer to this or another router.
-func (fl *fleet) leaves(en policy.Endpoint) bool {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.leavesLocked(en)
-}
-
+// leavesLocked reports whether an endpoint leaves, and so gets no new request: the store says so,
+// or the endpoint has said so in an answer to this or another router. The caller holds mu.
 func (fl *fleet) leavesLocked(en policy.Endpoint) bool {
 	_, ok := fl.departures[en.Run()]
 	return ok || en.Draining
--- a/relay/router.go
+++ b/relay/router.go
@@ -315,6 +315,8 @@
 	Brittle map[policy.ServiceID]int `json:"brittle"`
 	// Blocked are the endpoints that get no request now.
 	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
+	// Evacuated are the failure domains that are evacuated.
+	Evacuated map[policy.FailureDomain]Evacuation `json:"evacuated"`
 	// PathLost reports whether this router has no path to any endpoint; LostServices are the
 	// services to whose endpoints it has none; Carrying is the number of attempts that it
 	// carries for peers now.
@@ -325,5 +327,5 @@
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), Evacuated: ro.Evacuations(), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -341,5 +341,8 @@
 	if err != nil {
 		return err
 	}
+	if err := da.metrics.GaugeBy("tanager_evacuated_running", "Requests of this router that still run in an evacuated failure domain.", "failure_domain", da.relay.EvacuatedRunning); err != nil {
+		return err
+	}
 	return da.metrics.GaugeBy("tanager_carried", "Attempts carried by peers for this router, by it for peers, and not taken.", "kind", da.relay.Carried)
 }
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -60,6 +60,9 @@
 	// Domains is the number of failure domains among which the routers are spread, one if it
 	// is 0.
 	Domains int
+	// ReplicaDomains is the number of failure domains among which the replicas of each service
+	// are spread in turn, one if it is 0.
+	ReplicaDomains int
 	// Log writes the routers' logs to standard error.
 	Log bool
 }
@@ -212,14 +215,25 @@
 // or "draining".
 func (rs *RouterSite) Register(service string, n int, release, state string) {
 	re := rs.nextRegistration(ReplicaID(service, n, release))
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d`,
-		service, ReplicaAddress(service, n, release), release, state, re.sequence, re.bornAt.UnixMilli())
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d`,
+		service, ReplicaAddress(service, n, release), rs.ReplicaDomain(n), release, state, re.sequence, re.bornAt.UnixMilli())
 	if service == EngineService {
 		text += `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
 	}
 	rs.Store.Write("servers/"+ReplicaID(service, n, release), []byte(text+"}"))
 }
 
+// ReplicaDomain returns the failure domain of replica N of a service.
+func (rs *RouterSite) ReplicaDomain(n int) string {
+	return fmt.Sprintf("zone-%c", 'a'+(n-1)%max(1, rs.opt.ReplicaDomains))
+}
+
+// Evacuate writes the operator's order that a failure domain's replicas get nothing more.
+func (rs *RouterSite) Evacuate(domain string) { rs.Store.Write("op/evacuate/"+domain, []byte("{}")) }
+
+// EndEvacuation takes the order of Evacuate back.
+func (rs *RouterSite) EndEvacuation(domain string) { rs.Store.Write("op/evacuate/"+domain, nil) }
+
 // Unregister deletes a replica's registration. The replica continues to run.
 func (rs *RouterSite) Unregister(service string, n int, release string) {
 	rs.Store.Write("servers/"+ReplicaID(service, n, release), nil)
