Play clients that nobody controls to router processes, as tests

Operators saw such clients end a process: it ran out of memory. The tests start two routers as processes on loopback with memory_mb = 48 and send 300 connections to one of them, one kind of client a test. They check that the process lives, its allocated memory and descriptors stay under a bound, and an ordinary request is answered.

tools/test.sh runs the package last, by itself, one test at a time and without the race detector.

--- a/tools/test.sh
+++ b/tools/test.sh
@@ -8,6 +8,9 @@
 # runs in all. On arm64, where it crashes more often, a test whose three runs all crashed
 # is then run without the race detector, which is reported too.
 # A failed test, a data race or a panic of Go code is never repeated.
+#
+# The package crowd measures the memory of processes. It runs last, by itself, one test at a
+# time and without the race detector, which multiplies memory.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 known=''
@@ -16,7 +19,7 @@
   echo 'Skipped, as listed in KNOWN-RED.txt:'
   grep -vE '^(#|$)' KNOWN-RED.txt
 fi
-go test -race -count=1 -timeout 20m ${known:+-skip "$known"} $(go list ./... | grep -vE '/(proof|router)$')
+go test -race -count=1 -timeout 20m ${known:+-skip "$known"} $(go list ./... | grep -vE '/(crowd|proof|router)$')
 
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
@@ -53,4 +56,5 @@
 }
 export -f one
 xargs -P 4 -L 1 bash -c 'one "$0" "$1" "$2"' "$work" <"$work/names"
+go test -count=1 -p 1 -parallel 1 -timeout 10m ${known:+-skip "$known"} ./crowd
 echo "$(wc -l <"$work/names") passed, 0 failed"
