Bound what all connections of a router hold together

Callers saw a router's process end: it ran out of memory before clients that send heads of very many short lines, or heads without end. net/http holds a parsed head at many times its size on the wire. ReadHeaderTimeout and MaxHeaderBytes bound one connection; nothing bounded all of them together.

A guard now counts the bytes and lines of each head as the server reads them, before they are parsed, and charges their cost, with that of the connection's buffers, to one budget of the process: half of memory_mb less what bodies and answers hold, 15 % of it at least. A connection that finds no room makes the largest unfinished head, or the longest idle connection, go; else it is closed itself, its request unread. Connections are bounded by half of the descriptors. While memory is short, connections whose answers are read more slowly than a minimum are closed.

--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -37,7 +37,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	program = filepath.Join(dir, "tanager-router")
-	if out, err := exec.Command("go", "build", "-o", program, "../cmd/tanager-router").CombinedOutput(); err != nil { //nolint:gosec // the test's own path
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/tanager-router").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v: %s\n", err, out)
 		return 1
 	}
@@ -63,7 +63,7 @@
 // startProcess starts a router, and stops it at the end of the test.
 func startProcess(t *testing.T, settings string) *process {
 	t.Helper()
-	pr := &process{cmd: exec.Command(program, "run", "-c", settings), log: &bytes.Buffer{}, ended: make(chan struct{}), stop: make(chan struct{})} //nolint:gosec // the test's own program
+	pr := &process{cmd: exec.Command(program, "run", "-c", settings), log: &bytes.Buffer{}, ended: make(chan struct{}), stop: make(chan struct{})}
 	pr.cmd.Stdout, pr.cmd.Stderr = pr.log, pr.log
 	qt.Assert(t, pr.cmd.Start(), qt.IsNil)
 	pr.watch.Go(func() {
--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,8 @@
 	ServiceBrittle       Number = 427
 	ServiceNotBrittle    Number = 428
 	EndpointRefusedFull  Number = 429
+	ConnectionClosed     Number = 430
+	SlowReaderCut        Number = 431
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -151,6 +153,8 @@
 	ServiceBrittle:       "endpoints of a service say that they fall over when they refuse too many requests",
 	ServiceNotBrittle:    "endpoints of a service are not brittle any more",
 	EndpointRefusedFull:  "brittle endpoint refused a request for want of room; it is spared",
+	ConnectionClosed:     "connection closed, with its request unread, to keep memory and descriptors within their bounds",
+	SlowReaderCut:        "answer cut: its caller read it too slowly while memory was short",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/network/idle.go
+++ b/network/idle.go
@@ -86,7 +86,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &idleConn{Conn: co}, nil
+	out := &idleConn{Conn: co}
+	if guarded, ok := co.(*guardedConn); ok {
+		guarded.endIdle = out.end
+	}
+	return out, nil
 }
 
 // idleConn is a connection that can be ended while it is idle.
--- /dev/null
+++ b/router/guard.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"tanagerpoint.example/tanager/event"
+	"tanagerpoint.example/tanager/network"
+)
+
+const (
+	// heldShare is the part of the process's memory that bodies, answers and connections may hold
+	// together; connections have connectionShare of it at least.
+	heldShare       = 0.5
+	connectionShare = 0.15
+	// shortShare is the part of what may be held from which on memory is short.
+	shortShare = 0.75
+	// reservedDescriptors are for files, listeners, and calls to the store and to peers.
+	reservedDescriptors = 200
+)
+
+// newGuard returns the guard of all listeners.
+func (da *Daemon) newGuard() *network.Guard {
+	se := da.settings.GetServing()
+	count := int(se.GetMaxConnections())
+	if count == 0 {
+		count = defaultMaxConnections()
+	}
+	da.connections = network.NewConnBudget(network.ConnLimits{Count: count, Bytes: da.connectionBytes})
+	return network.NewGuard(da.connections, network.GuardOptions{
+		MaxHeadLines: se.GetMaxHeadLines(), MinReadSpeed: se.GetMinReadSpeed(), Ended: da.connectionEnded,
+	})
+}
+
+// defaultMaxConnections returns half of the descriptors that the process may open: each request
+// may need another connection to an endpoint.
+func defaultMaxConnections() int {
+	var li unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &li); err != nil || li.Cur > unix.RLIM_INFINITY/2 {
+		return int(^uint(0) >> 1)
+	}
+	return max(1, int(li.Cur)-reservedDescriptors) / 2
+}
+
+// connectionBytes returns the memory that connections and heads of requests may take.
+func (da *Daemon) connectionBytes() int64 {
+	total := da.memoryBytes()
+	return max(int64(connectionShare*total), int64(heldShare*total)-da.HeldBytes())
+}
+
+func (da *Daemon) memoryBytes() float64 { return da.settings.GetServing().GetMemoryMb() * (1 << 20) }
+
+// memoryShort reports whether nearly all of the memory that may be held is.
+func (da *Daemon) memoryShort() bool {
+	return float64(da.HeldBytes()+da.connections.Bytes()) > shortShare*heldShare*da.memoryBytes()
+}
+
+// cutSlowReaders closes the connections of slow readers while memory is short.
+func (da *Daemon) cutSlowReaders(now time.Time) {
+	if da.memoryShort() {
+		da.guard.CutSlowReaders(now)
+	}
+}
+
+func (da *Daemon) connectionEnded(ca network.EndCause) {
+	nu := event.ConnectionClosed
+	if ca == network.CauseSlowReader {
+		nu = event.SlowReaderCut
+	}
+	da.log.WarnLimited(nu, nil, event.Fields{"cause": ca})
+}
+
+// guarded returns a ConnState hook that also calls the guard's.
+func (da *Daemon) guarded(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(co net.Conn, st http.ConnState) {
+		da.guard.ConnState(co, st)
+		next(co, st)
+	}
+}
+
+func (da *Daemon) addConnectionGauges() error {
+	err := da.metrics.Gauge("tanager_connections", "Open connections of callers and others.", func() float64 { return float64(da.connections.Len()) })
+	if err == nil {
+		err = da.metrics.Gauge("tanager_connection_bytes", "Memory that connections and heads of requests take.", func() float64 { return float64(da.connections.Bytes()) })
+	}
+	if err == nil {
+		err = da.metrics.GaugeBy("tanager_connections_closed", "Connections closed to keep memory and descriptors within their bounds, by cause.", "cause", da.guard.Counts)
+	}
+	return err
+}
--- a/router/router.go
+++ b/router/router.go
@@ -35,11 +35,9 @@
 )
 
 const (
-	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
-	publishInterval   = 400 * time.Millisecond
-	rolloutInterval   = 300 * time.Millisecond
-	idleInterval      = time.Second
+	publishInterval = 400 * time.Millisecond
+	rolloutInterval = 300 * time.Millisecond
+	idleInterval    = time.Second
 	// pinReplicationInterval is how often pins are sent to routers that have become
 	// their holders.
 	pinReplicationInterval = time.Second
@@ -76,6 +74,9 @@
 	sums   *peer.Aggregator
 	leases *lease.Manager
 	idle   *network.IdleConns
+	// guard bounds what the connections of all listeners take, connections counts that.
+	guard       *network.Guard
+	connections *network.ConnBudget
 	// bodies is the memory of the bodies of requests.
 	bodies *limit.Memory[string]
 	// dueSince is when this router first saw that a roll-out has an action due.
@@ -117,6 +118,7 @@
 		relay.Dependencies{Holder: da.holder, Client: da.client, Paths: da.paths, Peers: da.peers, Pins: da.pins, Quarantine: da.barred, Log: lo, Metrics: me},
 	)
 	da.bodies = limit.NewMemory[string](da.relay.MaxHeldBytes())
+	da.guard = da.newGuard()
 	da.sums = peer.NewAggregator(da.peers, da.relay.Sums, da.relay.ApplySums)
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
@@ -173,12 +175,12 @@
 		{ls.GetReadiness(), platform.NewReadinessHandler(da.relay.Ready)},
 		{ls.GetDirectory(), platform.NewDirectoryHandler(da.addresses, da.settings.GetServing().GetAddressKeep().AsDuration)},
 	} {
-		if err := da.serve(sv.address, sv.handler, da.idle.Track(da.network), da.idle.ConnState); err != nil {
+		if err := da.serve(sv.address, sv.handler, da.idle.Track(da.guard.Track(network.OtherConn, da.network)), da.idle.ConnState); err != nil {
 			return eris.Wrap(err, "Daemon.Start")
 		}
 	}
 	callers := platform.NewCallerHandler(da.relay, da.holder, da.bodies)
-	if err := da.serve(ls.GetCallers(), callers, da.callers.track(da.network), da.callers.connState); err != nil {
+	if err := da.serve(ls.GetCallers(), callers, da.callers.track(da.guard.Track(network.CallerConn, da.network)), da.callers.connState); err != nil {
 		return eris.Wrap(err, "Daemon.Start")
 	}
 	da.group.Go(da.watcher.Run)
@@ -198,7 +200,8 @@
 }
 
 func (da *Daemon) serve(address string, ha http.Handler, ne network.Network, connState func(net.Conn, http.ConnState)) error {
-	sv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: connState}
+	se := da.settings.GetServing()
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: se.GetHeadTimeout().AsDuration(), MaxHeaderBytes: int(se.GetMaxHeadBytes()), ConnState: da.guarded(connState)}
 	da.servers = append(da.servers, sv)
 	return ne.Serve(da.group, address, sv, func(err error) { da.listenerFailed(address, err) })
 }
@@ -221,7 +224,9 @@
 }
 
 func (da *Daemon) closeIdle(context.Context) {
-	da.idle.End(time.Now().Add(-da.holder.Set().SiteLimits().IdleTimeout()))
+	now := time.Now()
+	da.idle.End(now.Add(-da.holder.Set().SiteLimits().IdleTimeout()))
+	da.cutSlowReaders(now)
 }
 
 // addresses returns the addresses of the routers that callers in a failure
@@ -320,6 +325,9 @@
 	if err == nil {
 		err = da.addPathGauges()
 	}
+	if err == nil {
+		err = da.addConnectionGauges()
+	}
 	if err == nil {
 		err = me.GaugeBy("tanager_store_calls", "Calls to the store by kind.", "kind", func() map[string]float64 {
 			return map[string]float64{
