--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,8 @@
 	EndpointRefusedFull  Number = 429
 	EvacuationBegan      Number = 440
 	EvacuationEnded      Number = 441
+	ConnectionClosed     Number = 430
+	SlowReaderCut        Number = 431
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -155,6 +157,8 @@
 	EndpointRefusedFull:  "brittle endpoint refused a request for want of room; it is spared",
 	EvacuationBegan:      "operator evacuates a failure domain; its endpoints get no new requests from this router",
 	EvacuationEnded:      "evacuation of a failure domain was taken back",
+	ConnectionClosed:     "connection closed, with its request unread, to keep memory and descriptors within their bounds",
+	SlowReaderCut:        "answer cut: its caller read it too slowly while memory was short",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
