Send cold endpoints no more than they bear, over all routers

Endpoints that had just started, or said that they were cold, got as many requests as any other, and more: being empty, all routers preferred them.

A cold endpoint now has a limit in limit/ as one that it names itself, with the same bucket. It is shared by as many routers as it has requests a second, so that however they coincide no more than that arrives in a second. Routers that fell silent keep their part for 2 minutes, as they may be cut off; one that has just started has none for 5 s. Coldness comes from the registration, which all routers read, and from answers, which peers pass on; the latest word holds. Once the endpoint is warm, its rate doubles every half second for 2 s.

--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,8 @@
 	EndpointRefusedFull  Number = 429
 	EvacuationBegan      Number = 440
 	EvacuationEnded      Number = 441
+	EndpointCold         Number = 442
+	EndpointWarm         Number = 443
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -155,6 +157,8 @@
 	EndpointRefusedFull:  "brittle endpoint refused a request for want of room; it is spared",
 	EvacuationBegan:      "operator evacuates a failure domain; its endpoints get no new requests from this router",
 	EvacuationEnded:      "evacuation of a failure domain was taken back",
+	EndpointCold:         "endpoint is cold; all routers together send it few requests",
+	EndpointWarm:         "endpoint is no longer cold; its share of requests grows",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -19,14 +19,20 @@
 	ms := &rpc.EndpointLimits{}
 	li.mu.Lock()
 	for id, wo := range li.known {
+		if wo.cold.own && now.Sub(wo.cold.at) < wordTTL {
+			ms.Cold = append(ms.Cold, &rpc.ColdEndpoint{
+				Endpoint: string(id), RemainingMs: max(0, wo.cold.until.Sub(now)).Milliseconds(), AgeMs: now.Sub(wo.cold.at).Milliseconds(),
+			})
+		}
 		if wo.own && now.Sub(wo.at) < wordTTL {
 			ms.Limits = append(ms.Limits, &rpc.EndpointLimit{
 				Endpoint: string(id), PerSecond: float64(wo.rate), Ended: wo.ended, AgeMs: now.Sub(wo.at).Milliseconds(),
 			})
 		}
 	}
-	skip := len(ms.GetLimits()) == 0 && !li.published
-	li.published = len(ms.GetLimits()) > 0
+	some := len(ms.GetLimits())+len(ms.GetCold()) > 0
+	skip := !some && !li.published
+	li.published = some
 	li.mu.Unlock()
 	if !skip {
 		li.group.Publish(limitPrefix+string(li.group.VM()), ms)
@@ -36,10 +42,16 @@
 // Refresh applies what the other routers have published, forgets endpoints that are gone
 // or have named no limit for a while, and divides the limits among the routers.
 func (li *Limits) Refresh(now time.Time) {
-	words := li.peerWords()
+	words, cold := li.peerWords()
 	si := li.site(now)
 	li.mu.Lock()
 	defer li.mu.Unlock()
+	li.roster.note(now, si.routers)
+	for id, next := range cold {
+		if en, ok := si.policy.Endpoints.ByID(id); ok {
+			li.applyAnswer(now, en.Run(), next)
+		}
+	}
 	for id, next := range words {
 		wo, ok := li.known[id]
 		switch {
@@ -51,18 +63,27 @@
 		}
 	}
 	for id, wo := range li.known {
-		if _, ok := si.policy.Endpoints.ByID(id); !ok || wo.ended && now.Sub(wo.at) > wordTTL {
+		en, ok := si.policy.Endpoints.ByID(id)
+		if !ok || wo.idle(now) {
 			delete(li.known, id)
 			continue
 		}
-		wo.bucket.SetShare(now, si.shareOf(id, wo))
+		li.divideCold(now, en, wo)
+		wo.share = si.shareOf(id, wo)
+		li.limited(now, id)
 	}
 	li.size.Store(int64(len(li.known)))
 }
 
-// peerWords returns the newest word of each endpoint that the other routers published.
-func (li *Limits) peerWords() map[policy.EndpointID]word {
-	out := map[policy.EndpointID]word{}
+// idle reports whether the endpoint has named no limit and not been cold for a while.
+func (wo *word) idle(now time.Time) bool {
+	return wo.ended && now.Sub(wo.at) > wordTTL && now.Sub(wo.cold.until) > wordTTL
+}
+
+// peerWords returns the newest word of each endpoint's limit and of its coldness that the other
+// routers published.
+func (li *Limits) peerWords() (map[policy.EndpointID]word, map[policy.EndpointID]coldWord) {
+	out, cold := map[policy.EndpointID]word{}, map[policy.EndpointID]coldWord{}
 	own := limitPrefix + string(li.group.VM())
 	for _, it := range li.group.Table().List(limitPrefix) {
 		var ms rpc.EndpointLimits
@@ -76,6 +97,12 @@
 				out[id] = word{rate: Rate(el.GetPerSecond()), ended: el.GetEnded(), at: at}
 			}
 		}
+		for _, ce := range ms.GetCold() {
+			id, at := policy.EndpointID(ce.GetEndpoint()), quantity.Ago(it.WrittenAt, ce.GetAgeMs())
+			if old, ok := cold[id]; !ok || at.After(old.at) {
+				cold[id] = coldWord{at: at, until: it.WrittenAt.Add(coldBounds.Clamp(quantity.Milliseconds(ce.GetRemainingMs())))}
+			}
+		}
 	}
-	return out
+	return out, cold
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -40,6 +40,10 @@
 	known map[policy.EndpointID]*word
 	// size is the length of known, for readers that need no more.
 	size atomic.Int64
+	// registered is the policy whose registrations have been applied.
+	registered atomic.Pointer[policy.Set]
+	// roster holds the routers that may share the rate of a cold endpoint.
+	roster roster
 	// published reports whether the last message to the peers had limits.
 	published bool
 }
@@ -52,13 +56,16 @@
 	// at is when the answer arrived at a router, own whether at this one.
 	at  time.Time
 	own bool
-	// bucket has this router's part of the limit, 0 if others share it.
+	// share is this router's part of the limit, 0 if others share it.
+	share Rate
+	cold  coldness
+	// bucket has this router's part of the limit, and of the rate of the cold endpoint.
 	bucket *Bucket
 }
 
 // New returns an empty set of limits.
 func New(now time.Time, gr *peer.Group, ho *configuration.Holder, lo *event.Log) *Limits {
-	return &Limits{group: gr, holder: ho, log: lo, startedAt: now, known: map[policy.EndpointID]*word{}}
+	return &Limits{group: gr, holder: ho, log: lo, startedAt: now, known: map[policy.EndpointID]*word{}, roster: newRoster()}
 }
 
 // Named records that an endpoint named a limit in an answer.
@@ -87,17 +94,24 @@
 // update replaces what is known of an endpoint by a newer word that names a limit. The
 // caller holds mu.
 func (li *Limits) update(si site, id policy.EndpointID, next word) {
+	wo := li.wordOf(si.now, id)
+	if wo.ended || wo.rate != next.rate {
+		li.log.InfoLimited(event.LimitNamed, event.Fields{"endpoint": id, "per_second": next.rate, "own": next.own})
+	}
+	wo.rate, wo.ended, wo.at, wo.own = next.rate, false, next.at, next.own
+	wo.share = si.shareOf(id, wo)
+	li.limited(si.now, id)
+}
+
+// wordOf returns what is known of an endpoint, which is nothing for a new one. The caller holds mu.
+func (li *Limits) wordOf(now time.Time, id policy.EndpointID) *word {
 	wo, ok := li.known[id]
 	if !ok {
-		wo = &word{ended: true, bucket: NewBucket(si.now)}
+		wo = &word{ended: true, bucket: NewBucket(now)}
 		li.known[id] = wo
 		li.size.Store(int64(len(li.known)))
 	}
-	if wo.ended || wo.rate != next.rate {
-		li.log.InfoLimited(event.LimitNamed, event.Fields{"endpoint": id, "per_second": next.rate, "own": next.own})
-	}
-	wo.rate, wo.ended, wo.at, wo.own = next.rate, false, next.at, next.own
-	wo.bucket.SetShare(si.now, si.shareOf(id, wo))
+	return wo
 }
 
 // end records that an endpoint names no limit any more. The caller holds mu.
@@ -106,43 +120,54 @@
 	wo.ended, wo.at, wo.own = true, at, own
 }
 
-// limited returns what is known of an endpoint that names a limit, nil if it names none.
-// The caller holds mu.
-func (li *Limits) limited(id policy.EndpointID) *word {
-	if wo, ok := li.known[id]; ok && !wo.ended {
-		return wo
+// limited returns what is known of an endpoint that names a limit or is cold, nil if it may get any
+// number of requests. The word's bucket then has this router's part. The caller holds mu.
+func (li *Limits) limited(now time.Time, id policy.EndpointID) *word {
+	wo, ok := li.known[id]
+	if !ok {
+		return nil
+	}
+	share, limited := wo.cold.shareAt(now)
+	if !wo.ended && (!limited || wo.share < share) {
+		share, limited = wo.share, true
 	}
-	return nil
+	if !limited {
+		return nil
+	}
+	wo.bucket.SetShare(now, share)
+	return wo
 }
 
 // Allows reports whether this router may send an endpoint one more request.
 func (li *Limits) Allows(now time.Time, id policy.EndpointID) bool {
+	li.applyRegistrations(now)
 	if li.size.Load() == 0 {
 		return true
 	}
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo := li.limited(id)
+	wo := li.limited(now, id)
 	return wo == nil || wo.bucket.Ready(now)
 }
 
 // Take counts a request to an endpoint. It returns false, and counts nothing, if the
 // endpoint may not get it.
 func (li *Limits) Take(now time.Time, id policy.EndpointID) bool {
+	li.applyRegistrations(now)
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo := li.limited(id)
+	wo := li.limited(now, id)
 	return wo == nil || wo.bucket.Take(now)
 }
 
 // NextAt returns when the first of the endpoints may get a request from this router, and
-// false if none names a limit of which this router has a share.
+// false if none has a limit of which this router has a share.
 func (li *Limits) NextAt(now time.Time, ens []policy.Endpoint) (time.Time, bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	var first time.Time
 	for _, en := range ens {
-		wo := li.limited(en.ID)
+		wo := li.limited(now, en.ID)
 		if wo == nil {
 			continue
 		}
@@ -154,25 +179,41 @@
 	return first, !first.IsZero()
 }
 
-// Rate returns the limit that an endpoint names, and false if it names none.
+// Rate returns the limit that an endpoint names, or what it bears while it is cold if that is less,
+// and false if it has neither.
 func (li *Limits) Rate(id policy.EndpointID) (Rate, bool) {
+	now := time.Now()
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo := li.limited(id)
-	if wo == nil {
+	wo, ok := li.known[id]
+	if !ok {
 		return 0, false
 	}
-	return wo.rate, true
+	return wo.rateAt(now)
+}
+
+// rateAt returns the requests a second that the endpoint takes from all routers together, and false
+// if there is no limit.
+func (wo *word) rateAt(now time.Time) (Rate, bool) {
+	switch cold := now.Before(wo.cold.until); {
+	case cold && !wo.ended:
+		return min(wo.rate, wo.cold.rate), true
+	case cold:
+		return wo.cold.rate, true
+	default:
+		return wo.rate, !wo.ended
+	}
 }
 
-// Rates returns the limits that endpoints name, as far as this router knows them.
+// Rates returns the requests a second that endpoints take from all routers together, as far as this
+// router knows limits of them.
 func (li *Limits) Rates() map[policy.EndpointID]Rate {
-	out := map[policy.EndpointID]Rate{}
+	now, out := time.Now(), map[policy.EndpointID]Rate{}
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	for id, wo := range li.known {
-		if !wo.ended {
-			out[id] = wo.rate
+		if ra, ok := wo.rateAt(now); ok {
+			out[id] = ra
 		}
 	}
 	return out
--- a/policy/record.go
+++ b/policy/record.go
@@ -73,7 +73,16 @@
 // schemaVersionOf returns the schema version of a record with a spec. It is later than
 // SchemaVersion if programs of SchemaVersion may lack one of its fields, which they then ignore.
 func schemaVersionOf(spec proto.Message) int64 {
-	if lm, ok := spec.(*rpc.Limits); ok && lm.GetKeysRequired() {
+	later := false
+	switch sp := spec.(type) {
+	case *rpc.Limits:
+		later = sp.GetKeysRequired()
+	case *rpc.Endpoint:
+		later = sp.GetColdRemainingMs() > 0
+	case *rpc.Service:
+		later = sp.GetColdPerSecond() > 0
+	}
+	if later {
 		return SchemaVersion + 1
 	}
 	return SchemaVersion
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -51,6 +51,9 @@
 	// together. It is set if HasLimit is true; otherwise the endpoint names none.
 	Limit    float64
 	HasLimit bool
+	// ColdUntil is until when the endpoint is cold, the time of the answer if it states that it
+	// is not, and zero if it does not say.
+	ColdUntil time.Time
 	// Leaving reports whether the endpoint states that it leaves.
 	Leaving bool
 	// RetryAt is until when the endpoint wants no request from this router, zero if it does
--- a/relay/head.go
+++ b/relay/head.go
@@ -34,6 +34,9 @@
 	if head.HasLoad {
 		ro.balancer.RecordLoad(now, en.ID, head.Running+head.Waiting)
 	}
+	if !head.ColdUntil.IsZero() {
+		ro.limits.Cold(now, en.Run(), head.ColdUntil)
+	}
 	ro.noteLimit(en.ID, head, status, sentAt, now)
 	ro.noteBrittle(en, head, status, sentAt, now)
 }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -67,6 +67,9 @@
 	// Limit, if not empty, is the value of the header Server-Limit: the requests a second
 	// that the replica takes from all callers together.
 	Limit string
+	// ColdRemaining, if not empty, is the value of the header Cold-Remaining-Ms: for how long the
+	// replica is cold.
+	ColdRemaining string
 	// EndsWithConnection sends responses with neither a length nor chunks: their bodies
 	// end with the connection.
 	EndsWithConnection bool
@@ -254,6 +257,9 @@
 	if fa.Limit != "" {
 		he.Set("Server-Limit", fa.Limit)
 	}
+	if fa.ColdRemaining != "" {
+		he.Set("Cold-Remaining-Ms", fa.ColdRemaining)
+	}
 	if fa.OtherRequestID != "" {
 		he.Set("Attempt-Id", fa.OtherRequestID)
 	}
--- a/testsite/configuration.go
+++ b/testsite/configuration.go
@@ -36,6 +36,7 @@
 	HealthPath     string               `json:"health_path"`
 	MaxConnections int64                `json:"max_connections"`
 	Engine         *EngineConfiguration `json:"engine,omitempty"`
+	ColdPerS       float64              `json:"cold_per_s,omitempty"`
 }
 
 // EngineConfiguration holds the capacity of each replica of a model engine.
--- a/testsite/routers.go
+++ b/testsite/routers.go
@@ -214,26 +214,19 @@
 // Register writes a replica's registration to the store, with a state such as "ready"
 // or "draining".
 func (rs *RouterSite) Register(service string, n int, release, state string) {
+	rs.register(service, n, release, state, 0)
+}
+
+func (rs *RouterSite) register(service string, n int, release, state string, coldFor time.Duration) {
 	re := rs.nextRegistration(ReplicaID(service, n, release))
-	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":8,"state":%q,"cold_remaining_ms":0,"sequence":%d,"born":%d`,
-		service, ReplicaAddress(service, n, release), rs.ReplicaDomain(n), release, state, re.sequence, re.bornAt.UnixMilli())
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":8,"state":%q,"cold_remaining_ms":%d,"sequence":%d,"born":%d`,
+		service, ReplicaAddress(service, n, release), rs.ReplicaDomain(n), release, state, coldFor.Milliseconds(), re.sequence, re.bornAt.UnixMilli())
 	if service == EngineService {
 		text += `,"models":[{"name":"small","version":1},{"name":"large","version":1}]`
 	}
 	rs.Store.Write("servers/"+ReplicaID(service, n, release), []byte(text+"}"))
 }
 
-// ReplicaDomain returns the failure domain of replica N of a service.
-func (rs *RouterSite) ReplicaDomain(n int) string {
-	return fmt.Sprintf("zone-%c", 'a'+(n-1)%max(1, rs.opt.ReplicaDomains))
-}
-
-// Evacuate writes the operator's order that a failure domain's replicas get nothing more.
-func (rs *RouterSite) Evacuate(domain string) { rs.Store.Write("op/evacuate/"+domain, []byte("{}")) }
-
-// EndEvacuation takes the order of Evacuate back.
-func (rs *RouterSite) EndEvacuation(domain string) { rs.Store.Write("op/evacuate/"+domain, nil) }
-
 // Unregister deletes a replica's registration. The replica continues to run.
 func (rs *RouterSite) Unregister(service string, n int, release string) {
 	rs.Store.Write("servers/"+ReplicaID(service, n, release), nil)
