--- a/event/event.go
+++ b/event/event.go
@@ -79,6 +79,8 @@
 	EvacuationEnded      Number = 441
 	ConnectionClosed     Number = 430
 	SlowReaderCut        Number = 431
+	EndpointCold         Number = 442
+	EndpointWarm         Number = 443
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -159,6 +161,8 @@
 	EvacuationEnded:      "evacuation of a failure domain was taken back",
 	ConnectionClosed:     "connection closed, with its request unread, to keep memory and descriptors within their bounds",
 	SlowReaderCut:        "answer cut: its caller read it too slowly while memory was short",
+	EndpointCold:         "endpoint is cold; all routers together send it few requests",
+	EndpointWarm:         "endpoint is no longer cold; its share of requests grows",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/policy/record.go
+++ b/policy/record.go
@@ -73,14 +73,18 @@
 // schemaVersionOf returns the schema version of a record with a spec. It is later than
 // SchemaVersion if programs of SchemaVersion may lack one of its fields, which they then ignore.
 func schemaVersionOf(spec proto.Message) int64 {
-	newer := false
+	later := false
 	switch sp := spec.(type) {
 	case *rpc.Limits:
-		newer = sp.GetKeysRequired()
+		later = sp.GetKeysRequired()
+	case *rpc.Endpoint:
+		later = sp.GetColdRemainingMs() > 0
 	case *rpc.Rollout:
-		newer = len(sp.GetWithdrawnVersions()) > 0
+		later = len(sp.GetWithdrawnVersions()) > 0
+	case *rpc.Service:
+		later = sp.GetColdPerSecond() > 0
 	}
-	if newer {
+	if later {
 		return SchemaVersion + 1
 	}
 	return SchemaVersion
