Serve places at endpoints by rank, organisation, target and work when there are too few

Callers of all services but brittle ones were refused at once where each endpoint had two requests a slot by loads half a second old, and where they waited it was first come, first served. A request now waits for an eighth of its latency target, if its turn is to be expected, in the order of admission.Shortage, and a refused one is told when there will be room. A router uses its even part of an endpoint whatever the loads of the others, so that not all refuse and fill at the same moments.

Seen to fail with the decision taken out: each test of admission/shortage_test.go.

--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,8 @@
 	ServiceBrittle       Number = 427
 	ServiceNotBrittle    Number = 428
 	EndpointRefusedFull  Number = 429
+	PlaceAwaited         Number = 450
+	PlaceNotExpected     Number = 451
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -151,6 +153,8 @@
 	ServiceBrittle:       "endpoints of a service say that they fall over when they refuse too many requests",
 	ServiceNotBrittle:    "endpoints of a service are not brittle any more",
 	EndpointRefusedFull:  "brittle endpoint refused a request for want of room; it is spared",
+	PlaceAwaited:         "request waited for a place at an endpoint, and got one",
+	PlaceNotExpected:     "request got no place at an endpoint in time",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -31,6 +31,8 @@
 	Latency    metric.Float64Histogram
 	FirstToken metric.Float64Histogram
 	QueueWait  metric.Float64Histogram
+	// TurnedAway counts by KeyRank and KeyCause.
+	TurnedAway metric.Int64Counter
 	Quality    metric.Float64Histogram
 	InTime     metric.Int64Counter
 	Worth      metric.Float64Counter
@@ -85,6 +87,7 @@
 	counter(&me.CostMicro, "tanager_cost_micro_credits", "Cost of answers by version, in micro-credits.")
 	counter(&me.InTime, "tanager_first_tokens", "First tokens by rank, and whether they came within the rank's target.")
 	counter(&me.Orders, "tanager_orders", "Orders to endpoints by outcome.")
+	counter(&me.TurnedAway, "tanager_turned_away", "Requests that got no place at an endpoint, by rank and by why they did not wait any longer.")
 	counter(&me.SessionMoves, "tanager_session_moves", "Sessions that continued on another release, by reason.")
 	histogram(&me.Latency, "tanager_latency", "Time from arrival to the answer's end.")
 	histogram(&me.FirstToken, "tanager_first_token", "Time from arrival to the first token.")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -126,6 +126,7 @@
 		return nil, noEndpointFailure()
 	}
 	ro.releases.recordSend(now, ca, pl.Endpoint, se.reason)
+	ro.queue.took(now, ca, jo.Work)
 	return &attempt{
 		router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, model: ca.model,
 		failedBefore: slices.Clone(ca.failedEndpoints),
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -14,6 +14,9 @@
 	// at which an endpoint gets no more. Further requests had better wait at
 	// another endpoint or be retried by the caller.
 	maxLoadPerSlot = 2
+	// maxOverfull times that number is the load at which an endpoint gets none even from a
+	// router that has no request there.
+	maxOverfull = 3
 	// connectionShare is the share of the service's limit of connections to one
 	// endpoint that the routers use together. The rest allows for connections that
 	// are still closing.
@@ -122,7 +125,7 @@
 
 // hasCapacity reports whether an endpoint may get one more request.
 func (fl *fleet) hasCapacity(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
-	if cn.All >= maxLoadPerSlot*int(en.Slots) {
+	if cn.All >= maxLoadPerSlot*int(en.Slots) && !fl.withinEvenPart(ca, en, cn, routers) {
 		return false
 	}
 	limit := ca.service.MaxConnections
@@ -132,10 +135,28 @@
 	return float64(cn.Own+1) <= max(1, connectionShare*float64(limit)/float64(routers))
 }
 
+// withinEvenPart reports whether this router has fewer requests at an endpoint that looks full than
+// its even part. The loads that the others report are half a second old, and the same for all:
+// without such a part all routers would leave out a full endpoint, and all fill an empty one, at
+// the same moments. Where there are more routers than places, each may have one request at the
+// service's endpoints.
+func (fl *fleet) withinEvenPart(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
+	room := maxLoadPerSlot * int(en.Slots)
+	if part := room / max(1, routers); part > 0 {
+		return cn.Own < part
+	}
+	return cn.All < maxOverfull*room && fl.router.queue.running(ca.service.ID) == 0
+}
+
 // retryAfter returns how long the caller of a request that found no free endpoint
-// should wait before it tries again. It is longer on routes with a less strict
-// latency target.
+// should wait before it tries again.
 func (fl *fleet) retryAfter(ca *call) time.Duration {
+	return max(fl.defaultRetry(ca), time.Until(ca.returnAt))
+}
+
+// defaultRetry returns how long the caller of a request that found no free endpoint should wait
+// at least before it tries again. It is longer on routes with a less strict latency target.
+func (fl *fleet) defaultRetry(ca *call) time.Duration {
 	if ca.route.LatencyTarget() < defaultRetryDelay {
 		return defaultRetryDelay
 	}
--- a/relay/place.go
+++ b/relay/place.go
@@ -2,134 +2,50 @@
 
 import (
 	"context"
-	"math"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"tanagerpoint.example/tanager/admission"
+	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/limit"
+	"tanagerpoint.example/tanager/metric"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
 )
 
 const (
-	// placeWaitShare is the part of a route's latency target for which a request waits at
-	// most for a place at an endpoint whose places are divided among the routers.
-	placeWaitShare = 1.0 / 3
+	// brittleWaitShare is the part of a route's latency target for which a request waits at
+	// most for a place at an endpoint whose places are divided among the routers: nowhere else
+	// is there one.
+	brittleWaitShare = 1.0 / 3
+	// waitShare is the same for other endpoints. Its caller may have more luck elsewhere, for
+	// which it needs most of the time.
+	waitShare = 1.0 / 8
 	// placeCheckInterval is how often a request that waits looks for a place by itself: a
 	// larger share, or the end of a pause, frees places too.
 	placeCheckInterval = 100 * time.Millisecond
-	// freedSmoothing is the time constant of the rate at which places become free.
-	freedSmoothing = time.Second
 )
 
-// placeQueue holds, by service, the requests that wait for a place at an endpoint, in the order
-// of arrival.
-//
-// mu guards byService. No other lock is taken while it is held.
-type placeQueue struct {
-	mu        sync.Mutex
-	byService map[policy.ServiceID]*serviceQueue
+// placeWait is a call's wait for a place.
+type placeWait struct {
+	router *Router
+	call   *call
+	waiter *admission.Waiter
+	since  time.Time
+	guard  limit.Guard
 }
 
-type serviceQueue struct {
-	waiting []chan struct{}
-	freed   freedRate
-}
-
-// freedRate measures how many places become free in a second.
-type freedRate struct {
-	value float64
-	at    time.Time
-}
-
-// perSecond returns the rate.
-func (fr freedRate) perSecond(now time.Time) float64 {
-	return fr.value * math.Exp(-now.Sub(fr.at).Seconds()/freedSmoothing.Seconds())
-}
-
-// add counts a place that became free.
-func (fr freedRate) add(now time.Time) freedRate {
-	return freedRate{value: fr.perSecond(now) + 1/freedSmoothing.Seconds(), at: now}
-}
-
-func newPlaceQueue() *placeQueue {
-	return &placeQueue{byService: map[policy.ServiceID]*serviceQueue{}}
-}
-
-// get returns the queue of a service. The caller holds mu.
-func (pq *placeQueue) get(id policy.ServiceID) *serviceQueue {
-	sq, ok := pq.byService[id]
-	if !ok {
-		sq = &serviceQueue{}
-		pq.byService[id] = sq
-	}
-	return sq
-}
-
-// empty reports whether no request waits for an endpoint of a service.
-func (pq *placeQueue) empty(id policy.ServiceID) bool {
-	pq.mu.Lock()
-	defer pq.mu.Unlock()
-	return len(pq.get(id).waiting) == 0
-}
-
-// join adds a request, unless its turn is not to be expected within a time. The channel gets a
-// value when the request may look for a place. unbounded lets any number of requests wait.
-func (pq *placeQueue) join(now time.Time, id policy.ServiceID, within time.Duration, unbounded bool) (chan struct{}, bool) {
-	pq.mu.Lock()
-	defer pq.mu.Unlock()
-	sq := pq.get(id)
-	if !unbounded && float64(len(sq.waiting)) >= sq.freed.perSecond(now)*within.Seconds() {
-		return nil, false
-	}
-	turn := make(chan struct{}, 1)
-	sq.waiting = append(sq.waiting, turn)
-	return turn, true
-}
-
-// leave removes a request, and lets the next one look.
-func (pq *placeQueue) leave(id policy.ServiceID, turn chan struct{}) {
-	pq.mu.Lock()
-	defer pq.mu.Unlock()
-	sq := pq.get(id)
-	sq.waiting = slices.DeleteFunc(sq.waiting, func(other chan struct{}) bool { return other == turn })
-	sq.wake()
-}
-
-// wake lets the request that has waited longest look for a place.
-func (sq *serviceQueue) wake() {
-	if len(sq.waiting) == 0 {
-		return
-	}
-	select {
-	case sq.waiting[0] <- struct{}{}:
-	default:
-	}
-}
-
-// free records that a request to a service has ended.
-func (pq *placeQueue) free(now time.Time, id policy.ServiceID) {
-	pq.mu.Lock()
-	defer pq.mu.Unlock()
-	sq := pq.get(id)
-	sq.freed = sq.freed.add(now)
-	sq.wake()
-}
-
-// choosePlace chooses an endpoint for a call as chooseEndpoint does. If the places of the
-// service's endpoints are divided among the routers, and this router's are taken, the call waits
-// for one for a short time, if one is to be expected.
+// choosePlace chooses an endpoint for a call as chooseEndpoint does. If all endpoints have as many
+// requests as they may have, the call waits for a place for a short time, if its turn is to be
+// expected.
 func (ro *Router) choosePlace(ctx context.Context, ca *call) (*attempt, *failure) {
-	now, id := time.Now(), ca.service.ID
-	guard := ro.brittle.Guard(now, id)
-	if guard == limit.NotGuarded {
-		return ro.chooseEndpoint(ctx, ca)
-	}
+	now := time.Now()
+	pw := &placeWait{router: ro, call: ca, since: now, guard: ro.brittle.Guard(now, ca.service.ID)}
+	pw.waiter = pw.newWaiter(now)
 	none := noEndpointFailure()
-	if ro.queue.empty(id) {
+	if ro.queue.mayLook(now, ca.service.ID, pw.waiter, pw.guard != limit.NotGuarded) {
 		at, fa := ro.chooseEndpoint(ctx, ca)
 		if fa == nil {
 			return at, nil
@@ -137,28 +53,41 @@
 		none = fa
 	}
 	if !ro.mayFreePlace(now, ca) {
-		// Since the choice, an answer may have shown that the endpoints are not brittle.
+		// Since the choice, an answer may have shown that the endpoints have room.
 		return ro.chooseEndpoint(ctx, ca)
 	}
-	wait := min(time.Until(ca.deadline), time.Duration(placeWaitShare*float64(ca.route.LatencyTarget())))
-	if guard == limit.GuardedUnheard {
-		wait = min(time.Until(ca.deadline), limit.UnheardTime)
-	}
-	// Until the first answer the time that a request takes is not known.
-	turn, ok := ro.queue.join(now, id, wait, guard == limit.GuardedUnheard)
-	if !ok {
+	if why := ro.queue.join(now, ca.service.ID, pw.waiter); why != admission.NotTurnedAway {
+		pw.turnedAway(now, why)
 		return nil, none
 	}
-	defer ro.queue.leave(id, turn)
-	return ro.awaitPlace(ctx, ca, turn, now.Add(wait))
+	defer func() { ro.queue.leave(time.Now(), ca.service.ID, pw.waiter) }()
+	return pw.await(ctx)
+}
+
+// newWaiter returns the call as the queue sees it.
+func (pw *placeWait) newWaiter(now time.Time) *admission.Waiter {
+	ca, wait := pw.call, time.Duration(waitShare*float64(pw.call.route.LatencyTarget()))
+	switch pw.guard {
+	case limit.GuardedBrittle:
+		wait = time.Duration(brittleWaitShare * float64(ca.route.LatencyTarget()))
+	case limit.GuardedUnheard:
+		wait = limit.UnheardTime
+	}
+	return &admission.Waiter{
+		Organisation: ca.organisationID(), Urgency: admission.Urgency(ca.urgency),
+		Since: ca.request.ReceivedAt, Target: ca.request.ReceivedAt.Add(ca.route.LatencyTarget()),
+		Work: pw.router.job(ca).Work, Until: now.Add(min(ca.deadline.Sub(now), wait)),
+		// Until the first answer the time that a request takes is not known.
+		Unbounded: pw.guard == limit.GuardedUnheard, Turn: make(chan struct{}, 1),
+	}
 }
 
-// mayFreePlace reports whether an endpoint of a call's service gets no request only because this
-// router's places there are taken.
+// mayFreePlace reports whether an endpoint of a call's service gets no request only because it, or
+// this router's part of it, is full.
 func (ro *Router) mayFreePlace(now time.Time, ca *call) bool {
 	return slices.ContainsFunc(ro.fleet.forService(now, ca.service.ID), func(en policy.Endpoint) bool {
 		av := ro.availableTo(now, ca, en, ro.balancer.Condition(now, en.ID))
-		return av.blocked == blockedBrittle && av.retryAt.IsZero()
+		return av.blocked == blockedFull || av.blocked == blockedBrittle && av.retryAt.IsZero()
 	})
 }
 
@@ -166,25 +95,63 @@
 	return &failure{err: eris.New("no endpoint is available"), notRun: true, unsent: true, noEndpoint: true}
 }
 
-// awaitPlace chooses an endpoint for a call as soon as one has a place, until a time.
-func (ro *Router) awaitPlace(ctx context.Context, ca *call, turn <-chan struct{}, until time.Time) (*attempt, *failure) {
-	end := time.NewTimer(time.Until(until))
+// await chooses an endpoint for the call as soon as one has a place and it is its turn, as long as
+// it may wait.
+func (pw *placeWait) await(ctx context.Context) (*attempt, *failure) {
+	ro, id := pw.router, pw.call.service.ID
+	end := time.NewTimer(time.Until(pw.waiter.Until))
 	defer end.Stop()
 	check := time.NewTicker(placeCheckInterval)
 	defer check.Stop()
 	for {
 		select {
-		case <-turn:
+		case <-pw.waiter.Turn:
 		case <-check.C:
 		case <-end.C:
-			return ro.chooseEndpoint(ctx, ca)
 		case <-ctx.Done():
 			return nil, noEndpointFailure()
 		}
-		if at, fa := ro.chooseEndpoint(ctx, ca); fa == nil {
+		now := time.Now()
+		why := ro.queue.looked(now, id, pw.waiter)
+		if why == admission.NotTurnedAway && !ro.queue.mayLook(now, id, pw.waiter, false) {
+			continue
+		}
+		if at, fa := ro.chooseEndpoint(ctx, pw.call); fa == nil {
+			pw.placed()
 			return at, nil
 		}
+		if why != admission.NotTurnedAway {
+			pw.turnedAway(now, why)
+			return nil, noEndpointFailure()
+		}
+	}
+}
+
+// placed records that the call got a place after it waited.
+func (pw *placeWait) placed() {
+	ca, waited := pw.call, time.Since(pw.since)
+	pw.router.metrics.QueueWait.Record(context.Background(), waited.Seconds(), metric.With(metric.KeyRank, urgencyLabel(pw.waiter.Urgency)))
+	pw.router.log.InfoLimited(event.PlaceAwaited, event.Fields{
+		"request": ca.request.ID, "route": ca.route.ID, "service": ca.service.ID, "organisation": ca.organisationID(),
+		"urgency": ca.urgency, "waited_ms": waited.Milliseconds(),
+	})
+}
+
+// turnedAway records why the call gets no place, and when its caller should come back.
+func (pw *placeWait) turnedAway(now time.Time, why admission.TurnAway) {
+	ro, ca := pw.router, pw.call
+	fields := event.Fields{
+		"request": ca.request.ID, "route": ca.route.ID, "service": ca.service.ID, "organisation": ca.organisationID(),
+		"urgency": ca.urgency, "waited_ms": now.Sub(pw.since).Milliseconds(), "why": why, "work_ms": int64(float64(pw.waiter.Work) * 1000),
+		"left_ms": ca.deadline.Sub(now).Milliseconds(), "blocked": ro.blockedEndpoints(now, ca),
 	}
+	ro.queue.with(ca.service.ID, func(sq *serviceQueue) {
+		ca.returnAt = sq.ReturnAt(now, pw.waiter, now.Add(ro.fleet.defaultRetry(ca)), ca.deadline)
+		fields["waiting"], fields["freed_per_second"] = sq.Waiting(), sq.FreedPerSecond(now)
+	})
+	fields["return_ms"] = ca.returnAt.Sub(now).Milliseconds()
+	ro.metrics.TurnedAway.Add(context.Background(), 1, metric.With(metric.KeyRank, urgencyLabel(pw.waiter.Urgency), metric.KeyCause, string(why)))
+	ro.log.WarnLimited(event.PlaceNotExpected, nil, fields)
 }
 
 // freePlace gives the attempt's place at its endpoint back. An endpoint may go on with a request
--- a/relay/router.go
+++ b/relay/router.go
@@ -192,6 +192,9 @@
 	probing bool
 	// meanBacklog is the mean work queued at an endpoint before the last attempt.
 	meanBacklog placement.Work
+	// returnAt is when its caller should come back, if there was no place for it; zero if that
+	// is not known.
+	returnAt time.Time
 	// model is the index of the current model in models; noEscalation prevents a
 	// change to a larger one.
 	model        int
@@ -315,6 +318,8 @@
 	Brittle map[policy.ServiceID]int `json:"brittle"`
 	// Blocked are the endpoints that get no request now.
 	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
+	// Queues are the services for whose endpoints requests wait.
+	Queues map[policy.ServiceID]QueueState `json:"queues"`
 	// PathLost reports whether this router has no path to any endpoint; LostServices are the
 	// services to whose endpoints it has none; Carrying is the number of attempts that it
 	// carries for peers now.
@@ -325,5 +330,5 @@
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), Queues: ro.queue.state(time.Now()), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -317,6 +317,9 @@
 	if err == nil {
 		err = me.Gauge("tanager_log_lines_dropped", "Log lines that found no room.", func() float64 { return float64(da.log.Dropped()) })
 	}
+	if err == nil {
+		err = me.GaugeBy("tanager_waiting", "Requests that wait for a place at an endpoint, by rank.", metric.KeyRank, da.relay.Waiting)
+	}
 	if err == nil {
 		err = da.addPathGauges()
 	}
