Keep routers from overrunning a service with fewer places than routers

Where there are more routers than places, a router that heard of pressure (a refusal, or a load with which answers are late) keeps to its even part, one request at least, until nothing waits there.

--- a/admission/shortage.go
+++ b/admission/shortage.go
@@ -24,6 +24,9 @@
 	Work placement.Work
 	// Until is when it stops to wait.
 	Until time.Time
+	// MinPlaces is the number of places that are to be expected while it waits, beyond those for
+	// the requests before it.
+	MinPlaces float64
 	// Unbounded makes it wait whatever is to be expected.
 	Unbounded bool
 	// Turn gets a value when the request may look for a place.
@@ -121,7 +124,7 @@
 // most a multiple of that time from now.
 func (sh *Shortage) inTime(now time.Time, wa *Waiter, factor float64) bool {
 	ahead := float64(sh.ahead(now, wa))
-	return ahead < factor*sh.rateFor(now, wa.Urgency)*wa.Until.Sub(now).Seconds()
+	return ahead+wa.MinPlaces < factor*sh.rateFor(now, wa.Urgency)*wa.Until.Sub(now).Seconds()
 }
 
 // Check returns why a request is not to wait any longer, if so.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -95,8 +95,12 @@
 	}
 	an, fa := at.send(ctx, after)
 	if fa == nil {
+		ro.queue.noteReport(an.beganAt, ca, at.endpoint, an.head)
 		return an, nil
 	}
+	if fa.refused() {
+		ro.queue.refused(time.Now(), ca.service.ID)
+	}
 	fa.retryTaken, ca.replacement = at.retryTaken.Load(), at.takeReplacement()
 	if at.triesElsewhere() {
 		ca.failedEndpoints = append(ca.failedEndpoints, at.endpoint.ID)
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -125,7 +125,7 @@
 
 // hasCapacity reports whether an endpoint may get one more request.
 func (fl *fleet) hasCapacity(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
-	if cn.All >= maxLoadPerSlot*int(en.Slots) && !fl.withinEvenPart(ca, en, cn, routers) {
+	if !fl.hasRoom(ca, en, cn, routers) {
 		return false
 	}
 	limit := ca.service.MaxConnections
@@ -135,17 +135,34 @@
 	return float64(cn.Own+1) <= max(1, connectionShare*float64(limit)/float64(routers))
 }
 
-// withinEvenPart reports whether this router has fewer requests at an endpoint that looks full than
-// its even part. The loads that the others report are half a second old, and the same for all:
-// without such a part all routers would leave out a full endpoint, and all fill an empty one, at
-// the same moments. Where there are more routers than places, each may have one request at the
-// service's endpoints.
-func (fl *fleet) withinEvenPart(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
+// hasRoom reports whether an endpoint has room for one more request. Beside the loads that the
+// others report, which are half a second old and the same for all, it counts this router's even
+// part: without it, all routers would leave out an endpoint that looks full, and all fill one that
+// looks empty, at the same moments. The part is of the endpoint's places or, if there are more
+// routers than that, of the service's. While the service's endpoints are pressed, a router has no
+// more than its part.
+func (fl *fleet) hasRoom(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
 	room := maxLoadPerSlot * int(en.Slots)
 	if part := room / max(1, routers); part > 0 {
-		return cn.Own < part
+		return cn.All < room || cn.Own < part
 	}
-	return cn.All < maxOverfull*room && fl.router.queue.running(ca.service.ID) == 0
+	if ca.evenPart == 0 {
+		return cn.All < room
+	}
+	pr := fl.router.queue.pressure(time.Now(), ca, en)
+	if pr.pressed {
+		return pr.running < ca.evenPart && !pr.full
+	}
+	return cn.All < room || cn.All < maxOverfull*room && pr.running < ca.evenPart
+}
+
+// evenPart returns this router's even part of the places at a service's endpoints, one at least.
+func (fl *fleet) evenPart(now time.Time, id policy.ServiceID, routers int) int {
+	room := 0
+	for _, en := range fl.forService(now, id) {
+		room += maxLoadPerSlot * int(en.Slots)
+	}
+	return max(1, room/max(1, routers))
 }
 
 // retryAfter returns how long the caller of a request that found no free endpoint
--- a/relay/place.go
+++ b/relay/place.go
@@ -22,7 +22,10 @@
 	brittleWaitShare = 1.0 / 3
 	// waitShare is the same for other endpoints. Its caller may have more luck elsewhere, for
 	// which it needs most of the time.
-	waitShare = 1.0 / 8
+	waitShare = 0.1
+	// minPlaces is the number of places that are to become free while such a request waits,
+	// beyond those for the requests before it.
+	minPlaces = 0.5
 	// placeCheckInterval is how often a request that waits looks for a place by itself: a
 	// larger share, or the end of a pause, frees places too.
 	placeCheckInterval = 100 * time.Millisecond
@@ -43,6 +46,7 @@
 func (ro *Router) choosePlace(ctx context.Context, ca *call) (*attempt, *failure) {
 	now := time.Now()
 	pw := &placeWait{router: ro, call: ca, since: now, guard: ro.brittle.Guard(now, ca.service.ID)}
+	ca.work, ca.evenPart = ro.job(ca).Work, ro.fleet.evenPart(now, ca.service.ID, int(ro.routers.Load()))
 	pw.waiter = pw.newWaiter(now)
 	none := noEndpointFailure()
 	if ro.queue.mayLook(now, ca.service.ID, pw.waiter, pw.guard != limit.NotGuarded) {
@@ -66,17 +70,17 @@
 
 // newWaiter returns the call as the queue sees it.
 func (pw *placeWait) newWaiter(now time.Time) *admission.Waiter {
-	ca, wait := pw.call, time.Duration(waitShare*float64(pw.call.route.LatencyTarget()))
+	ca, wait, places := pw.call, time.Duration(waitShare*float64(pw.call.route.LatencyTarget())), minPlaces
 	switch pw.guard {
 	case limit.GuardedBrittle:
-		wait = time.Duration(brittleWaitShare * float64(ca.route.LatencyTarget()))
+		wait, places = time.Duration(brittleWaitShare*float64(ca.route.LatencyTarget())), 0
 	case limit.GuardedUnheard:
 		wait = limit.UnheardTime
 	}
 	return &admission.Waiter{
 		Organisation: ca.organisationID(), Urgency: admission.Urgency(ca.urgency),
 		Since: ca.request.ReceivedAt, Target: ca.request.ReceivedAt.Add(ca.route.LatencyTarget()),
-		Work: pw.router.job(ca).Work, Until: now.Add(min(ca.deadline.Sub(now), wait)),
+		Work: ca.work, Until: now.Add(min(ca.deadline.Sub(now), wait)), MinPlaces: places,
 		// Until the first answer the time that a request takes is not known.
 		Unbounded: pw.guard == limit.GuardedUnheard, Turn: make(chan struct{}, 1),
 	}
--- a/relay/place_queue.go
+++ b/relay/place_queue.go
@@ -24,6 +24,10 @@
 	*admission.Shortage
 	// running is the number of this router's requests at endpoints of the service.
 	running int
+	// pressedAt is when an endpoint was last heard to be pressed; see pressure.
+	pressedAt time.Time
+	// reported holds what endpoints said of their load in their last answer.
+	reported map[policy.EndpointID]reportedLoad
 }
 
 func newPlaceQueue() *placeQueue {
@@ -34,7 +38,7 @@
 func (pq *placeQueue) get(id policy.ServiceID) *serviceQueue {
 	sq, ok := pq.byService[id]
 	if !ok {
-		sq = &serviceQueue{Shortage: admission.NewShortage()}
+		sq = &serviceQueue{Shortage: admission.NewShortage(), reported: map[policy.EndpointID]reportedLoad{}}
 		pq.byService[id] = sq
 	}
 	return sq
@@ -47,12 +51,6 @@
 	fn(pq.get(id))
 }
 
-// running returns the number of this router's requests at endpoints of a service.
-func (pq *placeQueue) running(id policy.ServiceID) (running int) {
-	pq.with(id, func(sq *serviceQueue) { running = sq.running })
-	return running
-}
-
 // mayLook reports whether a request may look for a place; see admission.Shortage.MayLook.
 func (pq *placeQueue) mayLook(now time.Time, id policy.ServiceID, wa *admission.Waiter, strict bool) (may bool) {
 	pq.with(id, func(sq *serviceQueue) { may = sq.MayLook(now, wa, strict) })
--- a/relay/router.go
+++ b/relay/router.go
@@ -192,6 +192,10 @@
 	probing bool
 	// meanBacklog is the mean work queued at an endpoint before the last attempt.
 	meanBacklog placement.Work
+	// work is the work until its answer begins; evenPart is this router's even part of the
+	// places at its service's endpoints.
+	work     placement.Work
+	evenPart int
 	// returnAt is when its caller should come back, if there was no place for it; zero if that
 	// is not known.
 	returnAt time.Time
