--- a/admission/shortage.go
+++ b/admission/shortage.go
@@ -15,8 +15,7 @@
 type Waiter struct {
 	Organisation policy.OrganisationID
 	Urgency      Urgency
-	// Since is when its caller first asked: for a request that came back at the time that a
-	// refusal named, when it was refused.
+	// Since is when it arrived.
 	Since time.Time
 	// Target is the time by which its answer must begin to count as in time.
 	Target time.Time
