--- a/event/event.go
+++ b/event/event.go
@@ -81,6 +81,8 @@
 	SlowReaderCut        Number = 431
 	EndpointCold         Number = 442
 	EndpointWarm         Number = 443
+	PlaceAwaited         Number = 450
+	PlaceNotExpected     Number = 451
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -163,6 +165,8 @@
 	SlowReaderCut:        "answer cut: its caller read it too slowly while memory was short",
 	EndpointCold:         "endpoint is cold; all routers together send it few requests",
 	EndpointWarm:         "endpoint is no longer cold; its share of requests grows",
+	PlaceAwaited:         "request waited for a place at an endpoint, and got one",
+	PlaceNotExpected:     "request got no place at an endpoint in time",
 	ClaimUnresolved:      "claim not resolved yet: the store's answer was lost",
 	ClaimReleased:        "claim released: the call was not run",
 	BillsSealed:          "batch of bills sealed",
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -14,6 +14,9 @@
 	// at which an endpoint gets no more. Further requests had better wait at
 	// another endpoint or be retried by the caller.
 	maxLoadPerSlot = 2
+	// maxOverfull times that number is the load at which an endpoint gets none even from a
+	// router that has no request there.
+	maxOverfull = 3
 	// connectionShare is the share of the service's limit of connections to one
 	// endpoint that the routers use together. The rest allows for connections that
 	// are still closing.
@@ -125,7 +128,7 @@
 
 // hasCapacity reports whether an endpoint may get one more request.
 func (fl *fleet) hasCapacity(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
-	if cn.All >= maxLoadPerSlot*int(en.Slots) {
+	if !fl.hasRoom(ca, en, cn, routers) {
 		return false
 	}
 	limit := ca.service.MaxConnections
@@ -135,10 +138,45 @@
 	return float64(cn.Own+1) <= max(1, connectionShare*float64(limit)/float64(routers))
 }
 
+// hasRoom reports whether an endpoint has room for one more request. Beside the loads that the
+// others report, which are half a second old and the same for all, it counts this router's even
+// part: without it, all routers would leave out an endpoint that looks full, and all fill one that
+// looks empty, at the same moments. The part is of the endpoint's places or, if there are more
+// routers than that, of the service's. While the service's endpoints are pressed, a router has no
+// more than its part.
+func (fl *fleet) hasRoom(ca *call, en policy.Endpoint, cn placement.Condition, routers int) bool {
+	room := maxLoadPerSlot * int(en.Slots)
+	if part := room / max(1, routers); part > 0 {
+		return cn.All < room || cn.Own < part
+	}
+	if ca.evenPart == 0 {
+		return cn.All < room
+	}
+	pr := fl.router.queue.pressure(time.Now(), ca, en)
+	if pr.pressed {
+		return pr.running < ca.evenPart && !pr.full
+	}
+	return cn.All < room || cn.All < maxOverfull*room && pr.running < ca.evenPart
+}
+
+// evenPart returns this router's even part of the places at a service's endpoints, one at least.
+func (fl *fleet) evenPart(now time.Time, id policy.ServiceID, routers int) int {
+	room := 0
+	for _, en := range fl.forService(now, id) {
+		room += maxLoadPerSlot * int(en.Slots)
+	}
+	return max(1, room/max(1, routers))
+}
+
 // retryAfter returns how long the caller of a request that found no free endpoint
-// should wait before it tries again. It is longer on routes with a less strict
-// latency target.
+// should wait before it tries again.
 func (fl *fleet) retryAfter(ca *call) time.Duration {
+	return max(fl.defaultRetry(ca), time.Until(ca.returnAt))
+}
+
+// defaultRetry returns how long the caller of a request that found no free endpoint should wait
+// at least before it tries again. It is longer on routes with a less strict latency target.
+func (fl *fleet) defaultRetry(ca *call) time.Duration {
 	if ca.route.LatencyTarget() < defaultRetryDelay {
 		return defaultRetryDelay
 	}
--- a/relay/router.go
+++ b/relay/router.go
@@ -193,6 +193,13 @@
 	probing bool
 	// meanBacklog is the mean work queued at an endpoint before the last attempt.
 	meanBacklog placement.Work
+	// work is the work until its answer begins; evenPart is this router's even part of the
+	// places at its service's endpoints.
+	work     placement.Work
+	evenPart int
+	// returnAt is when its caller should come back, if there was no place for it; zero if that
+	// is not known.
+	returnAt time.Time
 	// model is the index of the current model in models; noEscalation prevents a
 	// change to a larger one.
 	model        int
@@ -318,6 +325,8 @@
 	Blocked map[policy.EndpointID]Blocked `json:"blocked"`
 	// Evacuated are the failure domains that are evacuated.
 	Evacuated map[policy.FailureDomain]Evacuation `json:"evacuated"`
+	// Queues are the services for whose endpoints requests wait.
+	Queues map[policy.ServiceID]QueueState `json:"queues"`
 	// PathLost reports whether this router has no path to any endpoint; LostServices are the
 	// services to whose endpoints it has none; Carrying is the number of attempts that it
 	// carries for peers now.
@@ -328,5 +337,5 @@
 
 // State returns the router's state for a dump.
 func (ro *Router) State() State {
-	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), Evacuated: ro.Evacuations(), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
+	return State{Routers: ro.routers.Load(), Endpoints: ro.balancer.Loads(), Others: ro.balancer.PeerLoads(time.Now()), Limits: ro.limits.Rates(), Brittle: ro.brittle.Refusals(time.Now()), Blocked: ro.Blocked(), Evacuated: ro.Evacuations(), Queues: ro.queue.state(time.Now()), PathLost: ro.PathLost(), LostServices: ro.LostServices(), Carrying: ro.carriers.carrying.Load()}
 }
