--- a/setting/setting.go
+++ b/setting/setting.go
@@ -98,7 +98,10 @@
 			rd.list.Add(pl, "set more than once")
 			return
 		}
-		text = strings.TrimSpace(ke.String())
+		// The platform leaves what it has no value for empty.
+		if value := strings.TrimSpace(ke.String()); value != "" || fd.Kind() == protoreflect.StringKind {
+			text = value
+		}
 	}
 	if text == "" {
 		if ru.GetRequired() {
--- a/setting/setting_test.go
+++ b/setting/setting_test.go
@@ -95,10 +95,10 @@
 func TestSettingsOfThePlatformBeyondABoundCountAsIt(t *testing.T) {
 	for _, number := range []string{"1000000000", "9223372036", "9007199254740993", "9223372036854775807", "1e308", "1e400", strings.Repeat("9", 400)} {
 		var rs rpc.RouterSettings
-		err := load(t, routerSettings(strings.ReplaceAll("[serving]\nlink_mbps = N\nretry_ratio = N\nretry_slack = N\ndrain_limit = Ns\nretry_window = Ns\nsession_keep = Ns\n", "N", number)), &rs)
+		err := load(t, routerSettings(strings.ReplaceAll("[serving]\nlink_mbps = N\nmemory_mb = N\nretry_ratio = N\nretry_slack = N\ndrain_limit = Ns\nretry_window = Ns\nsession_keep = Ns\n", "N", number)), &rs)
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("%.30s", number))
 		se := rs.GetServing()
-		qt.Check(t, []float64{se.GetLinkMbps(), se.GetRetryRatio(), se.GetRetrySlack()}, qt.DeepEquals, []float64{1e7, 10, 1e6}, qt.Commentf("%.30s", number))
+		qt.Check(t, []float64{se.GetLinkMbps(), se.GetRetryRatio(), se.GetRetrySlack(), se.GetMemoryMb()}, qt.DeepEquals, []float64{1e7, 10, 1e6, 1 << 20}, qt.Commentf("%.30s", number))
 		for _, du := range []time.Duration{se.GetDrainLimit().AsDuration(), se.GetSessionKeep().AsDuration()} {
 			qt.Check(t, du, qt.Equals, time.Hour, qt.Commentf("%.30s", number))
 		}
@@ -126,3 +126,12 @@
 		_ = load(t, text, &rpc.EntrySettings{})
 	})
 }
+
+// TestEmptyNumberCountsAsItsDefault has the platform fill in nothing for a number or a time. A router
+// took an empty memory_mb for none at all, and refused every connection.
+func TestEmptyNumberCountsAsItsDefault(t *testing.T) {
+	var rs rpc.RouterSettings
+	qt.Assert(t, load(t, routerSettings("[serving]\nmemory_mb = \nretry_window =\n"), &rs), qt.IsNil)
+	qt.Check(t, rs.GetServing().GetMemoryMb(), qt.Equals, 112.0)
+	qt.Check(t, rs.GetServing().GetRetryWindow().AsDuration(), qt.Equals, 10*time.Second)
+}
