Count revoked answers until they are closed

With 300 callers that read answers of 1 MB slowly, a router of memory_mb = 48 allocated 145 to 180 MiB. When memory for answers was full, the largest was revoked and its bytes counted as free at once, although its reader had not noticed: answers in their place grew while both were held.

A revoked hold now counts until it is closed. While a quarter of the memory is held by such, a hold that grows is refused itself.

TestRevokedHoldsCountUntilTheyAreClosed fails without the change.

docs/design/hostile-clients.md describes the budget as a whole.

--- a/limit/memory.go
+++ b/limit/memory.go
@@ -9,9 +9,13 @@
 // smaller, so that none of those is given up for others.
 const freeBytes = 16 << 10
 
+// leavingShare is how much revoked holds may have before they are closed, as a part of the memory.
+const leavingShare = 0.25
+
 // Memory bounds the bytes that unfinished answers or bodies hold together. Each hold belongs to
 // an owner, such as an endpoint. When there is no room left, the owner that holds the most pays
-// for it: its largest hold is revoked.
+// for it: its largest hold is revoked. A revoked hold has its bytes until it is closed. While many
+// have not been, a hold that grows is itself refused.
 //
 // mu guards the fields below it, and those of all holds. No other lock is taken while it is held.
 type Memory[K cmp.Ordered] struct {
@@ -20,6 +24,8 @@
 	mu    sync.Mutex
 	used  int64
 	holds map[*Hold[K]]struct{}
+	// leaving is what revoked holds have until they are closed.
+	leaving int64
 }
 
 // NewMemory returns a memory for a number of bytes.
@@ -34,6 +40,8 @@
 	revoke  func()
 	bytes   int64
 	revoked bool
+	// leaving is what the hold had when it was revoked.
+	leaving int64
 }
 
 // Open returns a hold of an owner, which has to be closed. revoke is called, at most once, from
@@ -42,7 +50,7 @@
 	return &Hold[K]{memory: me, owner: owner, revoke: revoke}
 }
 
-// Used returns the bytes that are held.
+// Used returns the bytes that are held, those of revoked holds not included.
 func (me *Memory[K]) Used() int64 {
 	me.mu.Lock()
 	defer me.mu.Unlock()
@@ -59,9 +67,11 @@
 	}
 	var revoked []*Hold[K]
 	for me.used > me.total {
-		largest := me.largestOfHeaviest()
-		largest.set(0)
-		largest.revoked = true
+		largest := ho
+		if me.leaving <= int64(leavingShare*float64(me.total)) {
+			largest = me.largestOfHeaviest()
+		}
+		largest.setRevoked()
 		if largest != ho {
 			revoked = append(revoked, largest)
 		}
@@ -100,6 +110,15 @@
 	ho.memory.mu.Lock()
 	defer ho.memory.mu.Unlock()
 	ho.set(0)
+	ho.memory.leaving -= ho.leaving
+	ho.leaving = 0
+}
+
+// setRevoked revokes the hold. The caller holds the memory's mu.
+func (ho *Hold[K]) setRevoked() {
+	ho.revoked, ho.leaving = true, ho.bytes
+	ho.memory.leaving += ho.leaving
+	ho.set(0)
 }
 
 // set sets the hold's counted bytes. The caller holds the memory's mu.
--- a/limit/memory_test.go
+++ b/limit/memory_test.go
@@ -78,3 +78,21 @@
 		}
 	})
 }
+
+// TestRevokedHoldsCountUntilTheyAreClosed has a hold grow while revoked ones have not been closed.
+// They had no bytes from then on, and the process held several times what it may.
+func TestRevokedHoldsCountUntilTheyAreClosed(t *testing.T) {
+	me := limit.NewMemory[string](400 * kib)
+	first, second, third := me.Open("a", func() {}), me.Open("a", func() {}), me.Open("a", func() {})
+	qt.Assert(t, first.Grow(300*kib), qt.IsTrue)
+	qt.Assert(t, second.Grow(250*kib), qt.IsTrue)
+	qt.Assert(t, first.Revoked(), qt.IsTrue)
+	// The first has not been closed, so the third may not take the second's place as well.
+	qt.Assert(t, third.Grow(240*kib), qt.IsFalse)
+	qt.Assert(t, second.Revoked(), qt.IsFalse)
+	first.Close()
+	third.Close()
+	fourth := me.Open("a", func() {})
+	qt.Assert(t, fourth.Grow(240*kib), qt.IsTrue)
+	qt.Assert(t, second.Revoked(), qt.IsTrue)
+}
