Bound the connections of tanager-entry in the same way

net/http's heads were counted by nothing at the own front either.

Tested by the guard's own tests and by entry's and some of proof's, which serve through it; there is no crowd test of this program.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -115,5 +115,8 @@
 			return eris.Wrap(err, "Daemon.addGauges")
 		}
 	}
+	if err := da.metrics.GaugeBy("tanager_connections_closed", "Connections closed to keep memory and descriptors within their bounds, by cause.", "cause", da.guard.Counts); err != nil {
+		return eris.Wrap(err, "Daemon.addGauges")
+	}
 	return da.metrics.GaugeBy("tanager_connections", "Open connections by state.", "state", da.conns.counts)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,12 +35,10 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	readBodyTimeout   = 15 * time.Second
+	readBodyTimeout = 15 * time.Second
 	// callerWriteTimeout is the longest time that a caller may take to read one
 	// event of a stream, or a whole response.
 	callerWriteTimeout = 10 * time.Second
-	maxHeaderBytes     = 32 << 10
 	// tickInterval, refreshInterval and publishInterval are the intervals at which
 	// the methods of these names are called.
 	tickInterval    = 100 * time.Millisecond
@@ -81,6 +79,9 @@
 	explanations *explanations
 	orgLimits    *inFlightLimiter
 	conns        *connections
+	// guard bounds what the connections of all listeners take, connBudget counts that.
+	guard      *network.Guard
+	connBudget *network.ConnBudget
 
 	draining atomic.Bool
 	// isolated is what isIsolated returned at the last tick.
@@ -97,6 +98,7 @@
 		return nil, eris.Wrap(err, "entry.New")
 	}
 	da := &Daemon{settings: es, net: ne, log: lo, metrics: me, group: worker.NewGroup(), started: time.Now(), conns: newConnections()}
+	da.guard = da.newGuard()
 	da.initClients()
 	da.initServing()
 	return da, eris.Wrap(da.addGauges(), "entry.New")
@@ -177,13 +179,14 @@
 	peers := peer.NewServer(da.peers, da.book, da.pins)
 	for _, sv := range []struct {
 		address string
+		kind    network.ConnKind
 		handler http.Handler
 	}{
-		{ls.GetPeers(), peers.Handler()},
-		{ls.GetAdmin(), admin.NewRouter(da.holder, da.metrics, da.Dump, da.adminRoutes)},
-		{ls.GetCallers(), da.Handler()},
+		{ls.GetPeers(), network.OtherConn, peers.Handler()},
+		{ls.GetAdmin(), network.OtherConn, admin.NewRouter(da.holder, da.metrics, da.Dump, da.adminRoutes)},
+		{ls.GetCallers(), network.CallerConn, da.Handler()},
 	} {
-		if err := da.serve(sv.address, sv.handler); err != nil {
+		if err := da.serve(sv.address, sv.kind, sv.handler); err != nil {
 			return eris.Wrap(err, "Daemon.Start")
 		}
 	}
@@ -194,6 +197,7 @@
 	da.group.Every(tickInterval, da.tick)
 	da.group.Every(refreshInterval, da.refresh)
 	da.group.Every(publishInterval, da.publish)
+	da.group.Every(slowReaderInterval, da.cutSlowReaders)
 	if da.ratings != nil {
 		da.group.Go(da.ratings.run)
 	}
@@ -201,10 +205,11 @@
 	return nil
 }
 
-func (da *Daemon) serve(address string, ha http.Handler) error {
-	sv := &http.Server{Handler: ha, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: da.conns.track}
+func (da *Daemon) serve(address string, kind network.ConnKind, ha http.Handler) error {
+	se := da.settings.GetServing()
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: se.GetHeadTimeout().AsDuration(), MaxHeaderBytes: int(se.GetMaxHeadBytes()), ConnState: da.connState}
 	da.servers = append(da.servers, sv)
-	return da.net.Serve(da.group, address, sv, func(err error) {
+	return da.guard.Track(kind, da.net).Serve(da.group, address, sv, func(err error) {
 		da.log.Warn(event.ListenerFailed, err, event.Fields{"address": address})
 	})
 }
--- a/router/guard.go
+++ b/router/guard.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/network"
 )
@@ -18,33 +16,17 @@
 	connectionShare = 0.15
 	// shortShare is the part of what may be held from which on memory is short.
 	shortShare = 0.75
-	// reservedDescriptors are for files, listeners, and calls to the store and to peers.
-	reservedDescriptors = 200
 )
 
 // newGuard returns the guard of all listeners.
 func (da *Daemon) newGuard() *network.Guard {
 	se := da.settings.GetServing()
-	count := int(se.GetMaxConnections())
-	if count == 0 {
-		count = defaultMaxConnections()
-	}
-	da.connections = network.NewConnBudget(network.ConnLimits{Count: count, Bytes: da.connectionBytes})
+	da.connections = network.NewConnBudget(network.ConnLimits{Count: network.MaxConns(se.GetMaxConnections()), Bytes: da.connectionBytes})
 	return network.NewGuard(da.connections, network.GuardOptions{
 		MaxHeadLines: se.GetMaxHeadLines(), MinReadSpeed: se.GetMinReadSpeed(), Ended: da.connectionEnded,
 	})
 }
 
-// defaultMaxConnections returns half of the descriptors that the process may open: each request
-// may need another connection to an endpoint.
-func defaultMaxConnections() int {
-	var li unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &li); err != nil || li.Cur > unix.RLIM_INFINITY/2 {
-		return int(^uint(0) >> 1)
-	}
-	return max(1, int(li.Cur)-reservedDescriptors) / 2
-}
-
 // connectionBytes returns the memory that connections and heads of requests may take.
 func (da *Daemon) connectionBytes() int64 {
 	total := da.memoryBytes()
