Leave the process its own part of the memory for connections

The budget of connections did not count what the process takes without any, so that all 300 were served; the live heap then came near to the collector's limit, and garbage passed it on a busy machine.

8 MiB of the half of memory_mb are now the process's own.

--- a/router/guard.go
+++ b/router/guard.go
@@ -14,6 +14,8 @@
 	// together; connections have connectionShare of it at least.
 	heldShare       = 0.5
 	connectionShare = 0.15
+	// processBytes is what the process takes without a connection.
+	processBytes = 8 << 20
 	// shortShare is the part of what may be held from which on memory is short.
 	shortShare = 0.75
 )
@@ -30,7 +32,7 @@
 // connectionBytes returns the memory that connections and heads of requests may take.
 func (da *Daemon) connectionBytes() int64 {
 	total := da.memoryBytes()
-	return max(int64(connectionShare*total), int64(heldShare*total)-da.HeldBytes())
+	return max(int64(connectionShare*total), int64(heldShare*total)-processBytes-da.HeldBytes())
 }
 
 func (da *Daemon) memoryBytes() float64 { return da.settings.GetServing().GetMemoryMb() * (1 << 20) }
