Keep the limit of an endpoint whose entry has lapsed

While the store is away or has just returned, routers go on to use endpoints whose entry lapsed. Their limits were forgotten with the entry at the next refresh, so that an endpoint in need then got any number of requests. The limit now stays for a minute, which is the longest lapse_grace.

Evidence: TestLimitOutlivesTheEndpointsEntry fails without the change and passes with it.

--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -64,17 +64,32 @@
 	}
 	for id, wo := range li.known {
 		en, ok := si.policy.Endpoints.ByID(id)
-		if !ok || wo.idle(now) {
+		if !ok && wo.goneFor(now) > goneMemory || wo.idle(now) {
 			delete(li.known, id)
 			continue
 		}
-		li.divideCold(now, en, wo)
+		if ok {
+			wo.goneAt = time.Time{}
+			li.divideCold(now, en, wo)
+		}
 		wo.share = si.shareOf(id, wo)
 		li.limited(now, id)
 	}
 	li.size.Store(int64(len(li.known)))
 }
 
+// goneMemory is how long the limit of an endpoint is kept that is missing in the policy: routers
+// may go on to use it for as long as the setting lapse_grace says, which is no more.
+const goneMemory = time.Minute
+
+// goneFor returns how long the endpoint has been missing in the policy, which it is now.
+func (wo *word) goneFor(now time.Time) time.Duration {
+	if wo.goneAt.IsZero() {
+		wo.goneAt = now
+	}
+	return now.Sub(wo.goneAt)
+}
+
 // idle reports whether the endpoint has named no limit and not been cold for a while.
 func (wo *word) idle(now time.Time) bool {
 	return wo.ended && now.Sub(wo.at) > wordTTL && now.Sub(wo.cold.until) > wordTTL
--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -124,3 +124,18 @@
 	li.Allows(start.Add(3*time.Second), "e")
 	qt.Assert(t, takenIn(li, start.Add(6*time.Second)), qt.Equals, 100)
 }
+
+// TestLimitOutlivesTheEndpointsEntry lets the entry of an endpoint with a limit lapse, as while the
+// store is away: routers go on to use the endpoint, and sent it as much as they liked.
+func TestLimitOutlivesTheEndpointsEntry(t *testing.T) {
+	start := time.Now()
+	ho := configuration.NewHolder(event.Discard())
+	replaceRecords(t, ho, 10, coldEndpoint(0, 1))
+	li := loneLimits(start.Add(-time.Minute), "vm-0", ho)
+	li.Named(start, "e", 2)
+	replaceRecords(t, ho, 11, nil)
+	li.Refresh(start.Add(time.Second))
+	qt.Assert(t, takenIn(li, start.Add(time.Second)) <= 2, qt.IsTrue)
+	li.Refresh(start.Add(2 * time.Minute))
+	qt.Assert(t, li.Rates(), qt.HasLen, 0)
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -59,6 +59,8 @@
 	// share is this router's part of the limit, 0 if others share it.
 	share Rate
 	cold  coldness
+	// goneAt is when the endpoint was first missing in the policy, zero if it is there.
+	goneAt time.Time
 	// bucket has this router's part of the limit, and of the rate of the cold endpoint.
 	bucket *Bucket
 }
