Presume endpoints cold once their evacuation is taken back

Endpoints often turn cold while they are evacuated. When the evacuation is taken back they have nothing to do, so that all routers prefer them, up to a registration before they have said that they are cold. They now count as cold for 1.5 s, if their service says what its cold endpoints bear.

Evidence: TestEndpointsCountAsColdAfterAnEvacuation fails without the change and passes with it.

--- a/limit/cold.go
+++ b/limit/cold.go
@@ -24,6 +24,9 @@
 	// Once an endpoint is warm, its rate doubles every warmStep for warmTime; then it has no limit.
 	warmStep = 500 * time.Millisecond
 	warmTime = 4 * warmStep
+	// presumedCold is how long an endpoint counts as cold after its evacuation: a little more than
+	// the time between two of its registrations.
+	presumedCold = 1500 * time.Millisecond
 	// rosterMemory is for how long a router that has fallen silent counts among those that share:
 	// it may have been cut off, and goes on to send.
 	rosterMemory = 2 * time.Minute
@@ -105,13 +108,26 @@
 	}
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	se := li.holder.Set()
+	se, before := li.holder.Set(), li.registered.Load()
 	for _, en := range se.Endpoints.List() {
 		li.applyRegistration(now, se, en)
+		if fd := policy.FailureDomain(en.FailureDomain); before != nil && before.Evacuated(fd) && !se.Evacuated(fd) {
+			li.presumeCold(now, se, en)
+		}
 	}
 	li.registered.Store(se)
 }
 
+// presumeCold takes an endpoint whose evacuation was taken back for cold until it can have said
+// whether it is, unless its service does not say what its cold endpoints bear. The caller holds mu.
+func (li *Limits) presumeCold(now time.Time, se *policy.Set, en policy.Endpoint) {
+	sv, ok := se.Services.ByID(policy.ServiceID(en.Service))
+	if wo, known := li.known[en.ID]; !ok || sv.ColdPerSecond <= 0 || known && wo.cold.until.After(now.Add(presumedCold)) {
+		return
+	}
+	li.applyCold(now, se, en, coldWord{at: now, until: now.Add(presumedCold)})
+}
+
 // applyRegistration applies what an endpoint's registration says. It says for how long the endpoint
 // was cold when it was written, so that what it says ends here no earlier than there. The caller
 // holds mu.
--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -139,3 +139,27 @@
 	li.Refresh(start.Add(2 * time.Minute))
 	qt.Assert(t, li.Rates(), qt.HasLen, 0)
 }
+
+// TestEndpointsCountAsColdAfterAnEvacuation takes an evacuation back before the endpoints have said
+// that they are cold meanwhile: having nothing to do, they got all that came.
+func TestEndpointsCountAsColdAfterAnEvacuation(t *testing.T) {
+	for _, coldPerSecond := range []float64{0, 11} {
+		start := time.Now()
+		ho := configuration.NewHolder(event.Discard())
+		specs := coldEndpoint(0, 1)
+		specs[policy.KindService] = map[string]proto.Message{"s": &rpc.Service{ColdPerSecond: coldPerSecond}}
+		specs[policy.KindEvacuation] = map[string]proto.Message{"fd-1": &rpc.Evacuation{}, "fd-2": &rpc.Evacuation{}}
+		replaceRecords(t, ho, 10, specs)
+		li := loneLimits(start.Add(-time.Minute), "vm-0", ho)
+		li.Refresh(start)
+		qt.Assert(t, takenIn(li, start), qt.Equals, 100)
+		delete(specs[policy.KindEvacuation], "fd-1")
+		replaceRecords(t, ho, 11, specs)
+		if taken := takenIn(li, start.Add(time.Second)); coldPerSecond > 0 {
+			qt.Check(t, taken <= 2, qt.IsTrue, qt.Commentf("%d taken", taken))
+		} else {
+			qt.Check(t, taken, qt.Equals, 100)
+		}
+		qt.Check(t, takenIn(li, start.Add(6*time.Second)), qt.Equals, 100)
+	}
+}
