Do not take an old registration for a new coldness

An endpoint whose registration stays as it was written while the endpoint was cold was forgotten after 30 s and then taken for cold anew, again and again. Its word is now kept as long as the registration says so.

Evidence: TestOldRegistrationDoesNotMakeAnEndpointColdAgain fails without the change and passes with it.

--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -42,7 +42,8 @@
 // Refresh applies what the other routers have published, forgets endpoints that are gone
 // or have named no limit for a while, and divides the limits among the routers.
 func (li *Limits) Refresh(now time.Time) {
-	words, cold := li.peerWords()
+	words := li.peerWords()
+	cold := li.peerColdWords()
 	si := li.site(now)
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -64,7 +65,7 @@
 	}
 	for id, wo := range li.known {
 		en, ok := si.policy.Endpoints.ByID(id)
-		if !ok && wo.goneFor(now) > goneMemory || wo.idle(now) {
+		if !ok && wo.goneFor(now) > goneMemory || wo.idle(now) && en.GetColdRemainingMs() <= 0 {
 			delete(li.known, id)
 			continue
 		}
@@ -90,34 +91,47 @@
 	return now.Sub(wo.goneAt)
 }
 
-// idle reports whether the endpoint has named no limit and not been cold for a while.
+// idle reports whether the endpoint has named no limit and not been cold for a while. The registration
+// of a cold one that was written long ago must not be taken for a new one.
 func (wo *word) idle(now time.Time) bool {
 	return wo.ended && now.Sub(wo.at) > wordTTL && now.Sub(wo.cold.until) > wordTTL
 }
 
-// peerWords returns the newest word of each endpoint's limit and of its coldness that the other
-// routers published.
-func (li *Limits) peerWords() (map[policy.EndpointID]word, map[policy.EndpointID]coldWord) {
-	out, cold := map[policy.EndpointID]word{}, map[policy.EndpointID]coldWord{}
-	own := limitPrefix + string(li.group.VM())
-	for _, it := range li.group.Table().List(limitPrefix) {
-		var ms rpc.EndpointLimits
-		if it.Key == own || proto.Unmarshal(it.Value, &ms) != nil {
-			continue
-		}
+// peerWords returns the newest word of each endpoint's limit that the other routers published.
+func (li *Limits) peerWords() map[policy.EndpointID]word {
+	out := map[policy.EndpointID]word{}
+	li.eachPublished(func(writtenAt time.Time, ms *rpc.EndpointLimits) {
 		for _, el := range ms.GetLimits() {
-			id := policy.EndpointID(el.GetEndpoint())
-			at := quantity.Ago(it.WrittenAt, el.GetAgeMs())
+			id, at := policy.EndpointID(el.GetEndpoint()), quantity.Ago(writtenAt, el.GetAgeMs())
 			if old, ok := out[id]; !ok || at.After(old.at) {
 				out[id] = word{rate: Rate(el.GetPerSecond()), ended: el.GetEnded(), at: at}
 			}
 		}
+	})
+	return out
+}
+
+// peerColdWords returns the newest word of each endpoint's coldness that the other routers published.
+func (li *Limits) peerColdWords() map[policy.EndpointID]coldWord {
+	out := map[policy.EndpointID]coldWord{}
+	li.eachPublished(func(writtenAt time.Time, ms *rpc.EndpointLimits) {
 		for _, ce := range ms.GetCold() {
-			id, at := policy.EndpointID(ce.GetEndpoint()), quantity.Ago(it.WrittenAt, ce.GetAgeMs())
-			if old, ok := cold[id]; !ok || at.After(old.at) {
-				cold[id] = coldWord{at: at, until: it.WrittenAt.Add(coldBounds.Clamp(quantity.Milliseconds(ce.GetRemainingMs())))}
+			id, at := policy.EndpointID(ce.GetEndpoint()), quantity.Ago(writtenAt, ce.GetAgeMs())
+			if old, ok := out[id]; !ok || at.After(old.at) {
+				out[id] = coldWord{at: at, until: writtenAt.Add(coldBounds.Clamp(quantity.Milliseconds(ce.GetRemainingMs())))}
 			}
 		}
+	})
+	return out
+}
+
+// eachPublished calls fn with what each of the other routers has published, and when that was written.
+func (li *Limits) eachPublished(fn func(writtenAt time.Time, ms *rpc.EndpointLimits)) {
+	own := limitPrefix + string(li.group.VM())
+	for _, it := range li.group.Table().List(limitPrefix) {
+		ms := &rpc.EndpointLimits{}
+		if it.Key != own && proto.Unmarshal(it.Value, ms) == nil {
+			fn(it.WrittenAt, ms)
+		}
 	}
-	return out, cold
 }
--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -163,3 +163,21 @@
 		qt.Check(t, takenIn(li, start.Add(6*time.Second)), qt.Equals, 100)
 	}
 }
+
+// TestOldRegistrationDoesNotMakeAnEndpointColdAgain has an endpoint's registration stay as it was
+// written while the endpoint was cold, as if the endpoint no longer reached the store.
+func TestOldRegistrationDoesNotMakeAnEndpointColdAgain(t *testing.T) {
+	start := time.Now()
+	ho := configuration.NewHolder(event.Discard())
+	specs := coldEndpoint(3*time.Second, 1)
+	replaceRecords(t, ho, 10, specs)
+	li := loneLimits(start.Add(-time.Minute), "vm-0", ho)
+	qt.Assert(t, takenIn(li, start) <= 2, qt.IsTrue)
+	for revision := store.Revision(11); revision < 40; revision++ {
+		at := start.Add(time.Duration(revision) * 10 * time.Second)
+		specs[policy.KindRoute] = map[string]proto.Message{"r": &rpc.Route{TimeoutMs: int64(revision)}}
+		replaceRecords(t, ho, revision, specs)
+		li.Refresh(at)
+		qt.Assert(t, takenIn(li, at), qt.Equals, 100, qt.Commentf("at revision %d", revision))
+	}
+}
