--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -124,3 +124,60 @@
 	li.Allows(start.Add(3*time.Second), "e")
 	qt.Assert(t, takenIn(li, start.Add(6*time.Second)), qt.Equals, 100)
 }
+
+// TestLimitOutlivesTheEndpointsEntry lets the entry of an endpoint with a limit lapse, as while the
+// store is away: routers go on to use the endpoint, and sent it as much as they liked.
+func TestLimitOutlivesTheEndpointsEntry(t *testing.T) {
+	start := time.Now()
+	ho := configuration.NewHolder(event.Discard())
+	replaceRecords(t, ho, 10, coldEndpoint(0, 1))
+	li := loneLimits(start.Add(-time.Minute), "vm-0", ho)
+	li.Named(start, "e", 2)
+	replaceRecords(t, ho, 11, nil)
+	li.Refresh(start.Add(time.Second))
+	qt.Assert(t, takenIn(li, start.Add(time.Second)) <= 2, qt.IsTrue)
+	li.Refresh(start.Add(2 * time.Minute))
+	qt.Assert(t, li.Rates(), qt.HasLen, 0)
+}
+
+// TestEndpointsCountAsColdAfterAnEvacuation takes an evacuation back before the endpoints have said
+// that they are cold meanwhile: having nothing to do, they got all that came.
+func TestEndpointsCountAsColdAfterAnEvacuation(t *testing.T) {
+	for _, coldPerSecond := range []float64{0, 11} {
+		start := time.Now()
+		ho := configuration.NewHolder(event.Discard())
+		specs := coldEndpoint(0, 1)
+		specs[policy.KindService] = map[string]proto.Message{"s": &rpc.Service{ColdPerSecond: coldPerSecond}}
+		specs[policy.KindEvacuation] = map[string]proto.Message{"fd-1": &rpc.Evacuation{}, "fd-2": &rpc.Evacuation{}}
+		replaceRecords(t, ho, 10, specs)
+		li := loneLimits(start.Add(-time.Minute), "vm-0", ho)
+		li.Refresh(start)
+		qt.Assert(t, takenIn(li, start), qt.Equals, 100)
+		delete(specs[policy.KindEvacuation], "fd-1")
+		replaceRecords(t, ho, 11, specs)
+		if taken := takenIn(li, start.Add(time.Second)); coldPerSecond > 0 {
+			qt.Check(t, taken <= 2, qt.IsTrue, qt.Commentf("%d taken", taken))
+		} else {
+			qt.Check(t, taken, qt.Equals, 100)
+		}
+		qt.Check(t, takenIn(li, start.Add(6*time.Second)), qt.Equals, 100)
+	}
+}
+
+// TestOldRegistrationDoesNotMakeAnEndpointColdAgain has an endpoint's registration stay as it was
+// written while the endpoint was cold, as if the endpoint no longer reached the store.
+func TestOldRegistrationDoesNotMakeAnEndpointColdAgain(t *testing.T) {
+	start := time.Now()
+	ho := configuration.NewHolder(event.Discard())
+	specs := coldEndpoint(3*time.Second, 1)
+	replaceRecords(t, ho, 10, specs)
+	li := loneLimits(start.Add(-time.Minute), "vm-0", ho)
+	qt.Assert(t, takenIn(li, start) <= 2, qt.IsTrue)
+	for revision := store.Revision(11); revision < 40; revision++ {
+		at := start.Add(time.Duration(revision) * 10 * time.Second)
+		specs[policy.KindRoute] = map[string]proto.Message{"r": &rpc.Route{TimeoutMs: int64(revision)}}
+		replaceRecords(t, ho, revision, specs)
+		li.Refresh(at)
+		qt.Assert(t, takenIn(li, at), qt.Equals, 100, qt.Commentf("at revision %d", revision))
+	}
+}
