Let a failed call's further attempt wait for a place

Cause: all other replicas had as many requests as they may (blocked: full), so that the choice of an endpoint failed at once, and the call ended with the failure that it had. A call that may have run cannot be refused, and places become free within milliseconds.

Change: such a call looks for an endpoint every 10 ms, up to half of the time until its deadline, as long as an endpoint that has not failed it may get it by then. Without one the failure is passed on at once, as before. Event 408 names what blocks the endpoints also if the call has a replica's failure.

--- a/relay/run.go
+++ b/relay/run.go
@@ -37,9 +37,10 @@
 		if fa.quarantined {
 			return ro.writeFailure(ctx, wr, ca, fa)
 		}
-		if fa.noEndpoint && last.answer == nil && ca.returnsToGivenUp(ctx) {
+		if fa.noEndpoint && (last.answer == nil && ca.returnsToGivenUp(ctx) || ro.awaitsEndpoint(ctx, ca)) {
 			continue
 		}
+		last.lacksEndpoint = fa.noEndpoint
 		if fa.noEndpoint || !ro.mayRetry(ctx, ca, fa) {
 			return ro.writeFailure(ctx, wr, ca, last)
 		}
@@ -61,6 +62,34 @@
 	return worker.Sleep(ctx, maxResumePause)
 }
 
+const (
+	// endpointCheckInterval is how often a call that may be sent again looks for an endpoint.
+	endpointCheckInterval = 10 * time.Millisecond
+	// endpointWaitShare is the part of a call's time in which it looks. The rest is left to its
+	// caller, who may come back.
+	endpointWaitShare = 0.5
+)
+
+// awaitsEndpoint reports, after a short time, whether a call looks for an endpoint once more. It
+// does so if an attempt has failed that may have run: such a call cannot be refused, and a place
+// at an endpoint that has not failed it may soon be free.
+func (ro *Router) awaitsEndpoint(ctx context.Context, ca *call) bool {
+	if !ca.mayHaveRun || ca.probing || !ca.route.Repeatable() || ca.sends >= ca.route.MaxAttempts {
+		return false
+	}
+	now, received := time.Now(), ca.request.ReceivedAt
+	until := received.Add(time.Duration(endpointWaitShare * float64(ca.deadline.Sub(received))))
+	return now.Before(until) && ro.mayFindEndpoint(now, ca, until) && worker.Sleep(ctx, endpointCheckInterval)
+}
+
+// mayFindEndpoint reports whether an endpoint that has not failed a call may get it before a time.
+func (ro *Router) mayFindEndpoint(now time.Time, ca *call, until time.Time) bool {
+	return slices.ContainsFunc(ro.fleet.forService(now, ca.service.ID), func(en policy.Endpoint) bool {
+		av := ro.availableTo(now, ca, en, ro.balancer.Condition(now, en.ID))
+		return av.retryAt.Before(until) && !slices.Contains(ca.failedEndpoints, en.ID)
+	})
+}
+
 // shouldEscalate reports whether to discard an answer that has begun and to run
 // the request on the largest model instead, which then has its place at an endpoint.
 func (ro *Router) shouldEscalate(ctx context.Context, ca *call, an *answer) bool {
@@ -124,7 +153,7 @@
 		"request": ca.request.ID, "route": ca.route.ID, "sends": ca.sends, "may_have_run": ca.mayHaveRun,
 		"after_ms": now.Sub(ca.request.ReceivedAt).Milliseconds(),
 	}
-	if last.noEndpoint {
+	if last.lacksEndpoint {
 		fields["blocked"] = ro.blockedEndpoints(now, ca)
 	}
 	ro.log.WarnLimited(event.RequestFailed, last.err, fields)
@@ -195,6 +224,8 @@
 	begun bool
 	// noEndpoint reports whether there was no endpoint to send to.
 	noEndpoint bool
+	// lacksEndpoint reports whether there was none for a further attempt after this one.
+	lacksEndpoint bool
 	// quarantined reports whether a part of the prompt or the request is in quarantine,
 	// refusal which of them, and retryAt when the caller should then try again.
 	quarantined bool
