Choose escalations by their gain for the caller and a price of room

Cause: the threshold of cascade.Escalation fell with the largest model's work and the backlog, and knew neither the caller's gain nor rank, target, size or the retry budget; the model between was never used.

Change: cascade.Planner keeps an answer unless a larger model's is worth more after the room it takes, at a price that follows the endpoints' backlog. The chance that an answer is good follows from its confidence, that of a larger model from its answers to the same requests. A run that cannot begin in time is not begun. Every model of a route competes.

--- a/event/event.go
+++ b/event/event.go
@@ -75,6 +75,7 @@
 	ServiceBrittle       Number = 427
 	ServiceNotBrittle    Number = 428
 	EndpointRefusedFull  Number = 429
+	CascadeKept          Number = 460
 	ClaimUnresolved      Number = 500
 	ClaimReleased        Number = 501
 	BillsSealed          Number = 502
@@ -134,7 +135,8 @@
 	EndpointLapsed:       "endpoint disappeared while the store was unstable; keeping it for the grace period",
 	RequestSent:          "request sent to an endpoint",
 	RequestAnswered:      "request answered",
-	CascadeEscalated:     "cascade dropped a smaller model's answer to use the largest model",
+	CascadeEscalated:     "cascade dropped a smaller model's answer to use a larger model",
+	CascadeKept:          "cascade kept a smaller model's answer",
 	SessionMoved:         "session continues on another release",
 	ReleaseShareChanged:  "this router changed the share of requests that a release gets",
 	PartQuarantined:      "prompt part or request quarantined: it crashed several endpoints",
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -37,6 +37,8 @@
 	Orders     metric.Int64Counter
 	// SessionMoves counts by KeyCause, the reason for which a release was selected.
 	SessionMoves metric.Int64Counter
+	// Cascades counts the choices of models on routes that have several, by KeyOutcome.
+	Cascades metric.Int64Counter
 }
 
 // The keys of the instruments' attributes.
@@ -86,6 +88,7 @@
 	counter(&me.InTime, "tanager_first_tokens", "First tokens by rank, and whether they came within the rank's target.")
 	counter(&me.Orders, "tanager_orders", "Orders to endpoints by outcome.")
 	counter(&me.SessionMoves, "tanager_session_moves", "Sessions that continued on another release, by reason.")
+	counter(&me.Cascades, "tanager_cascade_choices", "Choices of models on routes with several, by outcome: kept or escalated.")
 	histogram(&me.Latency, "tanager_latency", "Time from arrival to the answer's end.")
 	histogram(&me.FirstToken, "tanager_first_token", "Time from arrival to the first token.")
 	histogram(&me.QueueWait, "tanager_queue_wait", "Time in the queue.")
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -14,7 +14,7 @@
 	// counts differ from the endpoints'.
 	usedBudgetShare = 0.85
 	// escalationShare is the share of the budget that may be used to send requests
-	// again to the largest model; the rest is reserved for retries of failed
+	// again to a larger model; the rest is reserved for retries of failed
 	// attempts.
 	escalationShare = 0.88
 	// failureShare is the share of the budget that retries of failed attempts may
@@ -74,3 +74,21 @@
 func (rb *retryBudgets) allows(now time.Time, id policy.ServiceID, share float64) bool {
 	return rb.get(now, id).Allows(now, share)
 }
+
+// usedSteps is the number of parts by which used measures the budget.
+const usedSteps = 20
+
+// used returns which part of a share of the budget is used, from 0 to 1.
+func (rb *retryBudgets) used(now time.Time, id policy.ServiceID, share float64) float64 {
+	wi := rb.get(now, id)
+	low, high := 0, usedSteps
+	for low < high {
+		mid := (low + high) / 2
+		if wi.Allows(now, share*float64(mid)/usedSteps) {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	return float64(low) / usedSteps
+}
--- a/relay/replacement.go
+++ b/relay/replacement.go
@@ -47,11 +47,11 @@
 	return at
 }
 
-// reserveLargest reserves the run of a call on the largest model, and reports whether there
-// was a place for it. The call goes on with it.
-func (ro *Router) reserveLargest(ctx context.Context, ca *call) bool {
+// reserveLarger reserves the run of a call on a larger model, and reports whether there was a
+// place for it. The call goes on with it.
+func (ro *Router) reserveLarger(ctx context.Context, ca *call, model int) bool {
 	at := ro.reserve(ctx, &call{
-		request: ca.request, route: ca.route, service: ca.service, model: len(ca.models()) - 1, failedEndpoints: ca.failedEndpoints,
+		request: ca.request, route: ca.route, service: ca.service, model: model, failedEndpoints: ca.failedEndpoints,
 	}, escalationShare)
 	if at == nil {
 		return false
--- a/relay/router.go
+++ b/relay/router.go
@@ -79,6 +79,7 @@
 	memory *limit.Memory[policy.EndpointID]
 	// durations are those of the routes' requests.
 	durations *durations
+	cascades  *cascades
 	inFlight  atomic.Int64
 	// routers is the number of known routers, including this one.
 	routers atomic.Int64
@@ -103,7 +104,7 @@
 	ro := &Router{
 		holder: de.Holder, client: de.Client, paths: de.Paths, peers: de.Peers, pins: de.Pins, barred: de.Quarantine, log: de.Log, metrics: de.Metrics,
 		memory:   limit.NewMemory[policy.EndpointID](opt.heldBytes()),
-		shutdown: newShutdown(), durations: newDurations(),
+		shutdown: newShutdown(), durations: newDurations(), cascades: newCascades(uint64(time.Now().UnixNano())),
 		balancer: placement.NewBalancer(uint64(time.Now().UnixNano()), de.Peers.FailureDomain()), latencies: newLatencies(), limits: limit.New(time.Now(), de.Peers, de.Holder, de.Log), pauses: limit.NewPauses(),
 		brittle: limit.NewBrittle(time.Now(), de.Peers, de.Holder, de.Log), queue: newPlaceQueue(), backlogs: newBacklogAverages(),
 	}
@@ -196,6 +197,7 @@
 	// change to a larger one.
 	model        int
 	noEscalation bool
+	cascade      cascadeState
 }
 
 // Serve serves a request and blocks until it has been answered.
--- a/relay/run.go
+++ b/relay/run.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"tanagerpoint.example/tanager/cascade"
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/metric"
@@ -19,11 +18,11 @@
 // caller. It returns a refusal if nothing has been written to the caller.
 func (ro *Router) run(ctx context.Context, wr http.ResponseWriter, ca *call) *Refusal {
 	var last *failure
+	ro.beginCascade(ca)
 	for {
 		an, fa := ro.attempt(ctx, ca, ca.request.LastEventID)
-		if fa == nil && ro.shouldEscalate(ctx, ca, an) {
+		if fa == nil && ro.escalates(ctx, ca, an) {
 			an.discard()
-			ca.model, ca.mayHaveRun = len(ca.models())-1, true
 			continue
 		}
 		if fa == nil {
@@ -61,31 +60,6 @@
 	return worker.Sleep(ctx, maxResumePause)
 }
 
-// shouldEscalate reports whether to discard an answer that has begun and to run
-// the request on the largest model instead, which then has its place at an endpoint.
-func (ro *Router) shouldEscalate(ctx context.Context, ca *call, an *answer) bool {
-	models := ca.models()
-	if ca.probing || ca.noEscalation || ca.model == len(models)-1 || !an.head.HasConfidence || ca.sends >= ca.route.MaxAttempts || !ca.route.Repeatable() {
-		return false
-	}
-	key := latencyKey{ca.service.ID, policy.ModelID(models[len(models)-1])}
-	tokens, _ := ca.promptTokens()
-	work, _ := ro.latencies.estimate(key, tokens, 0)
-	left := time.Until(ca.request.ReceivedAt.Add(ca.route.LatencyTarget()))
-	es := cascade.Escalation{
-		Confidence: an.head.Confidence, Work: float64(work), Backlog: float64(ca.meanBacklog),
-		TimeLeft: left.Seconds(),
-	}
-	if !es.ShouldEscalate() || !ro.reserveLargest(ctx, ca) {
-		return false
-	}
-	ro.log.InfoLimited(event.CascadeEscalated, event.Fields{
-		"request": ca.request.ID, "from": ca.modelID(), "confidence": an.head.Confidence,
-		"pressure_ms": int64(float64(ca.meanBacklog) * 1000), "left_ms": left.Milliseconds(),
-	})
-	return true
-}
-
 // mayRetry reports whether a request may be sent again after a failed attempt, and
 // counts the retry.
 func (ro *Router) mayRetry(ctx context.Context, ca *call, fa *failure) bool {
@@ -172,7 +146,7 @@
 	}
 	ro.metrics.Requests.Add(ctx, 1, metric.With(metric.KeyOutcome, outcome))
 	ro.log.InfoLimited(event.RequestAnswered, event.Fields{
-		"request": ca.request.ID, "route": ca.route.ID, "status": an.status, "outcome": outcome, "model": ca.modelID(), "sends": ca.sends,
+		"request": ca.request.ID, "route": ca.route.ID, "status": an.status, "outcome": outcome, "model": ca.modelID(), "sends": ca.sends, "confidence": an.head.Confidence,
 		"first_ms": took.Milliseconds(), "pause_ms": pauseMs, "whole_ms": time.Since(ca.request.ReceivedAt).Milliseconds(),
 	})
 	ro.metrics.Latency.Record(ctx, time.Since(ca.request.ReceivedAt).Seconds())
