Hold an answer that is buffered in parts

A router of 48 MiB allocated 145 to 180 MiB before 300 callers that read answers of 1 MiB slowly, and 66 MiB once revoked answers counted until they are closed: a process that should stay within its memory would be ended.

Cause: a body grew by doubling, so that the old and the new copy were there at once, of which only one was counted, and each copy was left to the collector.

A body now has parts of 64 KiB at most, for which there is room before they are allocated, and none is copied.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -5,7 +5,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -41,7 +40,7 @@
 	head    AnswerHead
 	status  int
 	header  http.Header
-	body    []byte
+	body    heldBody
 	// stream is nil for buffered answers. firstEvent has already been read from
 	// it, and is empty if the stream has no events.
 	stream     *eventReader
@@ -133,30 +132,6 @@
 	return an, nil
 }
 
-// readHeld reads a body to its end. It fails with errEndless if the body is too large, or holds
-// memory that others need.
-func readHeld(rd io.Reader, ho *limit.Hold[policy.EndpointID]) ([]byte, error) {
-	body := make([]byte, 0, readBufferSize)
-	for {
-		n, err := rd.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case len(body) > maxBufferedBody || ho.Revoked():
-			return nil, errEndless
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		case len(body) < cap(body):
-			continue
-		}
-		body = slices.Grow(body, len(body))
-		if !ho.Grow(int64(cap(body))) {
-			return nil, errEndless
-		}
-	}
-}
-
 // close closes the answer's source, and gives up its memory.
 func (an *answer) close() {
 	an.source.Close()
@@ -187,9 +162,9 @@
 // writeBuffered writes a buffered answer to the caller.
 func (an *answer) writeBuffered(wr http.ResponseWriter, status int) {
 	copyHeader(wr.Header(), an.header)
-	wr.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
+	wr.Header().Set("Content-Length", strconv.Itoa(an.body.size))
 	wr.WriteHeader(status)
-	_, _ = wr.Write(an.body)
+	an.body.write(wr)
 	an.hold.Close()
 }
 
