Apply a peer's word of a cold endpoint to its run only

A router took an endpoint that had restarted for cold, or for warm, because a peer had heard so from the run before: it was sent one request in a second instead of what it takes.

Cause: ColdEndpoint names no run. The reader checked the run in force against itself.

The message has started_at_ms, which is that of the registration to which the answer was applied, and the newest word is kept for each run.

--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -21,7 +21,8 @@
 	for id, wo := range li.known {
 		if wo.cold.own && now.Sub(wo.cold.at) < wordTTL {
 			ms.Cold = append(ms.Cold, &rpc.ColdEndpoint{
-				Endpoint: string(id), RemainingMs: max(0, wo.cold.until.Sub(now)).Milliseconds(), AgeMs: now.Sub(wo.cold.at).Milliseconds(),
+				Endpoint: string(id), StartedAtMs: wo.cold.registered.GetStartedAtMs(),
+				RemainingMs: max(0, wo.cold.until.Sub(now)).Milliseconds(), AgeMs: now.Sub(wo.cold.at).Milliseconds(),
 			})
 		}
 		if wo.own && now.Sub(wo.at) < wordTTL {
@@ -48,10 +49,8 @@
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	li.roster.note(now, si.routers)
-	for id, next := range cold {
-		if en, ok := si.policy.Endpoints.ByID(id); ok {
-			li.applyAnswer(now, en.Run(), next)
-		}
+	for er, next := range cold {
+		li.applyAnswer(now, er, next)
 	}
 	for id, next := range words {
 		wo, ok := li.known[id]
@@ -111,14 +110,15 @@
 	return out
 }
 
-// peerColdWords returns the newest word of each endpoint's coldness that the other routers published.
-func (li *Limits) peerColdWords() map[policy.EndpointID]coldWord {
-	out := map[policy.EndpointID]coldWord{}
+// peerColdWords returns the newest word of the coldness of each endpoint's run that the other routers
+// published.
+func (li *Limits) peerColdWords() map[policy.EndpointRun]coldWord {
+	out := map[policy.EndpointRun]coldWord{}
 	li.eachPublished(func(writtenAt time.Time, ms *rpc.EndpointLimits) {
 		for _, ce := range ms.GetCold() {
-			id, at := policy.EndpointID(ce.GetEndpoint()), quantity.Ago(writtenAt, ce.GetAgeMs())
-			if old, ok := out[id]; !ok || at.After(old.at) {
-				out[id] = coldWord{at: at, until: writtenAt.Add(coldBounds.Clamp(quantity.Milliseconds(ce.GetRemainingMs())))}
+			er, at := policy.EndpointRun{ID: policy.EndpointID(ce.GetEndpoint()), StartedAtMs: ce.GetStartedAtMs()}, quantity.Ago(writtenAt, ce.GetAgeMs())
+			if old, ok := out[er]; !ok || at.After(old.at) {
+				out[er] = coldWord{at: at, until: writtenAt.Add(coldBounds.Clamp(quantity.Milliseconds(ce.GetRemainingMs())))}
 			}
 		}
 	})
--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -18,13 +18,17 @@
 	"tanagerpoint.example/tanager/vm"
 )
 
-// loneLimits returns the limits of a router that knows no others, started at a time.
-func loneLimits(startedAt time.Time, name vm.ID, ho *configuration.Holder) *limit.Limits {
-	gr := peer.NewGroup(peer.Options{
+// loneGroup returns the exchange of a router that knows no others.
+func loneGroup(name vm.ID, ho *configuration.Holder) *peer.Group {
+	return peer.NewGroup(peer.Options{
 		Self: &rpc.Member{Vm: string(name), Role: peer.RoleRouter, PeerAddress: string(name) + ":80"}, SharedKey: "the shared key",
 		Interval: 500 * time.Millisecond, Fanout: 1, FailedAfter: 2 * time.Second, MaxPassedAge: time.Second,
 	}, ho, testsite.NewNetwork().ForHost(testsite.Host(name)), event.Discard())
-	return limit.New(startedAt, gr, ho, event.Discard())
+}
+
+// loneLimits returns the limits of a router that knows no others, started at a time.
+func loneLimits(startedAt time.Time, name vm.ID, ho *configuration.Holder) *limit.Limits {
+	return limit.New(startedAt, loneGroup(name, ho), ho, event.Discard())
 }
 
 // replaceRecords puts the records of specs, by kind and id, in force at a revision, and no others.
