Look at cold endpoints only when registrations change

The first request after each heartbeat of any endpoint walked all endpoints with the lock of the limits held, and the balancer's lock with it: the more endpoints a site has, the more often and the longer.

Cause: applyRegistrations looked for what is new in every record of the new policy. Only records of endpoints that are cold, or are known from before, say anything new, and an evacuation that has ended concerns all endpoints of its failure domain.

A policy set has an index of the cold endpoints, built once for each change of endpoints and shared by sets with the same ones; all endpoints are walked only after an evacuation has ended. TestTablesSharedWithTheSetBeforeAreThoseOfTheRecords compares the index, too, and draws endpoints. go test -race ./limit ./policy passes.

--- a/limit/cold.go
+++ b/limit/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tanagerpoint.example/tanager/event"
@@ -101,7 +102,7 @@
 }
 
 // applyRegistrations applies what the registrations of the policy in force say, unless that has
-// been done.
+// been done. Those of endpoints that are not cold, and were not of late, say nothing new.
 func (li *Limits) applyRegistrations(now time.Time) {
 	if li.registered.Load() == li.holder.Set() {
 		return
@@ -109,13 +110,32 @@
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	se, before := li.holder.Set(), li.registered.Load()
-	for _, en := range se.Endpoints.List() {
+	for id, wo := range li.known {
+		if en, ok := se.Endpoints.ByID(id); ok && wo.cold.registered != en.Endpoint {
+			li.applyRegistration(now, se, en)
+		}
+	}
+	for _, en := range se.ColdEndpoints() {
 		li.applyRegistration(now, se, en)
-		if fd := policy.FailureDomain(en.FailureDomain); before != nil && before.Evacuated(fd) && !se.Evacuated(fd) {
+	}
+	if before != nil {
+		li.applyEndedEvacuations(now, before, se)
+	}
+	li.registered.Store(se)
+}
+
+// applyEndedEvacuations takes the endpoints for cold whose evacuation was taken back between two
+// policies. The caller holds mu.
+func (li *Limits) applyEndedEvacuations(now time.Time, before, se *policy.Set) {
+	ended := func(ev policy.Evacuation) bool { return !se.Evacuated(ev.ID) }
+	if !slices.ContainsFunc(before.Evacuations.List(), ended) {
+		return
+	}
+	for _, en := range se.Endpoints.List() {
+		if fd := policy.FailureDomain(en.FailureDomain); before.Evacuated(fd) && !se.Evacuated(fd) {
 			li.presumeCold(now, se, en)
 		}
 	}
-	li.registered.Store(se)
 }
 
 // presumeCold takes an endpoint whose evacuation was taken back for cold until it can have said
--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -32,7 +32,7 @@
 }
 
 // replaceRecords puts the records of specs, by kind and id, in force at a revision, and no others.
-func replaceRecords(t *testing.T, ho *configuration.Holder, revision store.Revision, specs map[policy.Kind]map[string]proto.Message) {
+func replaceRecords(t testing.TB, ho *configuration.Holder, revision store.Revision, specs map[policy.Kind]map[string]proto.Message) {
 	t.Helper()
 	var records []policy.StoredRecord
 	for ki, byID := range specs {
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -73,6 +73,10 @@
 // Run returns the endpoint's run.
 func (en Endpoint) Run() EndpointRun { return EndpointRun{ID: en.ID, StartedAtMs: en.StartedAtMs} }
 
+// ColdEndpoints returns the endpoints that are cold by their records, sorted by id. The caller must not
+// change the slice.
+func (se *Set) ColdEndpoints() []Endpoint { return se.coldEndpoints }
+
 // Serves reports whether the endpoint's record lists a version among those that
 // the endpoint should serve. The engine may not have loaded it yet.
 func (en Endpoint) Serves(id VersionID) bool {
--- a/policy/index.go
+++ b/policy/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 )
 
@@ -52,10 +53,20 @@
 	} else {
 		se.byHost = routesByHost(se.Routes.List())
 	}
+	if from := same[KindEndpoint]; from != nil {
+		se.coldEndpoints = from.coldEndpoints
+	} else {
+		se.coldEndpoints = coldAmong(se.Endpoints.List())
+	}
 	se.Retained = se.retainedDigest()
 	se.built = true
 }
 
+// coldAmong returns the endpoints that are cold by their records.
+func coldAmong(ens []Endpoint) []Endpoint {
+	return slices.DeleteFunc(ens, func(en Endpoint) bool { return en.ColdRemainingMs <= 0 })
+}
+
 // finishTable completes a table: it is that of another set, if that one has the same records, and
 // is sorted otherwise.
 func finishTable[K cmp.Ordered, V any](ta *Table[K, V], from *Set, of func(from *Set) *Table[K, V]) {
--- a/policy/set.go
+++ b/policy/set.go
@@ -54,6 +54,8 @@
 	hasOrganisation bool
 	// built reports whether the tables and indexes are filled.
 	built bool
+	// coldEndpoints are the endpoints that are cold by their records, sorted by id.
+	coldEndpoints []Endpoint
 	// byHost holds the routes of each host, longest prefix first.
 	byHost map[string][]Route
 }
--- a/policy/tables_test.go
+++ b/policy/tables_test.go
@@ -33,6 +33,9 @@
 // summaryOf returns what the tables and indexes of a set say of the ids a and b.
 func summaryOf(se *policy.Set) string {
 	out := fmt.Sprint(se.KeysRequired(), se.Organisations.Len(), se.CallerKeys.Len(), se.Routes.Len(), se.Services.Len())
+	for _, en := range se.ColdEndpoints() {
+		out += fmt.Sprintf("; cold %s %d", en.ID, en.ColdRemainingMs)
+	}
 	for _, id := range []string{"a", "b"} {
 		_, organisation := se.Organisations.ByID(policy.OrganisationID(id))
 		_, service := se.Services.ByID(policy.ServiceID(id))
@@ -49,7 +52,7 @@
 // drawRecord returns a record of one of some kinds, or its tombstone.
 func drawRecord(rt *rapid.T) policy.Record {
 	id, n := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "id"), rapid.IntRange(0, 2).Draw(rt, "n")
-	kind := rapid.SampledFrom([]policy.Kind{policy.KindOrganisation, policy.KindCallerKeys, policy.KindRoute, policy.KindService}).Draw(rt, "kind")
+	kind := rapid.SampledFrom([]policy.Kind{policy.KindOrganisation, policy.KindCallerKeys, policy.KindRoute, policy.KindService, policy.KindEndpoint}).Draw(rt, "kind")
 	if rapid.Bool().Draw(rt, "deleted") {
 		return made(policy.NewTombstone(kind, id))
 	}
@@ -60,6 +63,8 @@
 		return made(policy.NewRecord(kind, id, &rpc.CallerKeys{KeyDigests: policy.DigestKeys([]string{fmt.Sprint(id, n)})}))
 	case policy.KindRoute:
 		return made(policy.NewRecord(kind, id, &rpc.Route{Host: "h", Prefix: "/" + id + "/"}))
+	case policy.KindEndpoint:
+		return made(policy.NewRecord(kind, id, &rpc.Endpoint{Url: "http://10.0.0.1:80", FailureDomain: "fd-1", ColdRemainingMs: int64(n)}))
 	default:
 		return made(policy.NewRecord(kind, id, &rpc.Service{}))
 	}
