--- a/limit/limit.go
+++ b/limit/limit.go
@@ -28,7 +28,7 @@
 
 // Limits holds the limits of endpoints. It is safe for concurrent use.
 //
-// mu guards known and published. The locks of the holder and of the peers are not taken
+// mu guards known, roster and published. The locks of the holder and of the peers are not taken
 // while it is held.
 type Limits struct {
 	group     *peer.Group
