Separate reading a limit from giving its bucket the share

Refresh and update called limited for its effect on the bucket and dropped its result. bucketOf returns the bucket of an endpoint, shareAt reads the share, updateBucket gives it to the bucket. No change of behaviour: go test -race ./limit passes.

--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -73,7 +73,7 @@
 			li.divideCold(now, en, wo)
 		}
 		wo.share = si.shareOf(id, wo)
-		li.limited(now, id)
+		wo.updateBucket(now)
 	}
 	li.size.Store(int64(len(li.known)))
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -102,7 +102,7 @@
 	}
 	wo.rate, wo.ended, wo.at, wo.own = next.rate, false, next.at, next.own
 	wo.share = si.shareOf(id, wo)
-	li.limited(si.now, id)
+	wo.updateBucket(si.now)
 }
 
 // wordOf returns what is known of an endpoint, which is nothing for a new one. The caller holds mu.
@@ -122,22 +122,34 @@
 	wo.ended, wo.at, wo.own = true, at, own
 }
 
-// limited returns what is known of an endpoint that names a limit or is cold, nil if it may get any
-// number of requests. The word's bucket then has this router's part. The caller holds mu.
-func (li *Limits) limited(now time.Time, id policy.EndpointID) *word {
+// bucketOf returns the bucket of an endpoint that names a limit or is cold, with this router's part,
+// nil if the endpoint may get any number of requests. The caller holds mu.
+func (li *Limits) bucketOf(now time.Time, id policy.EndpointID) *Bucket {
 	wo, ok := li.known[id]
-	if !ok {
+	if !ok || !wo.updateBucket(now) {
 		return nil
 	}
-	share, limited := wo.cold.shareAt(now)
-	if !wo.ended && (!limited || wo.share < share) {
-		share, limited = wo.share, true
+	return wo.bucket
+}
+
+// shareAt returns this router's part of what the endpoint takes, and false if the endpoint may get any
+// number of requests.
+func (wo *word) shareAt(now time.Time) (Rate, bool) {
+	share, cold := wo.cold.shareAt(now)
+	if !wo.ended && (!cold || wo.share < share) {
+		return wo.share, true
 	}
-	if !limited {
-		return nil
+	return share, cold
+}
+
+// updateBucket gives the bucket this router's part. It changes nothing, and returns false, if the
+// endpoint may get any number of requests.
+func (wo *word) updateBucket(now time.Time) bool {
+	share, limited := wo.shareAt(now)
+	if limited {
+		wo.bucket.SetShare(now, share)
 	}
-	wo.bucket.SetShare(now, share)
-	return wo
+	return limited
 }
 
 // Allows reports whether this router may send an endpoint one more request.
@@ -148,8 +160,8 @@
 	}
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo := li.limited(now, id)
-	return wo == nil || wo.bucket.Ready(now)
+	bu := li.bucketOf(now, id)
+	return bu == nil || bu.Ready(now)
 }
 
 // Take counts a request to an endpoint. It returns false, and counts nothing, if the
@@ -158,8 +170,8 @@
 	li.applyRegistrations(now)
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	wo := li.limited(now, id)
-	return wo == nil || wo.bucket.Take(now)
+	bu := li.bucketOf(now, id)
+	return bu == nil || bu.Take(now)
 }
 
 // NextAt returns when the first of the endpoints may get a request from this router, and
@@ -169,11 +181,11 @@
 	defer li.mu.Unlock()
 	var first time.Time
 	for _, en := range ens {
-		wo := li.limited(now, en.ID)
-		if wo == nil {
+		bu := li.bucketOf(now, en.ID)
+		if bu == nil {
 			continue
 		}
-		at, ok := wo.bucket.NextAt(now)
+		at, ok := bu.NextAt(now)
 		if ok && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
