--- a/limit/exchange.go
+++ b/limit/exchange.go
@@ -64,12 +64,12 @@
 	}
 	for id, wo := range li.known {
 		en, ok := si.policy.Endpoints.ByID(id)
-		if !ok && wo.goneFor(now) > goneMemory || wo.idle(now) && en.GetColdRemainingMs() <= 0 {
+		wo.notePresence(now, ok)
+		if wo.goneFor(now) > goneMemory || wo.idle(now) && en.GetColdRemainingMs() <= 0 {
 			delete(li.known, id)
 			continue
 		}
 		if ok {
-			wo.goneAt = time.Time{}
 			li.divideCold(now, en, wo)
 		}
 		wo.share = si.shareOf(id, wo)
@@ -82,14 +82,24 @@
 // may go on to use it for as long as the setting lapse_grace says, which is no more.
 const goneMemory = time.Minute
 
-// goneFor returns how long the endpoint has been missing in the policy, which it is now.
+// goneFor returns how long the endpoint has been missing in the policy, 0 if it is there.
 func (wo *word) goneFor(now time.Time) time.Duration {
 	if wo.goneAt.IsZero() {
-		wo.goneAt = now
+		return 0
 	}
 	return now.Sub(wo.goneAt)
 }
 
+// notePresence records whether the endpoint is in the policy.
+func (wo *word) notePresence(now time.Time, present bool) {
+	switch {
+	case present:
+		wo.goneAt = time.Time{}
+	case wo.goneAt.IsZero():
+		wo.goneAt = now
+	}
+}
+
 // idle reports whether the endpoint has named no limit and not been cold for a while. The registration
 // of a cold one that was written long ago must not be taken for a new one.
 func (wo *word) idle(now time.Time) bool {
