--- a/cascade/planner_test.go
+++ b/cascade/planner_test.go
@@ -1,12 +1,14 @@
 package cascade_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"tanagerpoint.example/tanager/cascade"
+	"tanagerpoint.example/tanager/policy"
 )
 
 // start is when the tests begin.
@@ -141,3 +143,23 @@
 	}
 	qt.Assert(t, pl.Next(start, ta, 0, 0.1).Index, qt.Equals, 1)
 }
+
+// TestGainsAreKnownOnSitesWithManyRoutes lets answers on more and more routes show that the large model
+// is no better. On a new route, and on the first one, no request is run again for so little.
+func TestGainsAreKnownOnSitesWithManyRoutes(t *testing.T) {
+	pl, ta := cascade.NewPlanner(1), newTask()
+	again := func(route policy.RouteID) bool {
+		ta.Route = route
+		pl.Begin(start, ta)
+		return pl.Next(start, ta, 0, 0.4).Index != 0
+	}
+	qt.Assert(t, again("new"), qt.IsTrue, qt.Commentf("nothing is known yet"))
+	for n := range 5000 {
+		for range max(1, 100-n) {
+			ta.Route = policy.RouteID(fmt.Sprint("route-", n))
+			pl.AddStep(ta, 0, 1, 0.4, 0.4)
+		}
+		qt.Assert(t, again("new"), qt.IsFalse, qt.Commentf("%d routes", n+1))
+		qt.Assert(t, again("route-0"), qt.IsFalse, qt.Commentf("%d routes", n+1))
+	}
+}
