Keep the means of requests' sizes at the bound of routes

addMean repeated the arithmetic of bin.add, and dropped the means of all routes when there was one too many.

--- a/cascade/planner.go
+++ b/cascade/planner.go
@@ -27,7 +27,7 @@
 	// freeBudget as is left, as a part of an average request's value.
 	repeatCost = 0.05
 	freeBudget = 0.75
-	// maxRoutes is the number of routes of which means are kept. If there are more, all begin anew.
+	// maxRoutes is the number of routes of which means are kept.
 	maxRoutes = 1024
 	// minBacklog is the least backlog assumed when the chance to be in time is estimated.
 	minBacklog = 0.02
@@ -200,16 +200,7 @@
 }
 
 func addMean(means map[policy.RouteID]*bin, id policy.RouteID, value float64) {
-	bi, ok := means[id]
-	if !ok {
-		if len(means) >= maxRoutes {
-			clear(means)
-		}
-		bi = &bin{}
-		means[id] = bi
-	}
-	bi.weight = min(marketWindow, bi.weight+1)
-	bi.mean += (value - bi.mean) / bi.weight
+	entryOf(means, id, maxRoutes).add(value)
 }
 
 // value returns what a good answer is worth to the caller, as a multiple of that to an average
