--- a/cascade/cascade.go
+++ b/cascade/cascade.go
@@ -29,8 +29,9 @@
 	// quality of a choice is below the target. maxPrice bounds the price.
 	priceStepSize = 0.25
 	maxPrice      = 200
-	// exploreShare is the share of requests sent to a random model, so that a
-	// change in any model's quality is noticed.
+	// exploreShare is the share of choices that are made at random, so that a change in any
+	// model's quality is noticed: of requests that may go to any model, and of answers for
+	// which there are several larger models.
 	exploreShare = 0.02
 	// maxKinds is the maximum number of kinds of work with their own estimates.
 	maxKinds = 256
