Say which methods of a roll-out change its message

Succeed, TakeReleases and AddWithdrawn have value receivers and change the message that copies of a Rollout share. Their comments say so, and that the message must not be in a Set; the three callers pass messages of their own.

--- a/policy/rollout.go
+++ b/policy/rollout.go
@@ -109,7 +109,8 @@
 
 // Succeed records in a roll-out of a service's release which releases are in use and which are
 // withdrawn, given the service's roll-out before it. A completed release is in use; any other that
-// was ordered is withdrawn, unless it is ordered again.
+// was ordered is withdrawn, unless it is ordered again. It changes the message of the roll-out, which
+// must not be in a Set.
 func (ro Rollout) Succeed(previous Rollout) {
 	inUse, withdrawn := previous.FromVersion, previous.WithdrawnVersions
 	switch {
@@ -124,7 +125,8 @@
 
 // TakeReleases adds what another record of the same roll-out knows of the service's releases. The
 // store lacks it if an order was replaced before a router recorded its start, or if a program
-// wrote the start that does not know of it.
+// wrote the start that does not know of it. It changes the message of the roll-out, which must not be
+// in a Set.
 func (ro Rollout) TakeReleases(other Rollout) {
 	if ro.FromVersion == "" {
 		ro.FromVersion = other.FromVersion
@@ -132,7 +134,8 @@
 	ro.AddWithdrawn(other.WithdrawnVersions)
 }
 
-// AddWithdrawn adds withdrawn releases, without the release that is ordered and the one in use.
+// AddWithdrawn adds withdrawn releases, without the release that is ordered and the one in use. It
+// changes the message of the roll-out, which must not be in a Set.
 func (ro Rollout) AddWithdrawn(releases []string) {
 	for _, re := range releases {
 		if re != "" && re != ro.ToVersion && re != ro.FromVersion && !ro.Withdrawn(re) {
