Exit with 2 for a single file that is no JSON

tanagerctl check exited with 3, the code for findings in records, for a cut configuration in a file, with 2 for the same text on standard input. The help promises 2 for what cannot be read.

Cause: text that is no JSON did not count as a configuration, and went to the check of records. A malformed file among several is still a finding in records (3). golden/testdata/configuration.txtar failed before ("cut.txt: invalid JSON", exit status 3) and passes. docs/OPERATIONS.md says that the codes are those of this check.

--- a/cmd/tanagerctl/record.go
+++ b/cmd/tanagerctl/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -27,7 +28,8 @@
 other; then in what it differs from the configuration in force, which is read from
 --store, if that is given, or from the file --against. Keys are printed as
 fingerprints. Nothing is changed. Exits with 0 when there are no mistakes, with 1
-when there are, and with 2 when something could not be read.`
+when there are, and with 2 when something could not be read, as a single file that is
+no JSON.`
 
 func newCheckCommand(opt *options) *cobra.Command {
 	var offline bool
@@ -40,7 +42,7 @@
 				if err != nil {
 					return command.Exit(exitUnreadable, err)
 				}
-				if files[0] == stdin || isConfiguration(text) {
+				if files[0] == stdin || !json.Valid(text) || isConfiguration(text) {
 					return opt.checkConfiguration(co, cf, text)
 				}
 			}
