Exit with 2 where the report of a check cannot be printed

tanagerctl check exited with 1, the code for mistakes, when it could not print its report: a script took a sound configuration for one with mistakes. golden/testdata/configuration.txtar failed before (/dev/full, exit status 1) and passes.

--- a/cmd/tanagerctl/configuration.go
+++ b/cmd/tanagerctl/configuration.go
@@ -18,6 +18,7 @@
 )
 
 // The exit codes of the check of a configuration, for scripts that send it only if it is clean.
+// exitUnreadable stands for all that keeps the check from telling, a failure to print included.
 const (
 	exitMistakes   = 1
 	exitUnreadable = 2
@@ -89,7 +90,7 @@
 		re.Differences = append(re.Differences, checked.DifferencesFrom(ko.InForce)...)
 	}
 	if err := re.print(co.OutOrStdout(), cf.format); err != nil {
-		return command.Exit(command.ExitFailed, err)
+		return command.Exit(exitUnreadable, err)
 	}
 	if len(re.Mistakes) > 0 {
 		return command.Exit(exitMistakes, eris.Errorf("%d mistakes", len(re.Mistakes)))
--- a/cmd/tanagerctl/record.go
+++ b/cmd/tanagerctl/record.go
@@ -29,7 +29,7 @@
 --store, if that is given, or from the file --against. Keys are printed as
 fingerprints. Nothing is changed. Exits with 0 when there are no mistakes, with 1
 when there are, and with 2 when something could not be read, as a single file that is
-no JSON.`
+no JSON, or printed.`
 
 func newCheckCommand(opt *options) *cobra.Command {
 	var offline bool
