--- a/cascade/planner.go
+++ b/cascade/planner.go
@@ -11,7 +11,7 @@
 const (
 	// urgencyFactor is by how much a request is worth more than one of the next rank, and than
 	// one of the same rank whose route has the next one.
-	urgencyFactor = 2
+	urgencyFactor = 1.4
 	// outputWeight is the number of tokens of a prompt that a generated token counts for.
 	outputWeight = 10
 	// toleratedBacklog is the mean backlog, as a part of a route's latency target, at which the
@@ -79,6 +79,8 @@
 	ReasonNoTime Reason = "no_time"
 	// ReasonPrice: a better answer is not worth the room.
 	ReasonPrice Reason = "price"
+	// ReasonThreshold: the confidence is above or below the threshold of Escalation.
+	ReasonThreshold Reason = "threshold"
 )
 
 // Step is a choice: the index of the model, the chance that its answer is good, the price of
--- a/cascade/planner_test.go
+++ b/cascade/planner_test.go
@@ -40,9 +40,9 @@
 	qt.Assert(t, next(ta, 0).Index, qt.Equals, 0)
 }
 
-// TestNoEscalationBeyondTimeLeft checks that a run which cannot begin its answer within the
+// TestNoPlannedRunBeyondTimeLeft checks that a run which cannot begin its answer within the
 // latency target is not begun, whatever the gain.
-func TestNoEscalationBeyondTimeLeft(t *testing.T) {
+func TestNoPlannedRunBeyondTimeLeft(t *testing.T) {
 	ta := newTask()
 	ta.Options[1].Work, ta.Backlog, ta.Left = 0.5, 0.6, 0.6
 	st := next(ta, 0.01)
@@ -52,9 +52,9 @@
 	qt.Assert(t, next(ta, 0.01).Index, qt.Equals, 1)
 }
 
-// TestBacklogKeepsLongPromptsOnSmallModel checks that a growing backlog stops the escalation of
+// TestPlannerKeepsLongPromptsOnSmallModelFirst checks that a growing backlog stops the escalation of
 // long prompts before that of short ones: they delay all other requests.
-func TestBacklogKeepsLongPromptsOnSmallModel(t *testing.T) {
+func TestPlannerKeepsLongPromptsOnSmallModelFirst(t *testing.T) {
 	for _, backlog := range []float64{0, 1.5} {
 		pl := cascade.NewPlanner(1)
 		short, long := newTask(), newTask()
