Make the end of an idle connection safe while it is accepted

idleListener.Accept set guarded.endIdle without a lock after the connection was in the shared budget, and another listener's Open could call makeRoom, which reads it. It is an atomic pointer now.

TestConnectionMakesRoomWhileItIsAccepted, with -race, before: DATA RACE, read in guardedConn.makeRoom (guard.go:278). After: go test -race ./network passes.

--- a/network/guard.go
+++ b/network/guard.go
@@ -162,7 +162,7 @@
 	guard *Guard
 	hold  *ConnHold
 	// endIdle ends the connection gracefully while it is idle; nil closes it.
-	endIdle func()
+	endIdle atomic.Pointer[func()]
 	// writingSince is when the write of the current piece began, in nanoseconds since the Unix
 	// epoch, 0 if none is under way; writing is its size.
 	writingSince, writing atomic.Int64
@@ -275,8 +275,8 @@
 // makeRoom ends the connection for others.
 func (gc *guardedConn) makeRoom(why EndCause) {
 	gc.guard.note(why)
-	if why == CauseIdle && gc.endIdle != nil {
-		gc.endIdle()
+	if end := gc.endIdle.Load(); why == CauseIdle && end != nil {
+		(*end)()
 		return
 	}
 	_ = gc.Close()
--- a/network/idle.go
+++ b/network/idle.go
@@ -88,7 +88,8 @@
 	}
 	out := &idleConn{Conn: co}
 	if guarded, ok := co.(*guardedConn); ok {
-		guarded.endIdle = out.end
+		end := out.end
+		guarded.endIdle.Store(&end)
 	}
 	return out, nil
 }
