Run no request whose buffered head finds no room

A head that net/http had in its buffer was counted once it was parsed. If it found no room, the connection was closed, but the handler still ran, also of an unsafe request, whose caller could take it for unread and repeat it. The guard marks the connection as refused, and Guard.Bind wraps the server's handler, which aborts then. The router binds all its servers.

TestHeadInTheServersBufferThatFindsNoRoomIsNotRun before: /second was run 1 time, 0 wanted. After: go test -race ./network passes.

--- a/network/guard.go
+++ b/network/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -69,10 +70,7 @@
 
 // ConnState is the ConnState hook of the http.Servers.
 func (gu *Guard) ConnState(co net.Conn, st http.ConnState) {
-	if tracked, ok := co.(*idleConn); ok {
-		co = tracked.Conn
-	}
-	gc, ok := co.(*guardedConn)
+	gc, ok := asGuarded(co)
 	if !ok {
 		return
 	}
@@ -87,6 +85,36 @@
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Bind has a server, before it serves, run no request whose head found no room. The guard's
+// ConnState has to be a hook of the server.
+func (gu *Guard) Bind(sv *http.Server) {
+	sv.ConnContext = func(ctx context.Context, co net.Conn) context.Context {
+		if gc, ok := asGuarded(co); ok {
+			return context.WithValue(ctx, connKey{}, gc)
+		}
+		return ctx
+	}
+	next := sv.Handler
+	sv.Handler = http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if gc, ok := rq.Context().Value(connKey{}).(*guardedConn); ok && gc.refused.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(wr, rq)
+	})
+}
+
+// asGuarded returns the connection that the guard has admitted.
+func asGuarded(co net.Conn) (*guardedConn, bool) {
+	if tracked, ok := co.(*idleConn); ok {
+		co = tracked.Conn
+	}
+	gc, ok := co.(*guardedConn)
+	return gc, ok
+}
+
 // CutSlowReaders closes the connections whose answers are read more slowly than the minimum. It is
 // to be called while memory is short: what is held for such a reader is missing elsewhere. The
 // answer does not look complete to its reader.
@@ -163,6 +191,8 @@
 	hold  *ConnHold
 	// endIdle ends the connection gracefully while it is idle; nil closes it.
 	endIdle atomic.Pointer[func()]
+	// refused reports whether the request whose head was parsed last may not be run.
+	refused atomic.Bool
 	// writingSince is when the write of the current piece began, in nanoseconds since the Unix
 	// epoch, 0 if none is under way; writing is its size.
 	writingSince, writing atomic.Int64
@@ -260,6 +290,7 @@
 	if gc.hold.Arrive(gc.headBytes, gc.headLines, true) {
 		return
 	}
+	gc.refused.Store(true)
 	gc.guard.note(CauseHead)
 	_ = gc.Close()
 }
--- a/network/guard_test.go
+++ b/network/guard_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +32,7 @@
 	}})
 	gr := worker.NewGroup()
 	sv := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: gu.ConnState, Handler: ha}
+	gu.Bind(sv)
 	qt.Assert(tb, ne.Serve(gr, "", sv, func(error) {}), qt.IsNil)
 	tb.Cleanup(func() {
 		_ = sv.Close()
@@ -110,6 +114,26 @@
 	<-arrived
 }
 
+// TestHeadInTheServersBufferThatFindsNoRoomIsNotRun sends such a second head while there is no room
+// for it. Its handler was run although the connection was closed.
+func TestHeadInTheServersBufferThatFindsNoRoomIsNotRun(t *testing.T) {
+	var seconds atomic.Int64
+	gu, address := guardedServer(t, newBudget(10, mib), generousGuard, func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == "/second" {
+			seconds.Add(1)
+		}
+		_, _ = io.WriteString(wr, "served")
+	})
+	co := connect(t, address)
+	_, err := io.WriteString(co, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST /second HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 900)+"\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	_ = co.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.Copy(io.Discard, co)
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+	qt.Assert(t, gu.Counts()[string(network.CauseHead)], qt.Equals, 1.0)
+	qt.Assert(t, seconds.Load(), qt.Equals, int64(0))
+}
+
 // TestHeadOfTooManyLinesIsNotRun sends a head with more lines than are allowed.
 func TestHeadOfTooManyLinesIsNotRun(t *testing.T) {
 	gu, address := guardedServer(t, newBudget(10, 16*mib), network.GuardOptions{MaxHeadLines: 100}, serveText)
--- a/router/router.go
+++ b/router/router.go
@@ -202,6 +202,7 @@
 func (da *Daemon) serve(address string, ha http.Handler, ne network.Network, connState func(net.Conn, http.ConnState)) error {
 	se := da.settings.GetServing()
 	sv := &http.Server{Handler: ha, ReadHeaderTimeout: se.GetHeadTimeout().AsDuration(), MaxHeaderBytes: int(se.GetMaxHeadBytes()), ConnState: da.guarded(connState)}
+	da.guard.Bind(sv)
 	da.servers = append(da.servers, sv)
 	return ne.Serve(da.group, address, sv, func(err error) { da.listenerFailed(address, err) })
 }
