Count as the next head only what the server may have buffered

The whole last read of a body was charged as a part of the next head, though net/http reads large bodies straight into the handler's buffer: an ordinary request after a body of empty lines was refused. And a byte read while a request was served replaced what was known of a buffered head, which was then not counted. The room that the server reads into tells how much of its 4 KiB buffer is in use, and bounds what is kept.

--- a/network/guard.go
+++ b/network/guard.go
@@ -179,6 +179,9 @@
 // failed read.
 var errHeadRefused = &net.OpError{Op: "read", Err: errors.New("no room for the head of a request")}
 
+// serverBuffer is the size of the buffer that net/http reads heads and small pieces of bodies into.
+const serverBuffer = 4 << 10
+
 // writePiece is the most bytes that are written at once, so that slow progress shows.
 const writePiece = 16 << 10
 
@@ -206,29 +209,36 @@
 	headBytes, headLines int64
 	// end holds the last bytes that were read of the head.
 	end [2]byte
-	// tailBytes and tailLines are those of the last read: the server may still hold them, as a part
-	// of the next head.
+	// tailBytes and tailLines bound what the server may have in its buffer, as a part of the next
+	// head.
 	tailBytes, tailLines int64
+	// awaiting reports whether nothing has been read since the last request.
+	awaiting bool
 }
 
 // Read implements net.Conn. It fails if there is no room for the head that is read.
 func (gc *guardedConn) Read(buf []byte) (int, error) {
 	n, err := gc.Conn.Read(buf)
-	if n > 0 && !gc.noteRead(buf[:n]) {
+	if n > 0 && !gc.noteRead(buf[:n], int64(len(buf))) {
 		gc.guard.note(CauseHead)
 		return 0, errHeadRefused
 	}
 	return n, err
 }
 
-// noteRead counts what was read, and reports false if the head may not be used.
-func (gc *guardedConn) noteRead(buf []byte) bool {
+// noteRead counts what was read into a buffer with some room, and reports false if the head may not
+// be used.
+func (gc *guardedConn) noteRead(buf []byte, room int64) bool {
 	gc.mu.Lock()
 	defer gc.mu.Unlock()
 	if !gc.inHead {
-		gc.tailBytes, gc.tailLines = int64(len(buf)), int64(bytes.Count(buf, []byte{'\n'}))
+		gc.noteBody(buf, room)
 		return true
 	}
+	if gc.awaiting {
+		gc.awaiting = false
+		gc.headBytes, gc.headLines = buffered(gc.headBytes, room), buffered(gc.headLines, room)
+	}
 	if gc.whole {
 		// The body begins to arrive, or what follows; the server buffers little of it.
 		return true
@@ -245,6 +255,20 @@
 	return gc.headLines <= gc.guard.options.MaxHeadLines && gc.hold.Arrive(gc.headBytes, gc.headLines, gc.whole)
 }
 
+// noteBody bounds what the server's buffer holds after a read while a request is served. What does
+// not go into the buffer belongs to the body.
+func (gc *guardedConn) noteBody(buf []byte, room int64) {
+	gc.tailBytes, gc.tailLines = buffered(gc.tailBytes, room), buffered(gc.tailLines, room)
+	if room <= serverBuffer {
+		gc.tailBytes += int64(len(buf))
+		gc.tailLines += int64(bytes.Count(buf, []byte{'\n'}))
+	}
+}
+
+// buffered bounds what is left in the server's buffer of some bytes or lines when it reads into the
+// room that it has there. The server reads past the buffer only if nothing is left in it.
+func buffered(n, room int64) int64 { return min(n, max(0, serverBuffer-room)) }
+
 // noteEnd keeps the last bytes of a head.
 func (gc *guardedConn) noteEnd(buf []byte) {
 	for _, ch := range buf[max(0, len(buf)-len(gc.end)):] {
@@ -274,7 +298,7 @@
 func (gc *guardedConn) await() {
 	gc.mu.Lock()
 	defer gc.mu.Unlock()
-	gc.inHead, gc.whole, gc.end = true, false, [2]byte{}
+	gc.inHead, gc.whole, gc.awaiting, gc.end = true, false, true, [2]byte{}
 	gc.headBytes, gc.headLines = gc.tailBytes, gc.tailLines
 	gc.hold.Wait(time.Now())
 }
--- a/network/guard_test.go
+++ b/network/guard_test.go
@@ -143,6 +143,52 @@
 	qt.Assert(t, gu.Counts()[string(network.CauseHead)], qt.Equals, 1.0)
 }
 
+// TestBodyIsNotCountedAsTheNextHead sends bodies of empty lines, which the server reads past its
+// buffer, and an ordinary request after each. That was refused for the lines of the body.
+func TestBodyIsNotCountedAsTheNextHead(t *testing.T) {
+	const bodyBytes = 32 << 10
+	_, address := guardedServer(t, newBudget(10, 16*mib), network.GuardOptions{MaxHeadLines: 1000}, serveText)
+	co := connect(t, address)
+	for n := range 20 {
+		_, err := fmt.Fprintf(co, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Duration(n%2) * 5 * time.Millisecond)
+		_, err = io.WriteString(co, strings.Repeat("\n", bodyBytes))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answered(co), qt.IsTrue, qt.Commentf("body %d", n))
+		ask(t, co)
+		qt.Assert(t, answered(co), qt.IsTrue, qt.Commentf("request after body %d", n))
+	}
+}
+
+// TestByteAfterABufferedHeadDoesNotHideIt sends two requests together, and a byte that the server
+// reads while it serves the first one. Only that byte was counted as the second head.
+func TestByteAfterABufferedHeadDoesNotHideIt(t *testing.T) {
+	arrived, second := make(chan struct{}), make(chan struct{})
+	cb := newBudget(10, 16*mib)
+	_, address := guardedServer(t, cb, generousGuard, func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == "/second" {
+			second <- struct{}{}
+			second <- struct{}{}
+			return
+		}
+		arrived <- struct{}{}
+		arrived <- struct{}{}
+		_, _ = io.WriteString(wr, "served")
+	})
+	co := connect(t, address)
+	_, err := io.WriteString(co, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 900)+"\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-arrived
+	_, err = io.WriteString(co, "G")
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(50 * time.Millisecond)
+	<-arrived
+	<-second
+	qt.Assert(t, cb.Bytes() > 900*400, qt.IsTrue, qt.Commentf("%d bytes are counted", cb.Bytes()))
+	<-second
+}
+
 // TestBudgetIsFreeAgain serves requests with bodies on some connections, and closes them.
 func TestBudgetIsFreeAgain(t *testing.T) {
 	cb := newBudget(10, 16*mib)
