End a connection whose first request has not been read

net/http sets the deadline of the first head after the connection is accepted, and replaced the deadline with which IdleConns ends it: a new connection that had to make room stayed open until head_timeout, and now counts until then. An ending connection keeps its deadline until a request arrives or is parsed.

TestConnectionThatEndsBeforeItsFirstReadIsClosed before: i/o timeout after 5 s, EOF wanted. After: go test -race ./network passes.

--- a/network/idle.go
+++ b/network/idle.go
@@ -57,6 +57,9 @@
 		return
 	}
 	delete(ic.since, tracked)
+	if st == http.StateActive {
+		tracked.noteRequest()
+	}
 }
 
 // End ends the connections that have been idle since before a time. It does not wait for
@@ -117,6 +120,22 @@
 	ic.arrivesBy = time.Time{}
 }
 
+// noteRequest takes back the end of the connection: the server has a request, perhaps from its
+// buffer.
+func (ic *idleConn) noteRequest() {
+	ic.mu.Lock()
+	defer ic.mu.Unlock()
+	ic.resume()
+}
+
+// resume restores the server's read deadline if the connection is being ended. The caller holds mu.
+func (ic *idleConn) resume() {
+	if ic.ending {
+		ic.ending = false
+		_ = ic.Conn.SetReadDeadline(ic.deadline)
+	}
+}
+
 // end makes a read that finds nothing fail, unless a request has begun to arrive.
 func (ic *idleConn) end() {
 	ic.mu.Lock()
@@ -129,11 +148,15 @@
 	_ = ic.Conn.SetReadDeadline(time.Now())
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. A connection that is being ended keeps the deadline of its
+// end until a request arrives.
 func (ic *idleConn) SetReadDeadline(at time.Time) error {
 	ic.mu.Lock()
 	defer ic.mu.Unlock()
 	ic.deadline = at
+	if ic.ending {
+		return nil
+	}
 	return ic.Conn.SetReadDeadline(at)
 }
 
@@ -164,8 +187,5 @@
 	if ic.arrivesBy.IsZero() {
 		ic.arrivesBy = time.Now().Add(arrivalTime)
 	}
-	if ic.ending {
-		ic.ending = false
-		_ = ic.Conn.SetReadDeadline(ic.deadline)
-	}
+	ic.resume()
 }
--- a/network/idle_test.go
+++ b/network/idle_test.go
@@ -155,3 +155,34 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestConnectionThatEndsBeforeItsFirstReadIsClosed ends a connection before the server sets the
+// deadline of its first request's head. That deadline replaced the end, and the connection stayed.
+func TestConnectionThatEndsBeforeItsFirstReadIsClosed(t *testing.T) {
+	ic, address := network.NewIdleConns(), ""
+	ne := ic.Track(network.Network{Listen: func(string) (net.Listener, error) {
+		li, err := network.Real().Listen("127.0.0.1:0")
+		if err == nil {
+			address = li.Addr().String()
+		}
+		return li, err
+	}})
+	gr := worker.NewGroup()
+	sv := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(serveText), ConnState: func(co net.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			ic.ConnState(co, http.StateIdle)
+			ic.End(time.Now().Add(time.Second))
+			return
+		}
+		ic.ConnState(co, st)
+	}}
+	qt.Assert(t, ne.Serve(gr, "", sv, func(error) {}), qt.IsNil)
+	t.Cleanup(func() {
+		_ = sv.Close()
+		gr.Close()
+	})
+	co := connect(t, address)
+	_ = co.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := co.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
