Name the share of all held memory and the upkeep of connections

router's heldShare (0.5, of all) stood beside relay's heldShare (0.25, of answers), and closeIdle also cuts slow readers: maxHeldShare and maintainConnections.

--- a/router/guard.go
+++ b/router/guard.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// heldShare is the part of the process's memory that bodies, answers and connections may hold
+	// maxHeldShare is the part of the process's memory that bodies, answers and connections may hold
 	// together; connections have connectionShare of it at least.
-	heldShare       = 0.5
+	maxHeldShare    = 0.5
 	connectionShare = 0.15
 	// processBytes is what the process takes without a connection.
 	processBytes = 8 << 20
@@ -32,14 +32,14 @@
 // connectionBytes returns the memory that connections and heads of requests may take.
 func (da *Daemon) connectionBytes() int64 {
 	total := da.memoryBytes()
-	return max(int64(connectionShare*total), int64(heldShare*total)-processBytes-da.HeldBytes())
+	return max(int64(connectionShare*total), int64(maxHeldShare*total)-processBytes-da.HeldBytes())
 }
 
 func (da *Daemon) memoryBytes() float64 { return da.settings.GetServing().GetMemoryMb() * (1 << 20) }
 
 // memoryShort reports whether nearly all of the memory that may be held is.
 func (da *Daemon) memoryShort() bool {
-	return float64(da.HeldBytes()+da.connections.Held()) > shortShare*heldShare*da.memoryBytes()
+	return float64(da.HeldBytes()+da.connections.Held()) > shortShare*maxHeldShare*da.memoryBytes()
 }
 
 // cutSlowReaders closes the connections of slow readers while memory is short.
--- a/router/router.go
+++ b/router/router.go
@@ -194,7 +194,7 @@
 	da.group.Go(da.barred.Run)
 	da.group.Go(da.exchange)
 	da.group.Every(rolloutInterval, da.advanceRollouts)
-	da.group.Every(idleInterval, da.closeIdle)
+	da.group.Every(idleInterval, da.maintainConnections)
 	da.log.Info(event.Started, event.Fields{"incarnation": da.peers.Incarnation(), "callers": ls.GetCallers()})
 	return nil
 }
@@ -224,7 +224,8 @@
 	}
 }
 
-func (da *Daemon) closeIdle(context.Context) {
+// maintainConnections ends the connections that have been idle for too long, and cuts slow readers.
+func (da *Daemon) maintainConnections(context.Context) {
 	now := time.Now()
 	da.idle.End(now.Add(-da.holder.Set().SiteLimits().IdleTimeout()))
 	da.cutSlowReaders(now)
