Tell what is held of a memory from what is used of it

The comment of limit.Memory said that a revoked hold has its bytes until it is closed, but Used leaves them out. Held counts them; the router asks it for the bodies of requests. (relay.Router.HeldBytes still asks Used.)

--- a/limit/memory.go
+++ b/limit/memory.go
@@ -14,8 +14,9 @@
 
 // Memory bounds the bytes that unfinished answers or bodies hold together. Each hold belongs to
 // an owner, such as an endpoint. When there is no room left, the owner that holds the most pays
-// for it: its largest hold is revoked. A revoked hold has its bytes until it is closed. While many
-// have not been, a hold that grows is itself refused.
+// for it: its largest hold is revoked. The bytes of a revoked hold are free for others at once,
+// although it has them until it is closed: Held counts them, Used does not. While revoked holds have
+// more than leavingShare of the memory, a hold that grows is itself refused.
 //
 // mu guards the fields below it, and those of all holds. No other lock is taken while it is held.
 type Memory[K cmp.Ordered] struct {
@@ -57,6 +58,13 @@
 	return me.used
 }
 
+// Held returns the bytes that are held, those of revoked holds included until they are closed.
+func (me *Memory[K]) Held() int64 {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return me.used + me.leaving
+}
+
 // Grow sets the number of bytes that the hold has. It reports false if the hold is revoked,
 // perhaps by this call.
 func (ho *Hold[K]) Grow(size int64) bool {
--- a/limit/memory_test.go
+++ b/limit/memory_test.go
@@ -73,7 +73,7 @@
 		for _, ho := range holds {
 			ho.Close()
 		}
-		if me.Used() != 0 {
+		if me.Used() != 0 || me.Held() != 0 {
 			rt.Fatalf("%d bytes are held by nobody", me.Used())
 		}
 	})
@@ -87,11 +87,14 @@
 	qt.Assert(t, first.Grow(300*kib), qt.IsTrue)
 	qt.Assert(t, second.Grow(250*kib), qt.IsTrue)
 	qt.Assert(t, first.Revoked(), qt.IsTrue)
+	qt.Assert(t, me.Used(), qt.Equals, int64(234*kib))
+	qt.Assert(t, me.Held(), qt.Equals, int64((234+284)*kib))
 	// The first has not been closed, so the third may not take the second's place as well.
 	qt.Assert(t, third.Grow(240*kib), qt.IsFalse)
 	qt.Assert(t, second.Revoked(), qt.IsFalse)
 	first.Close()
 	third.Close()
+	qt.Assert(t, me.Held(), qt.Equals, me.Used())
 	fourth := me.Open("a", func() {})
 	qt.Assert(t, fourth.Grow(240*kib), qt.IsTrue)
 	qt.Assert(t, second.Revoked(), qt.IsTrue)
--- a/router/router.go
+++ b/router/router.go
@@ -161,7 +161,7 @@
 }
 
 // HeldBytes returns the memory that answers of endpoints and bodies of requests hold.
-func (da *Daemon) HeldBytes() int64 { return da.relay.HeldBytes() + da.bodies.Used() }
+func (da *Daemon) HeldBytes() int64 { return da.relay.HeldBytes() + da.bodies.Held() }
 
 // Start opens the listeners and starts the background goroutines.
 func (da *Daemon) Start() error {
