Check that a crowd has come and that its routers were sampled

crowd passed also if no client could connect or no process was sampled: all crowdSize clients must have sent something, and memory and descriptors seen must not be 0. A router that has ended shows its log; the site's goroutines are waited for. Sizes and bounds are as before.

go test -count=1 -p 1 -parallel 1 -v ./crowd: 7 of 7 pass, at most 38 MiB of 48.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,35 +44,60 @@
 	ctx, cancel := context.WithTimeout(t.Context(), crowdTime)
 	defer cancel()
 	var wg sync.WaitGroup
+	var sent atomic.Int64
 	for range crowdSize {
-		wg.Go(func() { attend(ctx, si.callers[0], send) })
+		wg.Go(func() { attend(ctx, si.callers[0], send, &sent) })
 	}
 	wg.Wait()
+	qt.Check(t, sent.Load() >= crowdSize, qt.IsTrue, qt.Commentf("%d clients have connected and sent", sent.Load()))
 	si.awaitAnswer(0)
 	si.awaitAnswer(1)
 	for n, pr := range si.routers {
 		used, open := pr.peaks()
 		t.Logf("router %d: at most %d MiB of %d, %d descriptors", n, used/mebibyte, memoryMB, open)
-		qt.Check(t, pr.alive(), qt.IsTrue)
+		if !pr.alive() {
+			t.Errorf("router %d has ended: %s", n, pr.output())
+		}
+		qt.Check(t, used > 0 && open > 0, qt.IsTrue, qt.Commentf("router %d was not sampled: %d bytes, %d descriptors", n, used, open))
 		qt.Check(t, used <= memoryMB*mebibyte, qt.IsTrue, qt.Commentf("router %d used %d bytes", n, used))
 		qt.Check(t, open <= maxDescriptors, qt.IsTrue, qt.Commentf("router %d had %d descriptors open", n, open))
 	}
 }
 
 // attend connects crowdRounds times, and sends on each connection until it is closed or ctx ends.
-func attend(ctx context.Context, address string, send sender) {
+// It adds one to sent when it has sent something.
+func attend(ctx context.Context, address string, send sender, sent *atomic.Int64) {
+	var first sync.Once
 	for range crowdRounds {
 		co, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		if err != nil {
 			return
 		}
 		release := context.AfterFunc(ctx, func() { _ = co.Close() })
-		_ = send(ctx, co)
+		cc := &countedConn{TCPConn: co.(*net.TCPConn), sent: sent, first: &first}
+		_ = send(ctx, cc)
 		release()
 		_ = co.Close()
 	}
 }
 
+// countedConn adds one to sent when the first bytes have been written on it, or on another
+// connection of its client.
+type countedConn struct {
+	*net.TCPConn
+	sent  *atomic.Int64
+	first *sync.Once
+}
+
+// Write implements net.Conn.
+func (cc *countedConn) Write(buf []byte) (int, error) {
+	n, err := cc.TCPConn.Write(buf)
+	if n > 0 {
+		cc.first.Do(func() { cc.sent.Add(1) })
+	}
+	return n, err
+}
+
 // head returns the begin of a head with the lines that the router asks for, and which asks for a
 // body of some bytes.
 func head(method, path string, bodyBytes int) string {
@@ -146,7 +172,7 @@
 		interval    = 500 * time.Millisecond
 	)
 	return func(ctx context.Context, co net.Conn) error {
-		if err := co.(*net.TCPConn).SetReadBuffer(windowBytes); err != nil {
+		if err := co.(*countedConn).SetReadBuffer(windowBytes); err != nil {
 			return err
 		}
 		if _, err := io.WriteString(co, head("GET", path, 0)+"\r\n"); err != nil {
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -94,6 +94,12 @@
 	}
 }
 
+// output returns what the process, which has ended, has written.
+func (pr *process) output() string {
+	<-pr.ended
+	return fmt.Sprintf("%s: %s", pr.cmd.ProcessState, pr.log)
+}
+
 func (pr *process) sample() {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
--- a/crowd/site_test.go
+++ b/crowd/site_test.go
@@ -51,6 +51,7 @@
 
 func newSite(t *testing.T) *site {
 	si := &site{t: t, group: worker.NewGroup(), store: standin.NewStore()}
+	t.Cleanup(si.group.Close)
 	kv := si.serve(si.store.KVHandler())
 	si.register("desk", si.serve(http.HandlerFunc(answerPlain)))
 	si.register("scribes", si.serve(http.HandlerFunc(answerStream)))
@@ -152,7 +153,7 @@
 	var last string
 	for end := time.Now().Add(answerLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if !si.routers[n].alive() {
-			si.t.Fatalf("router %d has ended: %s", n, si.routers[n].cmd.ProcessState)
+			si.t.Fatalf("router %d has ended: %s", n, si.routers[n].output())
 		}
 		if last = si.ask(cl, n); last == "200 answer" {
 			return
