--- a/network/guard_test.go
+++ b/network/guard_test.go
@@ -49,6 +49,9 @@
 	return co
 }
 
+// waitLimit is how long a test waits for what the server does by itself.
+const waitLimit = 30 * time.Second
+
 var generousGuard = network.GuardOptions{MaxHeadLines: 16_384, MinReadSpeed: 4096}
 
 func serveText(wr http.ResponseWriter, rq *http.Request) {
@@ -203,8 +206,8 @@
 		qt.Assert(t, cb.Len() >= 1, qt.IsTrue)
 		_ = co.Close()
 	}
-	for cb.Len() > 0 {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(waitLimit); cb.Len() > 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%d connections remain", cb.Len()))
 	}
 	qt.Assert(t, cb.Bytes(), qt.Equals, int64(0))
 }
@@ -218,9 +221,9 @@
 	})
 	co := connect(t, address)
 	ask(t, co)
-	for gu.Counts()[string(network.CauseSlowReader)] == 0 {
+	for end := time.Now().Add(waitLimit); gu.Counts()[string(network.CauseSlowReader)] == 0; time.Sleep(10 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("the reader is not cut"))
 		gu.CutSlowReaders(time.Now())
-		time.Sleep(10 * time.Millisecond)
 	}
 	n, _ := io.Copy(io.Discard, co)
 	qt.Assert(t, n < size, qt.IsTrue)
