--- a/network/guard_test.go
+++ b/network/guard_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +32,7 @@
 	}})
 	gr := worker.NewGroup()
 	sv := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: gu.ConnState, Handler: ha}
+	gu.Bind(sv)
 	qt.Assert(tb, ne.Serve(gr, "", sv, func(error) {}), qt.IsNil)
 	tb.Cleanup(func() {
 		_ = sv.Close()
@@ -45,6 +49,9 @@
 	return co
 }
 
+// waitLimit is how long a test waits for what the server does by itself.
+const waitLimit = 30 * time.Second
+
 var generousGuard = network.GuardOptions{MaxHeadLines: 16_384, MinReadSpeed: 4096}
 
 func serveText(wr http.ResponseWriter, rq *http.Request) {
@@ -110,6 +117,26 @@
 	<-arrived
 }
 
+// TestHeadInTheServersBufferThatFindsNoRoomIsNotRun sends such a second head while there is no room
+// for it. Its handler was run although the connection was closed.
+func TestHeadInTheServersBufferThatFindsNoRoomIsNotRun(t *testing.T) {
+	var seconds atomic.Int64
+	gu, address := guardedServer(t, newBudget(10, mib), generousGuard, func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == "/second" {
+			seconds.Add(1)
+		}
+		_, _ = io.WriteString(wr, "served")
+	})
+	co := connect(t, address)
+	_, err := io.WriteString(co, "GET / HTTP/1.1\r\nHost: x\r\n\r\nPOST /second HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 900)+"\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	_ = co.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = io.Copy(io.Discard, co)
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse)
+	qt.Assert(t, gu.Counts()[string(network.CauseHead)], qt.Equals, 1.0)
+	qt.Assert(t, seconds.Load(), qt.Equals, int64(0))
+}
+
 // TestHeadOfTooManyLinesIsNotRun sends a head with more lines than are allowed.
 func TestHeadOfTooManyLinesIsNotRun(t *testing.T) {
 	gu, address := guardedServer(t, newBudget(10, 16*mib), network.GuardOptions{MaxHeadLines: 100}, serveText)
@@ -119,6 +146,52 @@
 	qt.Assert(t, gu.Counts()[string(network.CauseHead)], qt.Equals, 1.0)
 }
 
+// TestBodyIsNotCountedAsTheNextHead sends bodies of empty lines, which the server reads past its
+// buffer, and an ordinary request after each. That was refused for the lines of the body.
+func TestBodyIsNotCountedAsTheNextHead(t *testing.T) {
+	const bodyBytes = 32 << 10
+	_, address := guardedServer(t, newBudget(10, 16*mib), network.GuardOptions{MaxHeadLines: 1000}, serveText)
+	co := connect(t, address)
+	for n := range 20 {
+		_, err := fmt.Fprintf(co, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", bodyBytes)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Duration(n%2) * 5 * time.Millisecond)
+		_, err = io.WriteString(co, strings.Repeat("\n", bodyBytes))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answered(co), qt.IsTrue, qt.Commentf("body %d", n))
+		ask(t, co)
+		qt.Assert(t, answered(co), qt.IsTrue, qt.Commentf("request after body %d", n))
+	}
+}
+
+// TestByteAfterABufferedHeadDoesNotHideIt sends two requests together, and a byte that the server
+// reads while it serves the first one. Only that byte was counted as the second head.
+func TestByteAfterABufferedHeadDoesNotHideIt(t *testing.T) {
+	arrived, second := make(chan struct{}), make(chan struct{})
+	cb := newBudget(10, 16*mib)
+	_, address := guardedServer(t, cb, generousGuard, func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == "/second" {
+			second <- struct{}{}
+			second <- struct{}{}
+			return
+		}
+		arrived <- struct{}{}
+		arrived <- struct{}{}
+		_, _ = io.WriteString(wr, "served")
+	})
+	co := connect(t, address)
+	_, err := io.WriteString(co, "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n"+strings.Repeat("a:\r\n", 900)+"\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	<-arrived
+	_, err = io.WriteString(co, "G")
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(50 * time.Millisecond)
+	<-arrived
+	<-second
+	qt.Assert(t, cb.Bytes() > 900*400, qt.IsTrue, qt.Commentf("%d bytes are counted", cb.Bytes()))
+	<-second
+}
+
 // TestBudgetIsFreeAgain serves requests with bodies on some connections, and closes them.
 func TestBudgetIsFreeAgain(t *testing.T) {
 	cb := newBudget(10, 16*mib)
@@ -133,8 +206,8 @@
 		qt.Assert(t, cb.Len() >= 1, qt.IsTrue)
 		_ = co.Close()
 	}
-	for cb.Len() > 0 {
-		time.Sleep(time.Millisecond)
+	for end := time.Now().Add(waitLimit); cb.Len() > 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("%d connections remain", cb.Len()))
 	}
 	qt.Assert(t, cb.Bytes(), qt.Equals, int64(0))
 }
@@ -148,9 +221,9 @@
 	})
 	co := connect(t, address)
 	ask(t, co)
-	for gu.Counts()[string(network.CauseSlowReader)] == 0 {
+	for end := time.Now().Add(waitLimit); gu.Counts()[string(network.CauseSlowReader)] == 0; time.Sleep(10 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("the reader is not cut"))
 		gu.CutSlowReaders(time.Now())
-		time.Sleep(10 * time.Millisecond)
 	}
 	n, _ := io.Copy(io.Discard, co)
 	qt.Assert(t, n < size, qt.IsTrue)
--- a/router/router.go
+++ b/router/router.go
@@ -161,7 +161,7 @@
 }
 
 // HeldBytes returns the memory that answers of endpoints and bodies of requests hold.
-func (da *Daemon) HeldBytes() int64 { return da.relay.HeldBytes() + da.bodies.Used() }
+func (da *Daemon) HeldBytes() int64 { return da.relay.HeldBytes() + da.bodies.Held() }
 
 // Start opens the listeners and starts the background goroutines.
 func (da *Daemon) Start() error {
@@ -194,7 +194,7 @@
 	da.group.Go(da.barred.Run)
 	da.group.Go(da.exchange)
 	da.group.Every(rolloutInterval, da.advanceRollouts)
-	da.group.Every(idleInterval, da.closeIdle)
+	da.group.Every(idleInterval, da.maintainConnections)
 	da.log.Info(event.Started, event.Fields{"incarnation": da.peers.Incarnation(), "callers": ls.GetCallers()})
 	return nil
 }
@@ -202,6 +202,7 @@
 func (da *Daemon) serve(address string, ha http.Handler, ne network.Network, connState func(net.Conn, http.ConnState)) error {
 	se := da.settings.GetServing()
 	sv := &http.Server{Handler: ha, ReadHeaderTimeout: se.GetHeadTimeout().AsDuration(), MaxHeaderBytes: int(se.GetMaxHeadBytes()), ConnState: da.guarded(connState)}
+	da.guard.Bind(sv)
 	da.servers = append(da.servers, sv)
 	return ne.Serve(da.group, address, sv, func(err error) { da.listenerFailed(address, err) })
 }
@@ -223,7 +224,8 @@
 	}
 }
 
-func (da *Daemon) closeIdle(context.Context) {
+// maintainConnections ends the connections that have been idle for too long, and cuts slow readers.
+func (da *Daemon) maintainConnections(context.Context) {
 	now := time.Now()
 	da.idle.End(now.Add(-da.holder.Set().SiteLimits().IdleTimeout()))
 	da.cutSlowReaders(now)
