Keep urgency and organisation of calls that are sent elsewhere

Each escalation and each replacement of a silent attempt counted in the queue for places as a request of urgency 0 of no organisation: the rate that less urgent requests may expect fell for all of them, and the urgencies that wait got credit for it. A router whose service was pressed sent such calls beyond its even part.

The partial call that was built for the choice of an endpoint left out the urgency, the organisation, the work and the even part. Both places now use one method, forPlacement. An attempt keeps the call as its endpoint was chosen for, since the call itself may change while the attempt is given up. An escalation carries the larger model's work.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -60,10 +60,10 @@
 	// model is the index of the model in the call's models.
 	model int
 	// mayMove reports whether the request may be sent once more, so that the attempt may
-	// be given up when its endpoint is silent; failedBefore holds the endpoints at which
-	// earlier attempts failed.
-	mayMove      bool
-	failedBefore []policy.EndpointID
+	// be given up when its endpoint is silent.
+	mayMove bool
+	// chosenFor is the call as it was when the endpoint was chosen; see forPlacement.
+	chosenFor *call
 	// retryTaken reports whether the retry after this attempt has its place in the
 	// budget already.
 	retryTaken atomic.Bool
@@ -133,7 +133,7 @@
 	ro.queue.took(now, ca, jo.Work)
 	return &attempt{
 		router: ro, call: ca, placement: pl, endpoint: pl.Endpoint, selected: se.reason, model: ca.model,
-		failedBefore: slices.Clone(ca.failedEndpoints),
+		chosenFor: ca.forPlacement(ca.model, slices.Clone(ca.failedEndpoints)),
 	}, nil
 }
 
--- a/relay/replacement.go
+++ b/relay/replacement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagerpoint.example/tanager/placement"
+	"tanagerpoint.example/tanager/policy"
 )
 
 // giveUp reports whether an attempt whose endpoint is silent gives way to another one. It
@@ -50,23 +51,29 @@
 // reserveLarger reserves the run of a call on a larger model, and reports whether there was a
 // place for it. The call goes on with it.
 func (ro *Router) reserveLarger(ctx context.Context, ca *call, model int) bool {
-	at := ro.reserve(ctx, &call{
-		request: ca.request, route: ca.route, service: ca.service, model: model, failedEndpoints: ca.failedEndpoints,
-	}, escalationShare)
+	larger := ca.forPlacement(model, ca.failedEndpoints)
+	larger.work = ro.job(larger).Work
+	at := ro.reserve(ctx, larger, escalationShare)
 	if at == nil {
 		return false
 	}
-	at.call, ca.replacement = ca, at
+	at.call, ca.replacement, ca.work = ca, at, larger.work
 	return true
 }
 
-// callElsewhere returns the attempt's call as it is once the attempt has failed. It has only
-// what the choice of an endpoint needs and does not change while the attempt is under way.
+// callElsewhere returns the attempt's call as it is once the attempt has failed. The attempt may be
+// under way: the call itself may change meanwhile.
 func (at *attempt) callElsewhere() *call {
-	ca := at.call
+	ca := at.chosenFor
+	return ca.forPlacement(ca.model, append(slices.Clone(ca.failedEndpoints), at.endpoint.ID))
+}
+
+// forPlacement returns a call that has only what the choice of an endpoint, and its record in the
+// queue for places, need of this one.
+func (ca *call) forPlacement(model int, failed []policy.EndpointID) *call {
 	return &call{
-		request: ca.request, route: ca.route, service: ca.service, model: at.model,
-		failedEndpoints: append(slices.Clone(at.failedBefore), at.endpoint.ID),
+		request: ca.request, route: ca.route, service: ca.service, organisation: ca.organisation, urgency: ca.urgency,
+		deadline: ca.deadline, work: ca.work, evenPart: ca.evenPart, model: model, failedEndpoints: failed,
 	}
 }
 
