Count a call as turned away once, when it is refused

A call that may have run looks for an endpoint for its next attempt every 10 ms. Each look that found no place counted in tanager_turned_away, wrote event 451, and put off the time at which the next refused caller is told to come back by one place more: one such call could push the Retry-After of all others to its limit.

Cause: the denial was recorded where a call looked for a place, not where it was refused. A call now keeps why it got no place, and writeFailure records it when it refuses the call as not run, before it names the time to come back. A call that may have run is not refused, and is not counted.

--- a/relay/place.go
+++ b/relay/place.go
@@ -45,6 +45,7 @@
 // expected.
 func (ro *Router) choosePlace(ctx context.Context, ca *call) (*attempt, *failure) {
 	now := time.Now()
+	ca.denial = nil
 	pw := &placeWait{router: ro, call: ca, since: now, guard: ro.brittle.Guard(now, ca.service.ID)}
 	ca.work, ca.evenPart = ro.job(ca).Work, ro.fleet.evenPart(now, ca.service.ID, int(ro.routers.Load()))
 	pw.waiter = pw.newWaiter(now)
@@ -61,7 +62,7 @@
 		return ro.chooseEndpoint(ctx, ca)
 	}
 	if why := ro.queue.join(now, ca.service.ID, pw.waiter); why != admission.NotTurnedAway {
-		pw.turnedAway(now, why)
+		ca.denial = pw.denied(now, why)
 		return nil, none
 	}
 	defer func() { ro.queue.leave(time.Now(), ca.service.ID, pw.waiter) }()
@@ -125,7 +126,7 @@
 			return at, nil
 		}
 		if why != admission.NotTurnedAway {
-			pw.turnedAway(now, why)
+			pw.call.denial = pw.denied(now, why)
 			return nil, noEndpointFailure()
 		}
 	}
@@ -141,20 +142,36 @@
 	})
 }
 
-// turnedAway records why the call gets no place, and when its caller should come back.
-func (pw *placeWait) turnedAway(now time.Time, why admission.TurnAway) {
-	ro, ca := pw.router, pw.call
+// placeDenial is why a call got no place the last time it looked for one.
+type placeDenial struct {
+	why    admission.TurnAway
+	waiter *admission.Waiter
+	// since is when it began to wait, and at when it ended.
+	since, at time.Time
+}
+
+func (pw *placeWait) denied(now time.Time, why admission.TurnAway) *placeDenial {
+	return &placeDenial{why: why, waiter: pw.waiter, since: pw.since, at: now}
+}
+
+// turnAway records why a call that is refused got no place, if it is refused for that, and when its
+// caller should come back.
+func (ro *Router) turnAway(now time.Time, ca *call) {
+	de := ca.denial
+	if de == nil {
+		return
+	}
 	fields := event.Fields{
 		"request": ca.request.ID, "route": ca.route.ID, "service": ca.service.ID, "organisation": ca.organisationID(),
-		"urgency": ca.urgency, "waited_ms": now.Sub(pw.since).Milliseconds(), "why": why, "work_ms": int64(float64(pw.waiter.Work) * 1000),
+		"urgency": ca.urgency, "waited_ms": de.at.Sub(de.since).Milliseconds(), "why": de.why, "work_ms": int64(float64(de.waiter.Work) * 1000),
 		"left_ms": ca.deadline.Sub(now).Milliseconds(), "blocked": ro.blockedEndpoints(now, ca),
 	}
 	ro.queue.with(ca.service.ID, func(sq *serviceQueue) {
-		ca.returnAt = sq.ReturnAt(now, pw.waiter, now.Add(ro.fleet.defaultRetry(ca)), ca.deadline)
+		ca.returnAt = sq.ReturnAt(now, de.waiter, now.Add(ro.fleet.defaultRetry(ca)), ca.deadline)
 		fields["waiting"], fields["freed_per_second"] = sq.Waiting(), sq.FreedPerSecond(now)
 	})
 	fields["return_ms"] = ca.returnAt.Sub(now).Milliseconds()
-	ro.metrics.TurnedAway.Add(context.Background(), 1, metric.With(metric.KeyRank, urgencyLabel(pw.waiter.Urgency), metric.KeyCause, string(why)))
+	ro.metrics.TurnedAway.Add(context.Background(), 1, metric.With(metric.KeyRank, urgencyLabel(de.waiter.Urgency), metric.KeyCause, string(de.why)))
 	ro.log.WarnLimited(event.PlaceNotExpected, nil, fields)
 }
 
--- a/relay/router.go
+++ b/relay/router.go
@@ -198,6 +198,9 @@
 	// places at its service's endpoints.
 	work     placement.Work
 	evenPart int
+	// denial is why it got no place the last time it looked for one, nil if it got one or was not
+	// turned away.
+	denial *placeDenial
 	// returnAt is when its caller should come back, if there was no place for it; zero if that
 	// is not known.
 	returnAt time.Time
--- a/relay/run.go
+++ b/relay/run.go
@@ -138,6 +138,7 @@
 	case !ca.mayHaveRun && last.quarantined:
 		return refuseNotRun(last.refusal, last.retryAt)
 	case !ca.mayHaveRun && last.noEndpoint:
+		ro.turnAway(now, ca)
 		return refuseNotRun(ReasonEndpointsBusy, ro.retryAt(now, ca))
 	case !ca.mayHaveRun:
 		return refuseNotRun(ReasonEndpointsUnreachable, now.Add(defaultRetryDelay))
