Let a request that waits look for a place in its turn only

The request that got the next place could lose it to a later one: it counted as having looked, and found nothing, as soon as it was awake, while the choice of its endpoint had not begun, so that those after it could look. One whose turn had not come counted as having looked too. And one that was displaced, or had waited as long as it may, looked a last time without asking whether it was its turn.

A request that waits now first learns whether it may go on, then whether it may look, and counts as having looked once it found no place. One that was displaced leaves at once.

Tests in relay, before: TestNobodyLooksBeforeTheRequestWhoseTurnItIs, TestDisplacedRequestDoesNotLook, TestRequestThatWaitedInVainLooksInItsTurnOnly fail, each as the request may look that may not.

--- a/relay/export_test.go
+++ b/relay/export_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"tanagerpoint.example/tanager/admission"
 	"tanagerpoint.example/tanager/placement"
 	"tanagerpoint.example/tanager/policy"
@@ -35,3 +37,24 @@
 		Organisation: ca.organisationID(), Urgency: admission.Urgency(ca.urgency), Work: ca.work, EvenPart: ca.evenPart, Failed: ca.failedEndpoints,
 	}
 }
+
+// PlaceQueue is the queue for places of one service.
+type PlaceQueue struct{ pq *placeQueue }
+
+const testService = policy.ServiceID("s")
+
+func NewPlaceQueue() PlaceQueue { return PlaceQueue{newPlaceQueue()} }
+
+func (pq PlaceQueue) Join(now time.Time, wa *admission.Waiter) admission.TurnAway {
+	return pq.pq.join(now, testService, wa)
+}
+
+func (pq PlaceQueue) Leave(now time.Time, wa *admission.Waiter) { pq.pq.leave(now, testService, wa) }
+
+func (pq PlaceQueue) Free(now time.Time) { pq.pq.free(now, testService) }
+
+func (pq PlaceQueue) Turn(now time.Time, wa *admission.Waiter) (why admission.TurnAway, may bool) {
+	return pq.pq.turn(now, testService, wa)
+}
+
+func (pq PlaceQueue) Looked(now time.Time, wa *admission.Waiter) { pq.pq.looked(now, testService, wa) }
--- a/relay/place.go
+++ b/relay/place.go
@@ -117,13 +117,13 @@
 			return nil, noEndpointFailure()
 		}
 		now := time.Now()
-		why := ro.queue.looked(now, id, pw.waiter)
-		if why == admission.NotTurnedAway && !ro.queue.mayLook(now, id, pw.waiter, false) {
-			continue
-		}
-		if at, fa := ro.chooseEndpoint(ctx, pw.call); fa == nil {
-			pw.placed()
-			return at, nil
+		why, may := ro.queue.turn(now, id, pw.waiter)
+		if may {
+			if at, fa := ro.chooseEndpoint(ctx, pw.call); fa == nil {
+				pw.placed()
+				return at, nil
+			}
+			ro.queue.looked(time.Now(), id, pw.waiter)
 		}
 		if why != admission.NotTurnedAway {
 			pw.call.denial = pw.denied(now, why)
--- a/relay/place_queue.go
+++ b/relay/place_queue.go
@@ -57,13 +57,19 @@
 	return may
 }
 
-// looked records that a request found no place, and returns why it is not to wait any longer.
-func (pq *placeQueue) looked(now time.Time, id policy.ServiceID, wa *admission.Waiter) (why admission.TurnAway) {
+// turn returns why a request that waits is not to wait any longer, if so, and whether it may look
+// for a place now, in that case once more. One that was displaced may not.
+func (pq *placeQueue) turn(now time.Time, id policy.ServiceID, wa *admission.Waiter) (why admission.TurnAway, may bool) {
 	pq.with(id, func(sq *serviceQueue) {
-		sq.Looked(now, wa)
 		why = sq.Check(now, wa)
+		may = why != admission.Displaced && sq.MayLook(now, wa, false)
 	})
-	return why
+	return why, may
+}
+
+// looked records that a request found no place.
+func (pq *placeQueue) looked(now time.Time, id policy.ServiceID, wa *admission.Waiter) {
+	pq.with(id, func(sq *serviceQueue) { sq.Looked(now, wa) })
 }
 
 // join adds a request, unless its turn is not to be expected before it stops to wait.
