State the bounds of tests in plain words, and that of cold replicas once

The bound of a cold replica's requests stood in two test packages: it is testsite.MaxColdRequests now, with the same 1.5 and 5, so that the tests check as much as before.

--- a/limit/cold_test.go
+++ b/limit/cold_test.go
@@ -14,16 +14,10 @@
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rpc"
+	"tanagerpoint.example/tanager/testsite"
 	"tanagerpoint.example/tanager/vm"
 )
 
-// The bound of rule FAILBACK of the users' platform: in any second a cold endpoint gets coldFactor
-// times its rate, and coldSlack requests more.
-const (
-	coldFactor = 1.5
-	coldSlack  = 5
-)
-
 func holdersNamed(n int) []peer.Holder {
 	var out []peer.Holder
 	for i := range n {
@@ -77,7 +71,7 @@
 				}
 				shares = append(shares, limit.ColdShare(known, self.VM, "fd-1", "e", ra))
 			}
-			most, allowed := mostInASecond(greedySends(shares)), coldFactor*float64(ra)+coldSlack
+			most, allowed := mostInASecond(greedySends(shares)), testsite.MaxColdRequests(float64(ra))
 			qt.Check(t, float64(most) <= allowed, qt.IsTrue, qt.Commentf("%d routers, %g a second: %d in a second, allowed %.1f", n, ra, most, allowed))
 			qt.Check(t, most > 0, qt.IsTrue, qt.Commentf("%d routers, %g a second", n, ra))
 		}
--- a/limit/known_test.go
+++ b/limit/known_test.go
@@ -56,7 +56,8 @@
 }
 
 // TestColdRateHoldsForAHerd starts many routers at once, none of which knows the others yet, while an
-// endpoint is cold. Each took the whole rate for its own.
+// endpoint is cold. Each took the whole rate for its own. The 4500 ms must stay below joinTime, 5 s, from
+// which on each of them takes itself for alone.
 func TestColdRateHoldsForAHerd(t *testing.T) {
 	start, ats := time.Now(), []time.Time(nil)
 	ho := configuration.NewHolder(event.Discard())
@@ -72,7 +73,7 @@
 			}
 		}
 	}
-	qt.Assert(t, float64(mostInASecond(ats)) <= coldFactor*11+coldSlack, qt.IsTrue, qt.Commentf("%d in a second", mostInASecond(ats)))
+	qt.Assert(t, float64(mostInASecond(ats)) <= testsite.MaxColdRequests(11), qt.IsTrue, qt.Commentf("%d in a second", mostInASecond(ats)))
 }
 
 // takenIn returns how many requests a router may send to the endpoint within a second.
--- a/router/cold_test.go
+++ b/router/cold_test.go
@@ -12,12 +12,9 @@
 	"tanagerpoint.example/tanager/testsite"
 )
 
-// The bound of rule FAILBACK of the users' platform: in any second a cold replica gets coldFactor
-// times coldPerSecond, and coldSlack requests more.
 const (
+	// coldPerSecond is the number of requests a second that a cold replica bears.
 	coldPerSecond = 3.0
-	coldFactor    = 1.5
-	coldSlack     = 5
 	coldFor       = 6 * time.Second
 	// coldBeat is how often a replica writes its registration.
 	coldBeat = 1200 * time.Millisecond
@@ -58,8 +55,9 @@
 		}
 		most = max(most, end-i)
 	}
-	t.Logf("engine %d: %d requests in %v, most in a second %d, allowed %.1f", n, len(ats), to.Sub(from), most, coldFactor*coldPerSecond+coldSlack)
-	qt.Check(t, float64(most) <= coldFactor*coldPerSecond+coldSlack, qt.IsTrue, qt.Commentf("engine %d: %d in a second", n, most))
+	allowed := testsite.MaxColdRequests(coldPerSecond)
+	t.Logf("engine %d: %d requests in %v, most in a second %d, allowed %.1f", n, len(ats), to.Sub(from), most, allowed)
+	qt.Check(t, float64(most) <= allowed, qt.IsTrue, qt.Commentf("engine %d: %d in a second", n, most))
 }
 
 // restartCold restarts an engine, which is cold then.
--- a/router/evacuation_test.go
+++ b/router/evacuation_test.go
@@ -18,7 +18,7 @@
 )
 
 // evacuationLimit is how long after an evacuation's acknowledgement the last request may reach the
-// failure domain: half of what the users' platform allows.
+// failure domain: half of the 5 s that are allowed.
 const evacuationLimit = 2500 * time.Millisecond
 
 // evacuationSite has its replicas in three failure domains.
--- a/router/release_in_use_test.go
+++ b/router/release_in_use_test.go
@@ -181,7 +181,8 @@
 }
 
 // TestSessionsDoNotMoveToARolledBackRelease has sessions run on while a release is rolled back and
-// the next one is ordered (rule PINNED of the users' platform).
+// the next one is ordered: no session may move to another release, and none may run on the one that
+// was rolled back.
 func TestSessionsDoNotMoveToARolledBackRelease(t *testing.T) {
 	const routers, engines = 4, 3
 	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines}, func(t *testing.T, rs *testsite.RouterSite) {
--- a/testsite/domains.go
+++ b/testsite/domains.go
@@ -20,3 +20,13 @@
 func (rs *RouterSite) RegisterCold(service string, n int, release string, remaining time.Duration) {
 	rs.register(service, n, release, "ready", remaining)
 }
+
+// The bound of the requests that a cold replica gets.
+const (
+	coldFactor = 1.5
+	coldSlack  = 5
+)
+
+// MaxColdRequests returns how many requests a cold replica may get in any second if it bears a number
+// of them a second: half as many again, and 5 more.
+func MaxColdRequests(perSecond float64) float64 { return coldFactor*perSecond + coldSlack }
