--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -11,15 +11,19 @@
 	"tanagerpoint.example/tanager/policy"
 )
 
-// cascades chooses the models of requests on routes that have several.
+// cascades chooses the models of requests on routes that have several: the planner where ranks and
+// the length of prompts disagree, else the threshold, which serves short prompts first.
 //
-// mu guards planner. No other lock is taken while it is held.
+// mu guards planner and ranks. No other lock is taken while it is held.
 type cascades struct {
 	mu      sync.Mutex
 	planner *cascade.Planner
+	ranks   *cascade.Ranks
 }
 
-func newCascades(seed uint64) *cascades { return &cascades{planner: cascade.NewPlanner(seed)} }
+func newCascades(seed uint64) *cascades {
+	return &cascades{planner: cascade.NewPlanner(seed), ranks: cascade.NewRanks()}
+}
 
 // cascadeState is what a call has seen of its models.
 type cascadeState struct {
@@ -105,11 +109,15 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.planner.Begin(now, ta)
+	cs.ranks.Add(ta)
 }
 
 func (cs *cascades) next(now time.Time, ta cascade.Task, from int, co cascade.Confidence) cascade.Step {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	if !cs.ranks.Disagree(ta.Service) {
+		return ta.ByThreshold(from, co)
+	}
 	return cs.planner.Next(now, ta, from, co)
 }
 
