Offer no choice of models on routes that must not be repeated

Each answer of a small model on an unsafe route counted in tanager_cascade_choices and wrote event 460 with the reason confident, although no larger model may run such a request. The guard of escalates had lost the question whether the route may be repeated.

What becomes of the answer no longer hangs on an event's number, no_place is one of the planner's reasons, and the bound of expected prompts and answers is named maxTokens.

TestUnsafeRouteHasNoChoiceOfModels, before: one choice, kept; now none.

--- a/cascade/planner.go
+++ b/cascade/planner.go
@@ -79,6 +79,8 @@
 	ReasonNoTime Reason = "no_time"
 	// ReasonPrice: a better answer is not worth the room.
 	ReasonPrice Reason = "price"
+	// ReasonNoPlace: no endpoint had a place for the larger model, or no retry was left.
+	ReasonNoPlace Reason = "no_place"
 )
 
 // Step is a choice: the index of the model, the chance that its answer is good, the price of
--- a/relay/escalate.go
+++ b/relay/escalate.go
@@ -52,23 +52,16 @@
 	now := time.Now()
 	ta, co := ro.cascadeTask(now, ca), confidenceOf(an)
 	ro.cascades.learn(ca, ta, co)
-	if ca.probing || ca.noEscalation || ca.sends >= ca.route.MaxAttempts || ca.model == len(ca.models())-1 {
+	if !ca.route.Repeatable() || ca.probing || ca.noEscalation || ca.sends >= ca.route.MaxAttempts || ca.model == len(ca.models())-1 {
 		return false
 	}
 	st := ro.cascades.next(now, ta, ca.model, co)
-	outcome, number := "kept", event.CascadeKept
-	fields := cascadeFields(ca, ta, st)
-	fields["confidence"] = an.head.Confidence
-	if st.Index != ca.model {
-		if ro.reserveLarger(ctx, ca, st.Index) {
-			outcome, number = "escalated", event.CascadeEscalated
-		} else {
-			fields["reason"] = "no_place"
-		}
+	escalated := st.Index != ca.model && ro.reserveLarger(ctx, ca, st.Index)
+	if st.Index != ca.model && !escalated {
+		st.Reason = cascade.ReasonNoPlace
 	}
-	ro.metrics.Cascades.Add(ctx, 1, metric.With(metric.KeyOutcome, outcome))
-	ro.log.InfoLimited(number, fields)
-	if number == event.CascadeKept {
+	ro.noteChoice(ctx, an, cascadeFields(ca, ta, st), escalated)
+	if !escalated {
 		return false
 	}
 	ca.cascade.dropped, ca.cascade.from, ca.cascade.confidence = true, ca.model, co
@@ -76,6 +69,17 @@
 	return true
 }
 
+// noteChoice records whether an answer is dropped for a larger model's.
+func (ro *Router) noteChoice(ctx context.Context, an *answer, fields event.Fields, escalated bool) {
+	outcome, number := "kept", event.CascadeKept
+	if escalated {
+		outcome, number = "escalated", event.CascadeEscalated
+	}
+	fields["confidence"] = an.head.Confidence
+	ro.metrics.Cascades.Add(ctx, 1, metric.With(metric.KeyOutcome, outcome))
+	ro.log.InfoLimited(number, fields)
+}
+
 func cascadeFields(ca *call, ta cascade.Task, st cascade.Step) event.Fields {
 	return event.Fields{
 		"request": ca.request.ID, "route": ca.route.ID, "urgency": ca.urgency, "from": ca.modelID(), "to": ta.Options[st.Index].Model, "reason": st.Reason,
@@ -88,7 +92,7 @@
 func (ro *Router) cascadeTask(now time.Time, ca *call) cascade.Task {
 	tokens, _ := ca.promptTokens()
 	ta := cascade.Task{
-		Service: ca.service.ID, Route: ca.route.ID, Urgency: ca.urgency, RouteUrgency: ca.route.Urgency, Prompt: tokens, Output: min(maxPromptTokens, max(0, ca.request.ExpectedOutput)),
+		Service: ca.service.ID, Route: ca.route.ID, Urgency: ca.urgency, RouteUrgency: ca.route.Urgency, Prompt: tokens, Output: min(maxTokens, max(0, ca.request.ExpectedOutput)),
 		Backlog: float64(ca.meanBacklog), Target: ca.route.LatencyTarget().Seconds(),
 		Left:       ca.request.ReceivedAt.Add(ca.route.LatencyTarget()).Sub(now).Seconds(),
 		Pause:      ca.route.GapTarget().Seconds(),
--- a/relay/latency.go
+++ b/relay/latency.go
@@ -74,14 +74,14 @@
 	ls.byKey[key] = la
 }
 
-// maxPromptTokens is the length of the longest prompts of which routers expect anything.
-const maxPromptTokens = 1 << 20
+// maxTokens is the length of the longest prompts and answers of which routers expect anything.
+const maxTokens = 1 << 20
 
 // promptTokens returns the length of a call's prompt as its caller states it. It returns false, and
 // a length of 0, if no endpoint of the service can hold such a prompt: what callers state is not
 // checked, and the estimates are used for all of them.
 func (ca *call) promptTokens() (policy.Tokens, bool) {
-	longest := policy.Tokens(maxPromptTokens)
+	longest := policy.Tokens(maxTokens)
 	if held := ca.service.GetEngine().GetMemoryTokens(); held > 0 {
 		longest = min(longest, policy.Tokens(held))
 	}
--- a/router/escalation_test.go
+++ b/router/escalation_test.go
@@ -35,3 +35,27 @@
 		qt.Check(t, answered >= 4, qt.IsTrue, qt.Commentf("%d answered", answered))
 	})
 }
+
+// TestUnsafeRouteHasNoChoiceOfModels has requests that must not be run again answered by the small
+// model with little confidence. Each counted as a choice to keep the small model's answer.
+func TestUnsafeRouteHasNoChoiceOfModels(t *testing.T) {
+	unsure := standin.ReplicaOptions{
+		Events: 5, Gap: 20 * time.Millisecond, Delay: 20 * time.Millisecond,
+		Confidence: map[string]string{testsite.SmallModel: "5", testsite.LargeModel: "95"},
+	}
+	withSite(t, testsite.RouterOptions{Routers: 1, Engines: 2, Engine: unsure}, func(t *testing.T, rs *testsite.RouterSite) {
+		choices := func(id string) []string {
+			an := do(rs, request{id: id, path: testsite.EngineRoute + "x"})
+			qt.Assert(t, an.status, qt.Equals, http.StatusOK)
+			return metricLines(t, rs, "tanager_cascade_choices")
+		}
+		rs.Configure(func(co *testsite.Configuration) {
+			co.Routes[0].Kind, co.Routes[0].StreamResume, co.Routes[0].TargetGapMS = "unsafe", false, 0
+		})
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, choices("unsafe"), qt.HasLen, 0)
+		rs.Configure(func(co *testsite.Configuration) { co.Routes[0].Kind = "safe" })
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, choices("safe"), qt.Not(qt.HasLen), 0)
+	})
+}
