Say in comments what the queue for places does

The usage that is tolerated is a multiple of the other organisations' mean; finish is when an answer would have begun; last is the request that is served last. Keys that are only summed over are no longer sorted. go test ./admission ./relay passes.

--- a/admission/shortage.go
+++ b/admission/shortage.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// last returns the request that is the last to get a place of those which a newcomer came
-// before, nil if there is none.
+// last returns the waiting request that is served last among those that newcomer precedes, nil if
+// there is none.
 func (sh *Shortage) last(now time.Time, newcomer *Waiter) *Waiter {
 	var last *Waiter
 	for _, other := range sh.waiting {
--- a/admission/shortage_order.go
+++ b/admission/shortage_order.go
@@ -12,7 +12,7 @@
 	// floorShare is the least share of the places that the requests of each urgency get while
 	// more urgent ones wait.
 	floorShare = 0.1
-	// fairTolerance times the mean usage of the organisations is the usage above which an
+	// fairTolerance times the mean usage of the other organisations is the usage above which an
 	// organisation's requests come after those of others.
 	fairTolerance = 2
 	// minUsage is the usage in seconds of work below which an organisation counts as idle.
@@ -47,7 +47,7 @@
 	return !now.Add(quantity.Seconds(float64(wa.Work))).After(wa.Target)
 }
 
-// finish is when the request would have been done without waiting.
+// finish is when its answer would have begun without waiting.
 func (wa *Waiter) finish() time.Time { return wa.Since.Add(quantity.Seconds(float64(wa.Work))) }
 
 // ahead returns how many get a place before a request.
--- a/relay/place_queue.go
+++ b/relay/place_queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -144,8 +143,8 @@
 func (ro *Router) Waiting() map[string]float64 {
 	out := map[string]float64{}
 	for st := range maps.Values(ro.queue.state(time.Now())) {
-		for _, ur := range slices.Sorted(maps.Keys(st.Waiting)) {
-			out[urgencyLabel(ur)] += float64(st.Waiting[ur])
+		for ur, n := range st.Waiting {
+			out[urgencyLabel(ur)] += float64(n)
 		}
 	}
 	return out
