--- a/cascade/planner.go
+++ b/cascade/planner.go
@@ -81,6 +81,8 @@
 	ReasonPrice Reason = "price"
 	// ReasonThreshold: the confidence is above or below the threshold of Escalation.
 	ReasonThreshold Reason = "threshold"
+	// ReasonNoPlace: no endpoint had a place for the larger model, or no retry was left.
+	ReasonNoPlace Reason = "no_place"
 )
 
 // Step is a choice: the index of the model, the chance that its answer is good, the price of
