Let a request whose wait is over look for a place once more

Since then a request whose wait had ended might look for a place in its turn only; those that wait while nothing is known of a service all end at once, and none looked again.

tanager-entry binds the guard too, so that a buffered head that finds no room is not run, and what revoked answers still hold counts where memory is short.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -208,6 +208,7 @@
 func (da *Daemon) serve(address string, kind network.ConnKind, ha http.Handler) error {
 	se := da.settings.GetServing()
 	sv := &http.Server{Handler: ha, ReadHeaderTimeout: se.GetHeadTimeout().AsDuration(), MaxHeaderBytes: int(se.GetMaxHeadBytes()), ConnState: da.connState}
+	da.guard.Bind(sv)
 	da.servers = append(da.servers, sv)
 	return da.guard.Track(kind, da.net).Serve(da.group, address, sv, func(err error) {
 		da.log.Warn(event.ListenerFailed, err, event.Fields{"address": address})
--- a/relay/place_queue.go
+++ b/relay/place_queue.go
@@ -57,11 +57,12 @@
 }
 
 // turn returns why a request that waits is not to wait any longer, if so, and whether it may look
-// for a place now, in that case once more. One that was displaced may not.
+// for a place now, in that case once more. One that was displaced may not; one whose wait is over
+// may, in whatever order: what kept the endpoints from it may have ended.
 func (pq *placeQueue) turn(now time.Time, id policy.ServiceID, wa *admission.Waiter) (why admission.TurnAway, may bool) {
 	pq.with(id, func(sq *serviceQueue) {
 		why = sq.Check(now, wa)
-		may = why != admission.Displaced && sq.MayLook(now, wa, false)
+		may = why == admission.WaitedInVain || why != admission.Displaced && sq.MayLook(now, wa, false)
 	})
 	return why, may
 }
--- a/relay/router.go
+++ b/relay/router.go
@@ -46,8 +46,8 @@
 // MaxHeldBytes returns how much memory bodies of requests may hold.
 func (ro *Router) MaxHeldBytes() int64 { return ro.options().heldBytes() }
 
-// HeldBytes returns the memory that answers hold which are not whole.
-func (ro *Router) HeldBytes() int64 { return ro.memory.Used() }
+// HeldBytes returns the memory that answers hold which are not whole, or are being given up.
+func (ro *Router) HeldBytes() int64 { return ro.memory.Held() }
 
 // Router serves the requests of routes. It is safe for concurrent use; each
 // part documents its own lock, and which others are taken after it.
