--- a/cascade/ranks.go
+++ b/cascade/ranks.go
@@ -5,9 +5,10 @@
 const (
 	// longerFactor is by how much the prompts of a more urgent route are longer on average for
 	// ranks and the length of prompts to disagree.
-	longerFactor = 1.5
-	// minRequests is the number of requests of a route from which on its mean is used.
-	minRequests = 20
+	longerFactor = 2
+	// minRequests is the number of requests of a route from which on its mean is used. One of many
+	// routers gets few.
+	minRequests = 4
 )
 
 // Ranks knows, by service, whether its more urgent routes have the longer prompts. It answers loads
