Reproduce crashes under a prompt part at every moment of an answer

Callers saw requests with a prompt part that crashes endpoints passed on long after the fifth crash (BUDGET).

No decision changes.

--- a/event/event.go
+++ b/event/event.go
@@ -77,6 +77,7 @@
 	EndpointRefusedFull  Number = 429
 	ConnectionClosed     Number = 430
 	SlowReaderCut        Number = 431
+	AnswerBrokenOff      Number = 432
 	EvacuationBegan      Number = 440
 	EvacuationEnded      Number = 441
 	EndpointCold         Number = 442
@@ -165,6 +166,7 @@
 	EvacuationEnded:      "evacuation of a failure domain was taken back",
 	ConnectionClosed:     "connection closed, with its request unread, to keep memory and descriptors within their bounds",
 	SlowReaderCut:        "answer cut: its caller read it too slowly while memory was short",
+	AnswerBrokenOff:      "endpoint broke off an answer, which its request may have caused",
 	EndpointCold:         "endpoint is cold; all routers together send it few requests",
 	EndpointWarm:         "endpoint is no longer cold; its share of requests grows",
 	PlaceAwaited:         "request waited for a place at an endpoint, and got one",
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -124,20 +124,50 @@
 	li.tellContrast(now, id)
 }
 
-// Crashed records that an endpoint of a service broke off its answer to a request with these
-// subjects. request is the last part of its prompt, if it has one.
-func (li *List) Crashed(now time.Time, id policy.ServiceID, en policy.EndpointID, request policy.PromptPartID, sus []policy.Subject) {
-	contrast := li.proofs.Contrast(now, id)
-	for _, su := range sus {
+// Moment is how much of an answer had arrived when it broke off.
+type Moment string
+
+// The moments of a break.
+const (
+	BeforeHead Moment = "before_head"
+	AfterHead  Moment = "after_head"
+	AfterEvent Moment = "after_event"
+)
+
+// Break is an answer that an endpoint broke off.
+type Break struct {
+	Service  policy.ServiceID
+	Endpoint policy.EndpointID
+	// Request is the request's ID, LastPart the last part of its prompt, if it has one.
+	Request  string
+	LastPart policy.PromptPartID
+	Moment   Moment
+	// AfterHead is the time since the head arrived, 0 before it.
+	AfterHead time.Duration
+	// Subjects are those that may be the cause.
+	Subjects []policy.Subject
+}
+
+// Crashed records that an endpoint broke off an answer.
+func (li *List) Crashed(now time.Time, br Break) {
+	contrast := li.proofs.Contrast(now, br.Service)
+	var blamed, proven []policy.Subject
+	for _, su := range br.Subjects {
 		if li.proofs.Proven(now, su) {
+			proven = append(proven, su)
 			continue
 		}
+		blamed = append(blamed, su)
 		select {
-		case li.reports <- Crash{Subject: su, Service: id, Endpoint: en, Request: request, Contrast: contrast}:
+		case li.reports <- Crash{Subject: su, Service: br.Service, Endpoint: br.Endpoint, Request: br.LastPart, Contrast: contrast}:
 		default:
-			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"subject": su, "endpoint": en})
+			li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"subject": su, "endpoint": br.Endpoint})
 		}
 	}
+	li.log.InfoLimited(event.AnswerBrokenOff, event.Fields{
+		"request": br.Request, "endpoint": br.Endpoint, "moment": br.Moment, "after_head_ms": br.AfterHead.Milliseconds(),
+		"blamed": blamed, "proven": proven, "others_went_well": contrast,
+	})
 }
 
 // ReportCrashes implements peer.Crashes for subjects that this router holds. It does not
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -90,14 +90,21 @@
 	if errors.Is(err, errEndless) || an.excused(an.source.ReadFailure(err)) {
 		return
 	}
-	if !isCrash(an.source.ReadFailure(err), err) || now.Sub(an.beganAt) >= quarantine.ProvenAfter {
+	if !isCrash(an.source.ReadFailure(err), err) {
 		return
 	}
-	if len(an.firstEvent.text) > 0 && now.Sub(an.beganAt) >= suspectAfterEvent {
-		an.blame(now, policy.Subject{Request: an.call.fingerprint})
-		return
+	moment, lasted := quarantine.AfterHead, now.Sub(an.beganAt)
+	if len(an.firstEvent.text) > 0 {
+		moment = quarantine.AfterEvent
+	}
+	switch {
+	case lasted >= quarantine.ProvenAfter:
+		an.blame(now, moment, lasted)
+	case moment == quarantine.AfterEvent && lasted >= suspectAfterEvent:
+		an.blame(now, moment, lasted, policy.Subject{Request: an.call.fingerprint})
+	default:
+		an.blame(now, moment, lasted, an.call.subjects()...)
 	}
-	an.blame(now, an.call.subjects()...)
 }
 
 // brokeBeforeHead records that an attempt failed before the head of an answer arrived. The
@@ -105,7 +112,7 @@
 func (at *attempt) brokeBeforeHead(err error) {
 	var fa *endpoint.Failure
 	if errors.As(err, &fa) && fa.Sent && isCrash(fa, err) {
-		at.blame(time.Now(), policy.Subject{Request: at.call.fingerprint})
+		at.blame(time.Now(), quarantine.BeforeHead, 0, policy.Subject{Request: at.call.fingerprint})
 	}
 }
 
@@ -115,10 +122,14 @@
 	return fa.Cause == endpoint.CauseBroken && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
 }
 
-// blame reports a crash of the attempt's endpoint under these subjects of the call.
-func (at *attempt) blame(now time.Time, sus ...policy.Subject) {
+// blame reports that the attempt's endpoint broke off its answer, and which subjects of the call
+// may be the cause.
+func (at *attempt) blame(now time.Time, moment quarantine.Moment, afterHead time.Duration, sus ...policy.Subject) {
 	ca := at.call
-	at.router.barred.Crashed(now, ca.service.ID, at.endpoint.ID, ca.request.lastPart(), sus)
+	at.router.barred.Crashed(now, quarantine.Break{
+		Service: ca.service.ID, Endpoint: at.endpoint.ID, Request: string(ca.request.ID), LastPart: ca.request.lastPart(),
+		Moment: moment, AfterHead: afterHead, Subjects: sus,
+	})
 }
 
 // lastPart returns the ID of the prompt's last part, which belongs to the request or to
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -183,35 +183,52 @@
 		{routers: 40, engines: 30, crashEvery: 100 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%d routers, every %v", site.routers, site.crashEvery), func(t *testing.T) {
-			withSite(t, testsite.RouterOptions{Routers: site.routers, Engines: site.engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
-				setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart})
-				before := time.Now()
-				sound := &promptLoad{site: rs, routers: site.routers, callers: 4 * site.engines, pause: 500 * time.Millisecond, newSubjectAt: before.Add(4 * time.Second)}
-				stopSound := sound.start()
-				time.Sleep(4 * time.Second)
-				began := time.Now()
-				bad := &promptLoad{site: rs, routers: site.routers, crashEvery: site.crashEvery}
-				stopBad := bad.start()
-				rs.Eventually(20*time.Second, "five endpoints have crashed", func() bool { return len(crashTimes(rs)) >= crashesToKnow })
-				fifth := crashTimes(rs)[crashesToKnow-1]
-				// The first probes of the quarantines come in this time.
-				time.Sleep(18 * time.Second)
-				stopBad()
-				stopSound()
-				after := runsWithPartAfter(rs, fifth.Add(contactLimit))
-				qt.Check(t, after <= maxAfterFifthCrash, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints, %d crashes", after, len(crashTimes(rs))))
-				usual, late := sound.share(before, began), sound.share(fifth.Add(2*contactLimit), fifth.Add(11*time.Second))
-				t.Logf("%d crashes, %d requests later than %v after the fifth; sound requests answered: %.3f, before %.3f; refused: %v",
-					len(crashTimes(rs)), after, contactLimit, late, usual, sound.refused)
-				qt.Check(t, rs.Routers[1].Dump().(router.State).Quarantined, qt.DeepEquals, []policy.PromptPartID{crashingPart})
-				qt.Check(t, usual > 0.9, qt.IsTrue, qt.Commentf("%v", usual))
-				// Rule LOST allows half of the usual share; the endpoints are back by then.
-				qt.Check(t, late >= usual/2, qt.IsTrue, qt.Commentf("%v of the sound requests answered, %v before; refused: %v", late, usual, sound.refused))
-			})
+			checkPartIsRefused(t, site.routers, site.engines, site.crashEvery, standin.CrashAfterHead)
 		})
 	}
 }
 
+// checkPartIsRefused sends requests with a part that crashes endpoints beside sound ones.
+func checkPartIsRefused(t *testing.T, routers, engines int, crashEvery time.Duration, moment standin.CrashMoment) {
+	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
+		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart, CrashMoment: moment})
+		before := time.Now()
+		sound := &promptLoad{site: rs, routers: routers, callers: 4 * engines, pause: 500 * time.Millisecond, newSubjectAt: before.Add(4 * time.Second)}
+		stopSound := sound.start()
+		time.Sleep(4 * time.Second)
+		began := time.Now()
+		bad := &promptLoad{site: rs, routers: routers, crashEvery: crashEvery}
+		stopBad := bad.start()
+		rs.Eventually(20*time.Second, "five endpoints have crashed", func() bool { return len(crashTimes(rs)) >= crashesToKnow })
+		fifth := crashTimes(rs)[crashesToKnow-1]
+		// The first probes of the quarantines come in this time.
+		time.Sleep(18 * time.Second)
+		stopBad()
+		stopSound()
+		after := runsWithPartAfter(rs, fifth.Add(contactLimit))
+		qt.Check(t, after <= maxAfterFifthCrash, qt.IsTrue, qt.Commentf("%d requests with the part reached endpoints, %d crashes", after, len(crashTimes(rs))))
+		usual, late := sound.share(before, began), sound.share(fifth.Add(2*contactLimit), fifth.Add(11*time.Second))
+		t.Logf("%d crashes, %d requests later than %v after the fifth; sound requests answered: %.3f, before %.3f; refused: %v",
+			len(crashTimes(rs)), after, contactLimit, late, usual, sound.refused)
+		qt.Check(t, rs.Routers[1].Dump().(router.State).Quarantined, qt.DeepEquals, []policy.PromptPartID{crashingPart})
+		qt.Check(t, usual > 0.9, qt.IsTrue, qt.Commentf("%v", usual))
+		// Rule LOST allows half of the usual share; the endpoints are back by then.
+		qt.Check(t, late >= usual/2, qt.IsTrue, qt.Commentf("%v of the sound requests answered, %v before; refused: %v", late, usual, sound.refused))
+	})
+}
+
+// TestPromptPartThatCrashesEndpointsAtAnyMomentIsRefused has the part crash endpoints at other
+// moments of their answers. Only breaks soon after the head were evidence against a part.
+func TestPromptPartThatCrashesEndpointsAtAnyMomentIsRefused(t *testing.T) {
+	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashInEvent, standin.CrashAfterEvent, standin.CrashAfterMany} {
+		for _, crashEvery := range []time.Duration{150 * time.Millisecond, time.Second} {
+			t.Run(fmt.Sprintf("%s, every %v", moment, crashEvery), func(t *testing.T) {
+				checkPartIsRefused(t, 8, 9, crashEvery, moment)
+			})
+		}
+	}
+}
+
 // TestCrashesOfManyEndpointsQuarantineNoPrompt crashes most endpoints at once, again and
 // again, from the first moments of the load on. The prompts are not the cause.
 func TestCrashesOfManyEndpointsQuarantineNoPrompt(t *testing.T) {
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -402,9 +402,14 @@
 // send sends one request to a router and returns the status and the complete body of
 // the answer.
 func (rs *routerSite) send(ctx context.Context, n int, path, id, key, prompt string) (int, string, error) {
+	return sendTo(ctx, *firstPort+10*n, path, id, key, prompt)
+}
+
+// sendTo sends one request to a port.
+func sendTo(ctx context.Context, port int, path, id, key, prompt string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d%s", *firstPort+10*n, path), strings.NewReader("body"))
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d%s", port, path), strings.NewReader("body"))
 	if err != nil {
 		return 0, "", err
 	}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -78,9 +78,9 @@
 	// GapFactor, if not 0, multiplies Gap only: the first event comes in time.
 	GapFactor int
 	// CrashPart, if not empty, is the ID of a prompt part. A request with this part in
-	// its prompt, other than as the last one, crashes the replica crashDelay after
-	// the head of its response.
-	CrashPart string
+	// its prompt, other than as the last one, crashes the replica at CrashMoment.
+	CrashPart   string
+	CrashMoment CrashMoment
 	// CrashTarget, if not empty, is a request target. A request for it crashes the
 	// replica crashDelay after it began to run, before the head of its response.
 	CrashTarget string
@@ -275,7 +275,7 @@
 	case fa.CrashTarget != "" && fa.CrashTarget == ru.Target:
 		re.crashAfter(rq, crashDelay)
 	case sharesPart(ru.Header, fa.CrashPart):
-		re.crash(wr, rq)
+		re.crash(wr, rq, ru, fa.CrashMoment)
 	case re.opt.Events > 0:
 		re.stream(wr, rq, ru, fa)
 	case fa.Truncated:
@@ -288,10 +288,6 @@
 	}
 }
 
-// crashDelay is the time from the head of a response, or from the begin of a run, to the
-// crash that the request causes.
-const crashDelay = 60 * time.Millisecond
-
 // SharesPart reports whether a request's prompt has a part, other than as its last one.
 func (ru ReplicaRun) SharesPart(id string) bool { return sharesPart(ru.Header, id) }
 
@@ -303,23 +299,6 @@
 	})
 }
 
-// crash sends the head of a response and then crashes the replica.
-func (re *Replica) crash(wr http.ResponseWriter, rq *http.Request) {
-	wr.Header().Set("Content-Type", "text/event-stream")
-	if http.NewResponseController(wr).Flush() != nil {
-		panic(http.ErrAbortHandler)
-	}
-	re.crashAfter(rq, crashDelay)
-}
-
-// crashAfter crashes the replica after a time, unless the client disconnects before.
-func (re *Replica) crashAfter(rq *http.Request, delay time.Duration) {
-	if wait(rq, delay) && re.setCrashed() {
-		re.opt.OnCrash()
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // setCrashed records a crash, and reports false if the replica is down already.
 func (re *Replica) setCrashed() bool {
 	re.mu.Lock()
