Take no answer for whole whose connection was reset during the upload

Cause: a reset is reported once for a socket. If the write of the request takes it, the read sees an ordinary end, which is the end of an answer without a length. Class: the end of a connection is taken for the end of what was said on it.

Change: an answer that only the end of its connection ends is whole only if the request was written whole, without an error. It holds for routers, for peers that carry attempts, and for the own front, streams too, as all read through endpoint.connection.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -207,8 +208,14 @@
 	idleTimeout time.Duration
 	// giveUp is as in ForwardCall.
 	giveUp func() bool
+	// written holds whether the whole request was written, once that is known.
+	written chan bool
 }
 
+// writtenTimeout is how long the end of an answer waits for the result of writing the request. It is
+// known, except if the answer came before the request had been read.
+const writtenTimeout = 100 * time.Millisecond
+
 // open sends a request and blocks until it has the answer's header. A timer cancels
 // the request if the header and the first data of the body have not been received
 // after wait; each Read that returns data then restarts the timer with the
@@ -223,7 +230,11 @@
 	co.cancel = cancel
 	co.startTimer(wait)
 	var sent atomic.Bool
-	tc := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	co.written = make(chan bool, 1)
+	tc := &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { sent.Store(true) },
+		WroteRequest: func(in httptrace.WroteRequestInfo) { co.noteWritten(in.Err == nil) },
+	}
 	//nolint:bodyclose // connection.close closes it
 	rs, err := hc.Do(rq.WithContext(httptrace.WithClientTrace(ctx, tc)))
 	if err != nil {
@@ -262,6 +273,19 @@
 	co.cancel()
 }
 
+// noteWritten records whether the whole request was written. net/http may write it several times,
+// each time on another network connection.
+func (co *connection) noteWritten(whole bool) {
+	select {
+	case <-co.written:
+	default:
+	}
+	select {
+	case co.written <- whole:
+	default:
+	}
+}
+
 // Read reads from the answer's body. Each read that returns data restarts the timer
 // with idleTimeout.
 func (co *connection) Read(buf []byte) (int, error) {
@@ -269,9 +293,30 @@
 	if n > 0 {
 		co.timer.Reset(co.idleTimeout)
 	}
+	if errors.Is(err, io.EOF) && endsWithConnection(co.response) && !co.isWritten() {
+		err = io.ErrUnexpectedEOF
+	}
 	return n, err
 }
 
+// endsWithConnection reports whether an answer has neither a length nor chunks, so that only the
+// end of the network connection ends its body.
+func endsWithConnection(rs *http.Response) bool {
+	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0
+}
+
+// isWritten reports whether the whole request was written. If the endpoint resets the connection
+// before that, the write may take the error, and the read sees an ordinary end.
+func (co *connection) isWritten() bool {
+	select {
+	case whole := <-co.written:
+		co.noteWritten(whole)
+		return whole
+	case <-time.After(writtenTimeout):
+		return false
+	}
+}
+
 // close cancels the request, if it is still in progress, and closes the body.
 func (co *connection) close() {
 	co.closed.Store(true)
--- a/endpoint/forward.go
+++ b/endpoint/forward.go
@@ -82,7 +82,7 @@
 	rs := co.response
 	return &ForwardAnswer{
 		Status: rs.StatusCode, Header: rs.Header, Length: rs.ContentLength,
-		EndsWithConnection: rs.ContentLength < 0 && len(rs.TransferEncoding) == 0, conn: co,
+		EndsWithConnection: endsWithConnection(rs), conn: co,
 	}, nil
 }
 
