Take a status below 200 of a plain service for no answer in the own front

Callers of the own front got the body of an answer with status 000 with status 200 (MIXED): gin writes 200 where it is given 0. Class: bytes from outside are passed on unchecked.

--- a/endpoint/plain.go
+++ b/endpoint/plain.go
@@ -56,6 +56,9 @@
 		return PlainAnswer{}, fa
 	}
 	defer co.close()
+	if st := co.response.StatusCode; st < http.StatusOK {
+		return PlainAnswer{}, &Failure{Cause: CauseBroken, Sent: true, Err: eris.Errorf("status %03d is not one of a final answer", st)}
+	}
 	if id := co.response.Header.Get(HeaderAttempt); id != "" && id != string(ca.Attempt) {
 		cl.dropped.Add(1)
 		return PlainAnswer{}, &Failure{Cause: CauseMismatched, Sent: true, Err: eris.Errorf("answer is for %q", id)}
--- a/router/broken_bytes_test.go
+++ b/router/broken_bytes_test.go
@@ -182,3 +182,35 @@
 		})
 	}
 }
+
+// TestStatusThatIsNoneIsNoAnswer has replicas answer with a status that no final answer has, at a
+// router with a path to them and at one whose requests a peer carries.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for name, framing := range map[string]string{"with a length": "Content-Length: 4\r\n\r\nboom", "in chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nboom\r\n0\r\n\r\n", "up to the end": "\r\nboom"} {
+		t.Run(name, func(t *testing.T) {
+			opt := testsite.RouterOptions{Routers: 2, Engines: 1, Plains: 1}
+			withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+				status := ""
+				rr := &rawReplica{answer: func(rq *http.Request) string {
+					return "HTTP/1.1 " + status + " Trouble\r\nAttempt-Id: " + rq.Header.Get("Attempt-Id") + "\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n" + framing
+				}}
+				for _, service := range []string{testsite.PlainService, testsite.EngineService} {
+					startRaw(t, rs, service, 1, rr)
+				}
+				losePath(rs, opt, pathFaults[1], []int{2})
+				time.Sleep(pathLimit)
+				for _, status = range []string{"000", "001", "099"} {
+					for _, path := range []string{testsite.SafeRoute, testsite.UnsafeRoute, testsite.EngineRoute} {
+						for router := 1; router <= 2; router++ {
+							before := rr.runs.Load()
+							an := do(rs, request{router: router, id: fmt.Sprint(status, path[1:2], router), path: path + "x", body: "loan"})
+							qt.Check(t, an.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("router %d: status %d with %q to %s", router, an.status, an.body, status))
+							qt.Check(t, rr.runs.Load() > before, qt.IsTrue)
+							time.Sleep(suspensionLimit)
+						}
+					}
+				}
+			})
+		})
+	}
+}
