Doubt the end of an answer that only the end of its connection marks

Cause: the end of a killed process's connection is an ordinary one.

Change: such an answer proves nothing until its endpoint's run has answered a request that was sent after it. Callers still get the part that was there, as nothing shows that it is one.

The cases of the tests failed before. Where few crashes suffice, tests wait for the refusal instead of a fifth crash, and count from the last one.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -51,13 +51,14 @@
 // others. It is safe for concurrent use.
 //
 // mu guards evidence, refused and triedProbeAt. The locks of proofs and of the holder are
-// taken after it.
+// taken after it. That of doubts is taken while no other is held.
 type List struct {
 	group    *peer.Group
 	holder   *configuration.Holder
 	recorder Recorder
 	log      *event.Log
 	proofs   *Proofs
+	doubts   *doubts
 	reports  chan report
 	// recordAgainAt is when a quarantine that a restored store has lost is recorded again.
 	// Only the goroutine of record uses it.
@@ -82,7 +83,7 @@
 // NewList returns a list; Run reports and records.
 func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, lo *event.Log) *List {
 	return &List{
-		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), reports: make(chan report, maxReports),
+		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), doubts: newDoubts(), reports: make(chan report, maxReports),
 		recordAgainAt: map[policy.Subject]time.Time{},
 		evidence:      NewEvidence(), refused: map[policy.Subject]refusal{},
 		triedProbeAt: map[policy.Subject]time.Time{},
@@ -127,11 +128,12 @@
 // Moment is how much of an answer had arrived when it broke off.
 type Moment string
 
-// The moments of a break.
+// The moments of a break. AtEnd is that of an answer which looked whole.
 const (
 	BeforeHead Moment = "before_head"
 	AfterHead  Moment = "after_head"
 	AfterEvent Moment = "after_event"
+	AtEnd      Moment = "at_end"
 )
 
 // Break is an answer that an endpoint broke off.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -47,9 +47,6 @@
 	firstEvent streamEvent
 	// hold is what the body, or an event, holds of the VM's memory.
 	hold *limit.Hold[policy.EndpointID]
-	// provedRequest reports whether the answer has shown that its request does not crash
-	// endpoints.
-	provedRequest bool
 	// resumed reports whether the answer goes on where another one broke off.
 	resumed bool
 	// pace measures the time between the stream's events.
@@ -129,7 +126,7 @@
 		return nil, &failure{err: errFailureStatus, answer: an, callerError: callerError}
 	}
 	an.recordStart()
-	an.proveRequest()
+	an.noteWhole()
 	an.finish(placement.Succeeded)
 	return an, nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -187,7 +187,7 @@
 	})
 	if err != nil {
 		if failedAt := time.Now(); !at.excused(err) {
-			at.brokeBeforeHead(failedAt, err)
+			at.failedBeforeHead(failedAt, err)
 		}
 		fa := failureOf(err)
 		if fa.notRun {
@@ -200,6 +200,7 @@
 	an.hold = ro.memory.Open(at.endpoint.ID, source.Abort)
 	an.head = ro.options().Dialect.Head(source.Status, source.Header, an.beganAt)
 	an.noteHead()
+	ro.barred.Alive(an.beganAt, at.endpoint.Run(), at.sentAt)
 	return an.receive()
 }
 
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -53,12 +53,15 @@
 	return ca.probing
 }
 
-// proveRequest records, once, that the answer's request does not crash endpoints.
-func (an *answer) proveRequest() {
-	if !an.provedRequest {
-		an.provedRequest = true
-		an.router.barred.Proven(time.Now(), an.call.service.ID, an.call.subjects())
+// noteWhole records that the answer was whole: its request does not crash endpoints. If only the
+// end of the connection showed the end, that remains to be seen.
+func (an *answer) noteWhole() {
+	now, ca := time.Now(), an.call
+	if an.source.EndsWithConnection {
+		an.router.barred.Ended(an.endpoint.Run(), an.breakAt(now, quarantine.AtEnd, now.Sub(an.beganAt)))
+		return
 	}
+	an.router.barred.Proven(now, ca.service.ID, ca.subjects())
 }
 
 // noteEnd notes that the stream is complete. One without events shows nothing, nor does the rest of
@@ -66,7 +69,7 @@
 func (an *answer) noteEnd() {
 	an.notePaceAtEnd()
 	if len(an.firstEvent.text) > 0 && !an.resumed {
-		an.proveRequest()
+		an.noteWhole()
 	}
 }
 
@@ -77,6 +80,7 @@
 	if errors.Is(err, errEndless) || an.excused(an.source.ReadFailure(err)) || !isCrash(an.source.ReadFailure(err), err) {
 		return
 	}
+	an.router.barred.Dead(now, an.endpoint.Run())
 	moment := quarantine.AfterHead
 	if len(an.firstEvent.text) > 0 {
 		moment = quarantine.AfterEvent
@@ -84,11 +88,17 @@
 	an.blame(now, moment, now.Sub(an.beganAt))
 }
 
-// brokeBeforeHead records that an attempt failed at a time, before the whole head of an answer had
+// failedBeforeHead records that an attempt failed at a time, before the whole head of an answer had
 // arrived. What the endpoint had written of it may have been lost with its process.
-func (at *attempt) brokeBeforeHead(now time.Time, err error) {
+func (at *attempt) failedBeforeHead(now time.Time, err error) {
 	var fa *endpoint.Failure
-	if errors.As(err, &fa) && fa.Sent && isCrash(fa, err) {
+	if !errors.As(err, &fa) || errors.Is(err, context.Canceled) {
+		return
+	}
+	if fa.Cause == endpoint.CauseUnreachable || isCrash(fa, err) {
+		at.router.barred.Dead(now, at.endpoint.Run())
+	}
+	if fa.Sent && isCrash(fa, err) {
 		at.blame(now, quarantine.BeforeHead, 0)
 	}
 }
@@ -103,11 +113,16 @@
 // so do the answers to all requests there: what tells the cause is not the moment at which an
 // answer broke, but that it is in every crash.
 func (at *attempt) blame(now time.Time, moment quarantine.Moment, afterHead time.Duration) {
+	at.call.counted = at.router.barred.Crashed(time.Now(), at.breakAt(now, moment, afterHead))
+}
+
+// breakAt describes a break of the attempt's answer at a time.
+func (at *attempt) breakAt(now time.Time, moment quarantine.Moment, afterHead time.Duration) quarantine.Break {
 	ca := at.call
-	ca.counted = at.router.barred.Crashed(time.Now(), quarantine.Break{
+	return quarantine.Break{
 		Service: ca.service.ID, Endpoint: at.endpoint.ID, Request: string(ca.request.ID), LastPart: ca.request.lastPart(),
 		Moment: moment, AfterHead: afterHead, At: now, Subjects: ca.subjects(),
-	})
+	}
 }
 
 // countTimeout is how long a request waits until the last crash under it has been counted.
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -191,6 +191,16 @@
 	}
 }
 
+// awaitKnown blocks until five endpoints have crashed, or until the part is refused after fewer
+// crashes, and returns the time of the fifth crash or else of the last one.
+func awaitKnown(rs *testsite.RouterSite, limit time.Duration) time.Time {
+	rs.Eventually(limit, "five endpoints have crashed, or the part is refused", func() bool {
+		return len(crashTimes(rs)) >= crashesToKnow || slices.Contains(rs.Routers[1].Dump().(router.State).Quarantined, crashingPart)
+	})
+	times := crashTimes(rs)
+	return times[min(len(times), crashesToKnow)-1]
+}
+
 // checkPartIsRefused sends requests with a part that crashes endpoints beside sound ones.
 func checkPartIsRefused(t *testing.T, routers, engines int, crashEvery time.Duration, moment standin.CrashMoment) {
 	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
@@ -202,8 +212,7 @@
 		began := time.Now()
 		bad := &promptLoad{site: rs, routers: routers, crashEvery: crashEvery}
 		stopBad := bad.start()
-		rs.Eventually(20*time.Second, "five endpoints have crashed", func() bool { return len(crashTimes(rs)) >= crashesToKnow })
-		fifth := crashTimes(rs)[crashesToKnow-1]
+		fifth := awaitKnown(rs, 25*time.Second)
 		// The first probes of the quarantines come in this time.
 		time.Sleep(18 * time.Second)
 		stopBad()
@@ -223,7 +232,7 @@
 // TestPromptPartThatCrashesEndpointsAtAnyMomentIsRefused has the part crash endpoints at other
 // moments of their answers. Only breaks soon after the head were evidence against a part.
 func TestPromptPartThatCrashesEndpointsAtAnyMomentIsRefused(t *testing.T) {
-	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashInEvent, standin.CrashAfterEvent, standin.CrashAfterMany} {
+	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashInEvent, standin.CrashAfterEvent, standin.CrashAfterMany, standin.CrashAtSilentEnd} {
 		for _, crashEvery := range []time.Duration{150 * time.Millisecond, time.Second, 5 * time.Second} {
 			t.Run(fmt.Sprintf("%s, every %v", moment, crashEvery), func(t *testing.T) {
 				checkPartIsRefused(t, 8, 9, crashEvery, moment)
@@ -430,9 +439,7 @@
 		}
 		bad := &promptLoad{site: rs, routers: routers, crashEvery: 500 * time.Millisecond}
 		defer bad.start()()
-		rs.Eventually(10*time.Second, "five endpoints have crashed, or the part is refused", func() bool {
-			return len(crashTimes(rs)) >= crashesToKnow || slices.Contains(rs.Routers[1].Dump().(router.State).Quarantined, crashingPart)
-		})
+		awaitKnown(rs, 10*time.Second)
 		time.Sleep(contactLimit)
 		since := time.Now()
 		time.Sleep(5 * time.Second)
--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -84,7 +84,7 @@
 	program := t.TempDir()
 	out, err := exec.Command("go", "build", "-o", program+"/", "../cmd/tanager-router").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashAfterMany} {
+	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashAfterMany, standin.CrashAtSilentEnd} {
 		t.Run(string(moment), func(t *testing.T) {
 			cs := &crashSite{t: t, dir: program, moment: moment, store: standin.NewStore()}
 			cs.start()
--- a/standin/crash.go
+++ b/standin/crash.go
@@ -17,6 +17,9 @@
 	CrashInEvent    CrashMoment = "in the first event"
 	CrashAfterEvent CrashMoment = "after an event"
 	CrashAfterMany  CrashMoment = "after many events"
+	// CrashAtSilentEnd is after an event of a stream that only the end of its connection ends: the
+	// crash looks like the end of the stream.
+	CrashAtSilentEnd CrashMoment = "between events without framing"
 )
 
 const (
@@ -54,11 +57,14 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if moment == CrashAtSilentEnd {
+		ReplicaFaults{EndsWithConnection: true}.delimit(wr.Header())
+	}
 	send("")
 	switch moment {
 	case CrashInEvent:
 		send("id: 1\ndata: tor")
-	case CrashAfterEvent:
+	case CrashAfterEvent, CrashAtSilentEnd:
 		send("id: 1\ndata: piece 1 of %s\n\n", ru.Request)
 	case CrashAfterMany:
 		for n := range manyEvents {
