Blame nothing for a broken answer of an endpoint that goes on

Cause: a break was taken for a crash. When an endpoint crashes, nothing listens at its address afterwards. Class: a conclusion is drawn from one event that a second look would refute.

Change: a break is reported only if a new connection to the endpoint fails, or does not stay open for 40 ms; one that is older than a second is reported without that look, as the endpoint may be back. The wait before a request is sent again holds for requests with prompts only.

--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -307,3 +309,27 @@
 	_ = co.Close()
 	return true
 }
+
+const (
+	// aliveDialTimeout bounds the connection by which Alive asks, and aliveTime is how long it must
+	// stay open: a process that ends may still accept it, and so does a proxy before one that has.
+	aliveDialTimeout = 200 * time.Millisecond
+	aliveTime        = 40 * time.Millisecond
+)
+
+// Alive reports whether the process at an endpoint's address runs: whether a new connection to it is
+// made and stays open for aliveTime. Nothing is sent on it.
+func (pa *Path) Alive(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveDialTimeout)
+	defer cancel()
+	co, err := pa.network.Dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = co.Close() }()
+	if co.SetReadDeadline(time.Now().Add(aliveTime)) != nil {
+		return false
+	}
+	_, err = co.Read(make([]byte, 1))
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/endpoint/paths.go
+++ b/endpoint/paths.go
@@ -42,6 +42,11 @@
 	return pa
 }
 
+// Alive reports whether the process at the address of one of a service's endpoints runs.
+func (ps *Paths) Alive(ctx context.Context, id policy.ServiceID, address string) bool {
+	return ps.Of(id).Alive(ctx, address)
+}
+
 // Lost reports whether the path to the endpoints of a service is lost.
 func (ps *Paths) Lost(id policy.ServiceID) bool {
 	ps.mu.Lock()
--- a/quarantine/doubt.go
+++ b/quarantine/doubt.go
@@ -17,6 +17,9 @@
 	// doubtTTL is how long after its end an answer may turn out to have broken off. Most endpoints
 	// are asked again in that time.
 	doubtTTL = 5 * time.Second
+	// troubleTTL is how long after a break or a refused connection the endpoints of a service are
+	// probed when an answer ends with its connection.
+	troubleTTL = 15 * time.Second
 )
 
 // doubts holds answers of which only the end of the connection showed the end. They were whole if
@@ -24,9 +27,13 @@
 type doubts struct {
 	mu    sync.Mutex
 	byRun *lru.Cache[policy.EndpointRun, []Break]
+	// troubleAt is when an endpoint of a service last broke or refused a connection.
+	troubleAt *lru.Cache[policy.ServiceID, time.Time]
 }
 
-func newDoubts() *doubts { return &doubts{byRun: newCache[policy.EndpointRun, []Break](maxDoubted)} }
+func newDoubts() *doubts {
+	return &doubts{byRun: newCache[policy.EndpointRun, []Break](maxDoubted), troubleAt: newCache[policy.ServiceID, time.Time](maxServices)}
+}
 
 // add adds an answer that ended at br.At.
 func (do *doubts) add(run policy.EndpointRun, br Break) {
@@ -57,8 +64,16 @@
 	return out
 }
 
-// Ended records that an answer ended with its connection, which may be the crash of the endpoint.
-func (li *List) Ended(run policy.EndpointRun, br Break) { li.doubts.add(run, br) }
+// Ended records that an answer ended with its connection, which may be the crash of the endpoint. If
+// endpoints of the service have failed of late, this one is probed, or else it shows when it is
+// asked again.
+func (li *List) Ended(run policy.EndpointRun, br Break) {
+	if at, ok := li.doubts.troubleAt.Peek(br.Service); ok && br.At.Sub(at) < troubleTTL {
+		li.Crashed(br)
+		return
+	}
+	li.doubts.add(run, br)
+}
 
 // Alive records that an endpoint has answered a request that was sent at a time: answers that ended
 // before it were whole.
@@ -68,12 +83,13 @@
 	}
 }
 
-// Dead records that an endpoint broke a connection or refused one: answers that ended with theirs
-// shortly before had broken off.
-func (li *List) Dead(now time.Time, run policy.EndpointRun) {
+// Failed records that an endpoint of a service broke a connection or refused one: answers that ended
+// with theirs shortly before may have broken off.
+func (li *List) Failed(now time.Time, id policy.ServiceID, run policy.EndpointRun) {
+	li.doubts.troubleAt.Add(id, now)
 	for _, br := range li.doubts.take(run, now) {
 		if now.Sub(br.At) < doubtTTL {
-			li.Crashed(now, br)
+			li.Crashed(br)
 		}
 	}
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -47,6 +47,11 @@
 	Remove(ctx context.Context, su policy.Subject) error
 }
 
+// Prober reports whether the process at the address of one of a service's endpoints runs.
+type Prober interface {
+	Alive(ctx context.Context, id policy.ServiceID, address string) bool
+}
+
 // List holds the subjects that are in quarantine, and what this router knows of
 // others. It is safe for concurrent use.
 //
@@ -56,6 +61,7 @@
 	group    *peer.Group
 	holder   *configuration.Holder
 	recorder Recorder
+	prober   Prober
 	log      *event.Log
 	proofs   *Proofs
 	doubts   *doubts
@@ -81,9 +87,9 @@
 }
 
 // NewList returns a list; Run reports and records.
-func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, lo *event.Log) *List {
+func NewList(gr *peer.Group, ho *configuration.Holder, re Recorder, pr Prober, lo *event.Log) *List {
 	return &List{
-		group: gr, holder: ho, recorder: re, log: lo, proofs: NewProofs(), doubts: newDoubts(), reports: make(chan report, maxReports),
+		group: gr, holder: ho, recorder: re, prober: pr, log: lo, proofs: NewProofs(), doubts: newDoubts(), reports: make(chan report, maxReports),
 		recordAgainAt: map[policy.Subject]time.Time{},
 		evidence:      NewEvidence(), refused: map[policy.Subject]refusal{},
 		triedProbeAt: map[policy.Subject]time.Time{},
@@ -140,6 +146,8 @@
 type Break struct {
 	Service  policy.ServiceID
 	Endpoint policy.EndpointID
+	// Address is the endpoint's, HOST:PORT.
+	Address string
 	// Request is the request's ID, LastPart the last part of its prompt, if it has one.
 	Request  string
 	LastPart policy.PromptPartID
@@ -152,42 +160,51 @@
 	Subjects []policy.Subject
 }
 
-// report holds what is to be reported of a break.
+// report is a break that is to be reported, if it was a crash.
 type report struct {
-	crashes []Crash
-	// counted is closed when the holders have counted it, or cannot be reached.
+	Break
+	// counted is closed when the holders have counted it, cannot be reached or need not.
 	counted chan struct{}
 }
 
 // Crashed records that an endpoint broke off an answer. The channel that it returns is closed when
-// that has been counted: whether a subject is refused for it is known then.
-func (li *List) Crashed(now time.Time, br Break) <-chan struct{} {
+// that has been counted, if the endpoint crashed: whether a subject is refused for it is known then.
+func (li *List) Crashed(br Break) <-chan struct{} {
+	rp := report{Break: br, counted: make(chan struct{})}
+	select {
+	case li.reports <- rp:
+	default:
+		li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"request": br.Request, "endpoint": br.Endpoint})
+		close(rp.counted)
+	}
+	return rp.counted
+}
+
+// crashesOf returns what is reported of a break: the subjects that are not proven.
+func (li *List) crashesOf(now time.Time, br Break, alive bool) []Crash {
 	contrast := li.proofs.Contrast(now, br.Service)
 	var proven, blamed []policy.Subject
-	rp := report{counted: make(chan struct{})}
+	var out []Crash
 	for _, su := range br.Subjects {
 		if li.proofs.Proven(now, su) {
 			proven = append(proven, su)
 			continue
 		}
 		blamed = append(blamed, su)
-		rp.crashes = append(rp.crashes, Crash{Subject: su, Service: br.Service, Endpoint: br.Endpoint, Request: br.LastPart, Contrast: contrast, At: br.At})
+		out = append(out, Crash{Subject: su, Service: br.Service, Endpoint: br.Endpoint, Request: br.LastPart, Contrast: contrast, At: br.At})
+	}
+	if alive {
+		blamed, out = nil, nil
+	}
+	if alive && br.Moment == AtEnd {
+		li.Proven(now, br.Service, br.Subjects)
+		return nil
 	}
 	li.log.InfoLimited(event.AnswerBrokenOff, event.Fields{
 		"request": br.Request, "endpoint": br.Endpoint, "moment": br.Moment, "after_head_ms": br.AfterHead.Milliseconds(),
-		"blamed": blamed, "proven": proven, "others_went_well": contrast,
+		"endpoint_runs": alive, "blamed": blamed, "proven": proven, "others_went_well": contrast,
 	})
-	if len(blamed) == 0 {
-		close(rp.counted)
-		return rp.counted
-	}
-	select {
-	case li.reports <- rp:
-	default:
-		li.log.WarnLimited(event.CrashNotReported, nil, event.Fields{"request": br.Request, "endpoint": br.Endpoint})
-		close(rp.counted)
-	}
-	return rp.counted
+	return out
 }
 
 // ReportCrashes implements peer.Crashes for the services whose crashes this router counts. It does
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"tanagerpoint.example/tanager/event"
@@ -66,17 +67,22 @@
 	}
 }
 
-// report sends crashes to the holders of their services, all at once, and blocks until these have
-// answered.
+// report sends the breaks that were crashes to the holders of their services, all at once, and
+// blocks until these have answered.
 func (li *List) report(ctx context.Context, rps []report) {
+	alive := li.alive(ctx, rps)
 	now, daemons, byHolder := time.Now(), li.group.Holders(), map[peer.Holder]*rpc.ReportCrashesRequest{}
 	for _, rp := range rps {
 		defer close(rp.counted)
-		for _, ho := range peer.SelectHolders(daemons, holdersKey(rp.crashes[0].Service), holdersPerService) {
+		crs := li.crashesOf(now, rp.Break, alive[rp.Endpoint])
+		if len(crs) == 0 {
+			continue
+		}
+		for _, ho := range peer.SelectHolders(daemons, holdersKey(rp.Service), holdersPerService) {
 			if byHolder[ho] == nil {
 				byHolder[ho] = &rpc.ReportCrashesRequest{}
 			}
-			for _, cr := range rp.crashes {
+			for _, cr := range crs {
 				byHolder[ho].Crashes = append(byHolder[ho].Crashes, cr.message(now))
 			}
 		}
@@ -84,6 +90,29 @@
 	li.tell(ctx, byHolder)
 }
 
+// alive returns the endpoints that run although they broke off answers, as one that fails single
+// requests does. After restartTime that no longer shows that they did not crash.
+func (li *List) alive(ctx context.Context, rps []report) map[policy.EndpointID]bool {
+	now, out, asked := time.Now(), map[policy.EndpointID]bool{}, map[policy.EndpointID]bool{}
+	var mu sync.Mutex
+	gr := worker.NewGroup()
+	for _, rp := range rps {
+		if asked[rp.Endpoint] || now.Sub(rp.At) >= restartTime {
+			continue
+		}
+		asked[rp.Endpoint] = true
+		gr.Go(func(context.Context) {
+			if li.prober.Alive(ctx, rp.Service, rp.Address) {
+				mu.Lock()
+				defer mu.Unlock()
+				out[rp.Endpoint] = true
+			}
+		})
+	}
+	gr.Wait()
+	return out
+}
+
 // holdersKey returns the key by which the holders of a service's crashes are chosen.
 func holdersKey(id policy.ServiceID) string { return "crashes/" + string(id) }
 
--- a/relay/path.go
+++ b/relay/path.go
@@ -68,15 +68,23 @@
 func (ro *Router) endpointAddresses(id policy.ServiceID) []string {
 	var out []string
 	for _, en := range ro.holder.Set().Endpoints.List() {
-		ur, err := url.Parse(en.Url)
-		if en.Service == string(id) && err == nil && ur.Host != "" {
-			out = append(out, ur.Host)
+		if ad := addressOf(en); en.Service == string(id) && ad != "" {
+			out = append(out, ad)
 		}
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
 }
 
+// addressOf returns an endpoint's address, HOST:PORT, "" if its URL names none.
+func addressOf(en policy.Endpoint) string {
+	ur, err := url.Parse(en.Url)
+	if err != nil {
+		return ""
+	}
+	return ur.Host
+}
+
 // service returns the service of the attempt's endpoint, path the path to its endpoints.
 func (at *attempt) service() policy.ServiceID { return policy.ServiceID(at.endpoint.Service) }
 func (at *attempt) path() *endpoint.Path      { return at.router.paths.Of(at.service()) }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -80,7 +80,7 @@
 	if errors.Is(err, errEndless) || an.excused(an.source.ReadFailure(err)) || !isCrash(an.source.ReadFailure(err), err) {
 		return
 	}
-	an.router.barred.Dead(now, an.endpoint.Run())
+	an.router.barred.Failed(now, an.service(), an.endpoint.Run())
 	moment := quarantine.AfterHead
 	if len(an.firstEvent.text) > 0 {
 		moment = quarantine.AfterEvent
@@ -96,7 +96,7 @@
 		return
 	}
 	if fa.Cause == endpoint.CauseUnreachable || isCrash(fa, err) {
-		at.router.barred.Dead(now, at.endpoint.Run())
+		at.router.barred.Failed(now, at.service(), at.endpoint.Run())
 	}
 	if fa.Sent && isCrash(fa, err) {
 		at.blame(now, quarantine.BeforeHead, 0)
@@ -113,14 +113,14 @@
 // so do the answers to all requests there: what tells the cause is not the moment at which an
 // answer broke, but that it is in every crash.
 func (at *attempt) blame(now time.Time, moment quarantine.Moment, afterHead time.Duration) {
-	at.call.counted = at.router.barred.Crashed(time.Now(), at.breakAt(now, moment, afterHead))
+	at.call.counted = at.router.barred.Crashed(at.breakAt(now, moment, afterHead))
 }
 
 // breakAt describes a break of the attempt's answer at a time.
 func (at *attempt) breakAt(now time.Time, moment quarantine.Moment, afterHead time.Duration) quarantine.Break {
 	ca := at.call
 	return quarantine.Break{
-		Service: ca.service.ID, Endpoint: at.endpoint.ID, Request: string(ca.request.ID), LastPart: ca.request.lastPart(),
+		Service: ca.service.ID, Endpoint: at.endpoint.ID, Address: addressOf(at.endpoint), Request: string(ca.request.ID), LastPart: ca.request.lastPart(),
 		Moment: moment, AfterHead: afterHead, At: now, Subjects: ca.subjects(),
 	}
 }
@@ -129,9 +129,9 @@
 const countTimeout = 150 * time.Millisecond
 
 // awaitCount blocks until the last crash under the call has been counted, or for countTimeout. A
-// request that is the cause must not be sent again before that is known.
+// request with a part that is the cause must not be sent again before that is known.
 func (ca *call) awaitCount(ctx context.Context) {
-	if ca.counted == nil {
+	if ca.counted == nil || len(ca.request.Prompt) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, countTimeout)
--- a/router/router.go
+++ b/router/router.go
@@ -109,8 +109,8 @@
 	da.watcher.SetFollower(da.follower)
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
-	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, lo)
 	da.paths = endpoint.NewPaths(ne)
+	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, da.paths, lo)
 	da.client = endpoint.NewClient(ne, endpointProgressTimeout)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -53,6 +54,9 @@
 	// CutAfter, if not 0, is the number of events after which a stream is aborted in
 	// the middle of the next one.
 	CutAfter int
+	// BreakShare is the share of requests, chosen at random, whose connection is closed before
+	// the head of the response. The replica goes on.
+	BreakShare float64
 	// CutAtHead aborts a stream after its head.
 	CutAtHead bool
 	// Silent makes the replica run requests but never answer them.
@@ -212,6 +216,9 @@
 		re.setDisconnected(ru)
 		panic(http.ErrAbortHandler)
 	}
+	if rand.Float64() < fa.BreakShare {
+		panic(http.ErrAbortHandler)
+	}
 	re.respond(wr, rq, ru, fa)
 }
 
