End the quarantine of requests only, not of parts, because of another subject

Read in the diff: a part that is the cause was let go if another one, falsely blamed, was in all of its crashes and in one more, as a prompt's first part may be. When an answer then cleared that one, the cause had four crashes to go again. TestEvidenceExplainsBystanders asks for both.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -165,12 +165,13 @@
 	}
 }
 
-// Explained returns the subjects in quarantine of which another subject explains the crashes.
+// Explained returns the requests in quarantine of which another subject explains the crashes. A part
+// waits for an answer that goes well: if it was the cause after all, many requests would show it.
 func (ev *Evidence) Explained(now time.Time) []policy.Subject {
 	var out []policy.Subject
 	causes := ev.causes()
 	for _, su := range causes {
-		if su.quarantined() && now.Sub(su.quarantinedAt) >= minQuarantine && isExplained(su, causes) {
+		if su.subject.Request != "" && su.quarantined() && now.Sub(su.quarantinedAt) >= minQuarantine && isExplained(su, causes) {
 			out = append(out, su.subject)
 		}
 	}
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -86,6 +86,7 @@
 		{"a request ran beside crashes of a known cause", [][]policy.Subject{{cause}, {cause}, {cause, request}, {cause, request}, {cause, request}}, []policy.Subject{cause}, nil},
 		{"a part was beside all but one", [][]policy.Subject{{cause}, {cause, beside}, {cause, beside}, {cause, beside}, {cause, beside}}, []policy.Subject{cause}, nil},
 		{"two parts were in all", [][]policy.Subject{{cause, beside}, {cause, beside}, {cause, beside}, {cause, beside}}, []policy.Subject{cause, beside}, nil},
+		{"a part was beside all, and then alone", [][]policy.Subject{{cause, beside}, {cause, beside}, {cause, beside}, {cause, beside}, {cause}}, []policy.Subject{cause, beside}, nil},
 		{"a request also crashes endpoints alone", [][]policy.Subject{{cause, request}, {cause, request}, {request}, {cause}, {cause}, {cause}}, []policy.Subject{request, cause}, nil},
 	} {
 		t.Run(te.name, func(t *testing.T) {
