--- a/endpoint/path.go
+++ b/endpoint/path.go
@@ -311,15 +311,25 @@
 }
 
 const (
-	// aliveDialTimeout bounds the connection by which Alive asks, and aliveTime is how long it must
-	// stay open: a process that ends may still accept it, and so does a proxy before one that has.
+	// aliveDialTimeout bounds a connection by which Alive asks, and aliveTime is how long each must
+	// stay open: a process that ends may still accept one, and so does a proxy before it.
 	aliveDialTimeout = 200 * time.Millisecond
-	aliveTime        = 40 * time.Millisecond
+	aliveTime        = 20 * time.Millisecond
+	aliveConnections = 2
 )
 
-// Alive reports whether the process at an endpoint's address runs: whether a new connection to it is
-// made and stays open for aliveTime. Nothing is sent on it.
+// Alive reports whether the process at an endpoint's address runs: whether new connections to it, one
+// after the other, are made and stay open for aliveTime. Nothing is sent on them.
 func (pa *Path) Alive(ctx context.Context, address string) bool {
+	for range aliveConnections {
+		if !pa.keepsConnection(ctx, address) {
+			return false
+		}
+	}
+	return true
+}
+
+func (pa *Path) keepsConnection(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveDialTimeout)
 	defer cancel()
 	co, err := pa.network.Dial(ctx, "tcp", address)
