--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,8 +1,8 @@
 // Package quarantine bars what crashes endpoints: parts of prompts, and requests that come
-// again unchanged. A router that sees an answer break off reports the subjects of the
-// request to the routers that hold them. A subject with enough crashes, and without an
-// answer that went well, is quarantined: a holder records that in the store, and every
-// router refuses requests with the subject.
+// again unchanged. A router that sees an answer break off, and finds the endpoint gone, reports the
+// subjects of the request to the few routers that count the crashes of its service, their holders.
+// A subject with enough crashes, and without an answer that went well, is quarantined: a holder
+// records that in the store, and every router refuses requests with the subject.
 package quarantine
 
 import (
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -32,7 +32,7 @@
 	recordAgainDelay   = 2 * time.Second
 )
 
-// Run reports crashes to the holders of their subjects, records quarantines, and ends those
+// Run reports crashes to the holders of their services, records quarantines, and ends those
 // of subjects that this router knows to be harmless, until ctx is done.
 func (li *List) Run(ctx context.Context) {
 	gr := worker.NewGroup()
