Keep places at overfull brittle endpoints free until the excess is served

Callers saw, at engines that run 5 of the 8 slots that they report, let none wait and bear one refusal a second, up to four of nine fall over at the moment at which brittleness takes effect, and up to a third of the room unused for the 12 s after it.

Cause: the places that a router has at an endpoint follow what the endpoint has room for, not what is still there. Where more wait than there is room for, each router used its place again as soon as a request ended, so that the excess stayed. Requests of routers that have no place there any more are part of it.

Now the place of a request that ends at such an endpoint stays taken for the part of the request's time that the excess is of all requests there: the time in which the endpoint, at its present rate, serves the excess. It is taken from the last load that the endpoint reported, and applies to brittle services only.

--- a/limit/brittle.go
+++ b/limit/brittle.go
@@ -92,8 +92,10 @@
 	// to be too small; zero if it is not.
 	share    int
 	raisedAt time.Time
-	// abandoned holds the ends of the times for which requests that were given up may go on.
-	abandoned []time.Time
+	// overfull is the part of the requests last reported there for which it lacks the room.
+	overfull float64
+	// taken holds until when places stay taken although their requests have ended at this router.
+	taken []time.Time
 	// refusedAt is when it last refused a request for want of room, own whether one of this
 	// router's. sparedUntil is when this router may send to it again.
 	refusedAt   time.Time
@@ -246,7 +248,7 @@
 		be.room = be.room.Unreported(now)
 	}
 	be.setShare(now, se.division.Share(en.ID, be.room.Places()))
-	al := Allowance{Guarded: true, Places: be.share - be.stillAbandoned(now)}
+	al := Allowance{Guarded: true, Places: be.share - be.stillTaken(now)}
 	if se.word.at.IsZero() {
 		// Until the first answer each router may try every endpoint.
 		al.Places = max(1, al.Places)
@@ -309,12 +311,10 @@
 	}
 }
 
-// stillAbandoned returns how many requests that were given up the endpoint may still run.
-func (be *brittleEndpoint) stillAbandoned(now time.Time) int {
-	for len(be.abandoned) > 0 && !be.abandoned[0].After(now) {
-		be.abandoned = be.abandoned[1:]
-	}
-	return len(be.abandoned)
+// stillTaken returns how many places stay taken although their requests have ended at this router.
+func (be *brittleEndpoint) stillTaken(now time.Time) int {
+	be.taken = slices.DeleteFunc(be.taken, func(until time.Time) bool { return !until.After(now) })
+	return len(be.taken)
 }
 
 // Reported records the load that an endpoint reported.
@@ -322,13 +322,24 @@
 	br.change(now, en, func(se *brittleService, be *brittleEndpoint) {
 		be.room = be.room.SiblingLacked(se.lackedAt).Reported(now, oc)
 		se.lackedAt = be.room.lackedAt
+		be.overfull = be.room.Overfull(oc)
 	})
 }
 
 // Abandoned records that a request was given up that an endpoint may still run.
 func (br *Brittle) Abandoned(now time.Time, en policy.Endpoint) {
 	br.change(now, en, func(_ *brittleService, be *brittleEndpoint) {
-		be.abandoned = append(be.abandoned, now.Add(abandonedTime))
+		be.taken = append(be.taken, now.Add(abandonedTime))
+	})
+}
+
+// Served records that an endpoint has served a request that took some time there. While the endpoint
+// has more requests than room, the request's place stays taken until as many have been served.
+func (br *Brittle) Served(now time.Time, en policy.Endpoint, took time.Duration) {
+	br.change(now, en, func(_ *brittleService, be *brittleEndpoint) {
+		if be.overfull > 0 {
+			be.taken = append(be.taken, now.Add(time.Duration(be.overfull*float64(took))))
+		}
 	})
 }
 
--- a/limit/room.go
+++ b/limit/room.go
@@ -112,5 +112,15 @@
 	return rm
 }
 
+// Overfull returns the part of the requests that the endpoint reports for which it lacks the room.
+func (rm Room) Overfull(oc Occupancy) float64 {
+	requests := oc.Running + oc.Waiting
+	excess := requests - rm.Places()
+	if excess <= 0 {
+		return 0
+	}
+	return float64(excess) / float64(requests)
+}
+
 // Places returns the number of requests that the endpoint may have.
 func (rm Room) Places() int { return int(math.Floor(rm.known)) }
--- a/relay/place.go
+++ b/relay/place.go
@@ -179,8 +179,11 @@
 // that was given up.
 func (at *attempt) freePlace(re placement.Result) {
 	ro, now := at.router, time.Now()
-	if re == placement.Neutral || re == placement.Failed {
+	switch re {
+	case placement.Neutral, placement.Failed:
 		ro.brittle.Abandoned(now, at.endpoint)
+	case placement.Succeeded:
+		ro.brittle.Served(now, at.endpoint, now.Sub(at.sentAt))
 	}
 	ro.queue.free(now, at.call.service.ID)
 }
