Ask a peer whether an endpoint runs where there is no path to it

Cause: a router that sees an answer break off looks at the endpoint, and takes it for crashed if it cannot be reached. Without a path it reaches none, so that each broken answer that a peer had carried counted as a crash, and so did each whole answer without a length or chunks for 15 s after a failure.

Now such a router asks up to two peers that have a path (CheckEndpoint); they look as they would for themselves.

The choice of peers that reach a service moved to peer.Group.

--- a/peer/member.go
+++ b/peer/member.go
@@ -58,6 +58,12 @@
 	return slices.DeleteFunc(gr.Members(), func(mb Member) bool { return mb.Role == RoleSteward })
 }
 
+// RoutersWithPath returns the other live routers that have a path to a service's endpoints and do
+// not drain.
+func (gr *Group) RoutersWithPath(id policy.ServiceID) []Member {
+	return slices.DeleteFunc(gr.Members(), func(mb Member) bool { return mb.Role != RoleRouter || mb.Draining || !mb.Reaches(id) })
+}
+
 // Preferred reports whether this daemon should be among the first to try for a
 // task: whether it is one of the n live daemons of its role that rendezvous
 // hashing by the task ranks first.
--- a/peer/server.go
+++ b/peer/server.go
@@ -36,6 +36,11 @@
 	ReportCrashes(ctx context.Context, rq *rpc.ReportCrashesRequest) (*rpc.ReportCrashesResponse, error)
 }
 
+// EndpointChecker answers other daemons' questions whether an endpoint's process runs.
+type EndpointChecker interface {
+	CheckEndpoint(ctx context.Context, rq *rpc.CheckEndpointRequest) (*rpc.CheckEndpointResponse, error)
+}
+
 // LoadSharer answers other daemons' calls that exchange sums, such as an Aggregator.
 type LoadSharer interface {
 	ShareLoad(ctx context.Context, rq *rpc.ShareLoadRequest) (*rpc.ShareLoadResponse, error)
@@ -48,6 +53,8 @@
 	pins  Pins
 	// crashes is nil on daemons that hold no reports.
 	crashes Crashes
+	// endpoints is nil on daemons that check no endpoints.
+	endpoints EndpointChecker
 	// loads is nil on daemons that share no loads.
 	loads LoadSharer
 	// carrier is nil on daemons that carry no attempts.
@@ -66,6 +73,12 @@
 	return se
 }
 
+// WithEndpoints makes the server answer whether endpoints run, and returns it.
+func (se *Server) WithEndpoints(ec EndpointChecker) *Server {
+	se.endpoints = ec
+	return se
+}
+
 // WithLoads makes the server answer calls that share loads, and returns it.
 func (se *Server) WithLoads(lo LoadSharer) *Server {
 	se.loads = lo
@@ -180,6 +193,14 @@
 	return se.crashes.ReportCrashes(ctx, rq)
 }
 
+// CheckEndpoint implements rpc.PeerService. A daemon that checks no endpoints cannot tell.
+func (se *Server) CheckEndpoint(ctx context.Context, rq *rpc.CheckEndpointRequest) (*rpc.CheckEndpointResponse, error) {
+	if se.endpoints == nil {
+		return &rpc.CheckEndpointResponse{}, nil
+	}
+	return se.endpoints.CheckEndpoint(ctx, rq)
+}
+
 // ShareLoad implements rpc.PeerService. A daemon that shares no loads knows none.
 func (se *Server) ShareLoad(ctx context.Context, rq *rpc.ShareLoadRequest) (*rpc.ShareLoadResponse, error) {
 	if se.loads == nil {
--- a/relay/carry.go
+++ b/relay/carry.go
@@ -69,9 +69,8 @@
 func (cr *carriers) peers(now time.Time, id policy.ServiceID) []peer.Member {
 	var near, far, last []peer.Member
 	gr := cr.router.peers
-	for _, mb := range gr.Entries() {
+	for _, mb := range gr.RoutersWithPath(id) {
 		switch {
-		case mb.Role != peer.RoleRouter || mb.Draining || !mb.Reaches(id):
 		case cr.refusedOfLate(now, mb.VM):
 			last = append(last, mb)
 		case mb.FailureDomain == gr.FailureDomain():
--- a/router/crashing_prompt_test.go
+++ b/router/crashing_prompt_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -177,20 +178,42 @@
 // crashes every endpoint that begins to answer, no two alike. The routers sent each of
 // them to up to three endpoints, for as long as they came.
 func TestPromptPartThatCrashesEndpointsIsRefused(t *testing.T) {
-	for _, site := range []struct {
-		routers, engines int
-		crashEvery       time.Duration
-	}{
+	for _, cs := range []crashCase{
 		{routers: 8, engines: 9, crashEvery: 150 * time.Millisecond},
 		{routers: 8, engines: 9, crashEvery: time.Second},
 		{routers: 40, engines: 30, crashEvery: 100 * time.Millisecond},
+		{routers: 8, engines: 9, crashEvery: 150 * time.Millisecond, withoutPath: 7},
 	} {
-		t.Run(fmt.Sprintf("%d routers, every %v", site.routers, site.crashEvery), func(t *testing.T) {
-			checkPartIsRefused(t, site.routers, site.engines, site.crashEvery, standin.CrashAfterHead)
-		})
+		cs.moment = standin.CrashAfterHead
+		t.Run(cs.String(), cs.checkPartIsRefused)
 	}
 }
 
+// crashCase is a site of which one part of a prompt crashes the endpoints.
+type crashCase struct {
+	routers, engines int
+	// crashEvery is the time between two requests with the part.
+	crashEvery time.Duration
+	moment     standin.CrashMoment
+	// withoutPath is the number of routers without a path to the endpoints.
+	withoutPath int
+}
+
+func (cs crashCase) String() string {
+	return fmt.Sprintf("%s, %d routers, %d without a path, every %v", cmp.Or(cs.moment, "after the head"), cs.routers, cs.withoutPath, cs.crashEvery)
+}
+
+// losePaths cuts the first n routers off from the endpoints, and waits until they know.
+func losePaths(rs *testsite.RouterSite, opt testsite.RouterOptions, n int) {
+	if n == 0 {
+		return
+	}
+	for ro := range n {
+		losePath(rs, opt, pathFaults[0], []int{1 + ro})
+	}
+	time.Sleep(pathLimit)
+}
+
 // awaitKnown blocks until five endpoints have crashed, or until the part is refused after fewer
 // crashes, and returns the time of the fifth crash or else of the last one.
 func awaitKnown(rs *testsite.RouterSite, limit time.Duration) time.Time {
@@ -202,15 +225,17 @@
 }
 
 // checkPartIsRefused sends requests with a part that crashes endpoints beside sound ones.
-func checkPartIsRefused(t *testing.T, routers, engines int, crashEvery time.Duration, moment standin.CrashMoment) {
-	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
-		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart, CrashMoment: moment})
+func (cs crashCase) checkPartIsRefused(t *testing.T) {
+	opt := testsite.RouterOptions{Routers: cs.routers, Engines: cs.engines, Engine: streamingEngine}
+	withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+		losePaths(rs, opt, cs.withoutPath)
+		setFaults(rs, standin.ReplicaFaults{CrashPart: crashingPart, CrashMoment: cs.moment})
 		before := time.Now()
-		sound := &promptLoad{site: rs, routers: routers, callers: 4 * engines, pause: 500 * time.Millisecond, newSubjectAt: before.Add(4 * time.Second)}
+		sound := &promptLoad{site: rs, routers: cs.routers, callers: 4 * cs.engines, pause: 500 * time.Millisecond, newSubjectAt: before.Add(4 * time.Second)}
 		stopSound := sound.start()
 		time.Sleep(4 * time.Second)
 		began := time.Now()
-		bad := &promptLoad{site: rs, routers: routers, crashEvery: crashEvery}
+		bad := &promptLoad{site: rs, routers: cs.routers, crashEvery: cs.crashEvery}
 		stopBad := bad.start()
 		fifth := awaitKnown(rs, 40*time.Second)
 		// The first probes of the quarantines come in this time.
@@ -233,10 +258,14 @@
 // moments of their answers. Only breaks soon after the head were evidence against a part.
 func TestPromptPartThatCrashesEndpointsAtAnyMomentIsRefused(t *testing.T) {
 	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashInEvent, standin.CrashAfterEvent, standin.CrashAfterMany, standin.CrashAtSilentEnd} {
-		for _, crashEvery := range []time.Duration{150 * time.Millisecond, time.Second, 5 * time.Second} {
-			t.Run(fmt.Sprintf("%s, every %v", moment, crashEvery), func(t *testing.T) {
-				checkPartIsRefused(t, 8, 9, crashEvery, moment)
-			})
+		for _, cs := range []crashCase{
+			{crashEvery: 150 * time.Millisecond},
+			{crashEvery: time.Second},
+			{crashEvery: 5 * time.Second},
+			{crashEvery: 150 * time.Millisecond, withoutPath: 7},
+		} {
+			cs.routers, cs.engines, cs.moment = 8, 9, moment
+			t.Run(cs.String(), cs.checkPartIsRefused)
 		}
 	}
 }
@@ -304,19 +333,29 @@
 
 // TestEndpointsThatBreakSingleAnswersQuarantineNoPrompt has some endpoints break off many of their
 // answers, and go on. Each router gets few answers, so that most have not seen one to a prompt with
-// a part that many ask for.
+// a part that many ask for. Routers without a path took the endpoints of all broken answers for crashed.
 func TestEndpointsThatBreakSingleAnswersQuarantineNoPrompt(t *testing.T) {
 	const routers, engines = 30, 9
-	withSite(t, testsite.RouterOptions{Routers: routers, Engines: engines, Engine: streamingEngine}, func(t *testing.T, rs *testsite.RouterSite) {
-		for n := range 2 * engines / 3 {
-			rs.Replicas[testsite.ReplicaID(testsite.EngineService, n+1, "v1")].SetFaults(standin.ReplicaFaults{BreakShare: 0.4})
-		}
-		sound := &promptLoad{site: rs, routers: routers, callers: 8 * engines, pause: 500 * time.Millisecond}
-		stop := sound.start()
-		time.Sleep(20 * time.Second)
-		stop()
-		qt.Check(t, sound.refusals(quarantinedBody), qt.Equals, 0, qt.Commentf("%v", sound.refused))
-	})
+	for _, tt := range []struct {
+		withoutPath int
+		// endWithConnection has answers have neither a length nor chunks.
+		endWithConnection bool
+	}{{0, false}, {10, false}, {10, true}, {28, true}} {
+		t.Run(fmt.Sprintf("%d without a path, end with connection %v", tt.withoutPath, tt.endWithConnection), func(t *testing.T) {
+			opt := testsite.RouterOptions{Routers: routers, Engines: engines, Engine: streamingEngine}
+			withSite(t, opt, func(t *testing.T, rs *testsite.RouterSite) {
+				losePaths(rs, opt, tt.withoutPath)
+				for n := range 2 * engines / 3 {
+					rs.Replicas[testsite.ReplicaID(testsite.EngineService, n+1, "v1")].SetFaults(standin.ReplicaFaults{BreakShare: 0.4, EndsWithConnection: tt.endWithConnection})
+				}
+				sound := &promptLoad{site: rs, routers: routers, callers: 8 * engines, pause: 500 * time.Millisecond}
+				stop := sound.start()
+				time.Sleep(20 * time.Second)
+				stop()
+				qt.Check(t, sound.refusals(quarantinedBody), qt.Equals, 0, qt.Commentf("%v", sound.refused))
+			})
+		})
+	}
 }
 
 // TestQuarantineOutlivesEveryRouter kills all routers at once while a prompt part is in
--- a/router/router.go
+++ b/router/router.go
@@ -110,7 +110,7 @@
 	da.registry = peer.NewRegistry(prefix, da.store, opt.Self, lo)
 	da.pins = session.NewPins(da.peers, relay.PinTTL)
 	da.paths = endpoint.NewPaths(ne)
-	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, da.paths, lo)
+	da.barred = quarantine.NewList(da.peers, da.holder, quarantineRecorder{da.store, da.layout}, da.prober(), lo)
 	da.client = endpoint.NewClient(ne, endpointProgressTimeout)
 	da.leases = lease.NewManager(prefix, da.store, string(da.peers.Incarnation()), rs.GetRollout().GetLease().AsDuration(), lo)
 	da.relay = relay.New(
@@ -123,6 +123,8 @@
 	return da, eris.Wrap(da.addGauges(), "router.New")
 }
 
+func (da *Daemon) prober() endpointProber { return endpointProber{paths: da.paths, peers: da.peers} }
+
 func (da *Daemon) peerOptions() peer.Options {
 	rs := da.settings
 	ps, ls := rs.GetPeers(), rs.GetListen()
@@ -170,7 +172,7 @@
 		address string
 		handler http.Handler
 	}{
-		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).WithLoads(da.sums).WithCarrier(http.HandlerFunc(da.relay.Carry)).Handler()},
+		{ls.GetPeers(), peer.NewServer(da.peers, nil, da.pins).WithCrashes(da.barred).WithEndpoints(da.prober()).WithLoads(da.sums).WithCarrier(http.HandlerFunc(da.relay.Carry)).Handler()},
 		{ls.GetAdmin(), admin.NewRouter(da.holder, da.metrics, da.Dump, nil)},
 		{ls.GetReadiness(), platform.NewReadinessHandler(da.relay.Ready)},
 		{ls.GetDirectory(), platform.NewDirectoryHandler(da.addresses, da.settings.GetServing().GetAddressKeep().AsDuration)},
