--- a/endpoint/alive_test.go
+++ b/endpoint/alive_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"io"
 	"net"
 	"testing"
 
@@ -8,28 +9,20 @@
 
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/testsite"
 )
 
 // TestOnlyAnEndpointThatKeepsConnectionsIsAlive asks of a process that listens, of one that has
 // ended, and of a proxy before one that has ended.
 func TestOnlyAnEndpointThatKeepsConnectionsIsAlive(t *testing.T) {
-	listen := func(accepted func(co net.Conn)) net.Listener {
+	listen := func(serve func(co net.Conn)) net.Listener {
 		li, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(func() { _ = li.Close() })
-		go func() {
-			for {
-				co, err := li.Accept()
-				if err != nil {
-					return
-				}
-				accepted(co)
-			}
-		}()
+		testsite.AcceptEach(t, li, serve)
 		return li
 	}
-	running := listen(func(co net.Conn) { t.Cleanup(func() { _ = co.Close() }) })
-	proxy := listen(func(co net.Conn) { _ = co.Close() })
+	running := listen(func(co net.Conn) { _, _ = io.Copy(io.Discard, co) })
+	proxy := listen(func(net.Conn) {})
 	ended := listen(func(net.Conn) {})
 	qt.Assert(t, ended.Close(), qt.IsNil)
 	paths := endpoint.NewPaths(network.Real())
--- a/endpoint/early_answer_test.go
+++ b/endpoint/early_answer_test.go
@@ -13,6 +13,7 @@
 
 	"tanagerpoint.example/tanager/endpoint"
 	"tanagerpoint.example/tanager/network"
+	"tanagerpoint.example/tanager/testsite"
 )
 
 // earlyAnswer is an endpoint that answers each request at once, before it has read the body, and
@@ -20,22 +21,12 @@
 func earlyAnswer(t *testing.T, readBytes int64, pause time.Duration) (url string) {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = li.Close() })
-	go func() {
-		for {
-			co, err := li.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.CopyN(io.Discard, co, readBytes)
-				_, _ = io.WriteString(co, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of an answer")
-				time.Sleep(pause)
-				_ = co.(*net.TCPConn).SetLinger(0)
-				_ = co.Close()
-			}()
-		}
-	}()
+	testsite.AcceptEach(t, li, func(co net.Conn) {
+		_, _ = io.CopyN(io.Discard, co, readBytes)
+		_, _ = io.WriteString(co, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of an answer")
+		time.Sleep(pause)
+		_ = co.(*net.TCPConn).SetLinger(0)
+	})
 	return "http://" + li.Addr().String()
 }
 
--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -22,20 +23,12 @@
 				si.Net.Revive(ho)
 				li, err := si.Net.ForHost(ho).Listen(testsite.PlainAddress(1))
 				qt.Assert(t, err, qt.IsNil)
-				defer func() { _ = li.Close() }()
-				go func() {
-					for {
-						co, err := li.Accept()
-						if err != nil {
-							return
-						}
-						if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
-							_, _ = io.Copy(io.Discard, rq.Body)
-							_, _ = io.WriteString(co, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 4\r\n\r\nboom")
-						}
-						_ = co.Close()
+				testsite.AcceptEach(t, li, func(co net.Conn) {
+					if rq, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+						_, _ = io.Copy(io.Discard, rq.Body)
+						_, _ = io.WriteString(co, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 4\r\n\r\nboom")
 					}
-				}()
+				})
 				for _, method := range []string{http.MethodGet, http.MethodPost} {
 					an := si.Checkout(testsite.Call{}, method, "", "loan")
 					qt.Check(t, an.Status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%s: %d %s", method, an.Status, an.Body))
--- a/router/broken_bytes_test.go
+++ b/router/broken_bytes_test.go
@@ -31,20 +31,10 @@
 	rs.Net.Revive(ho)
 	li, err := rs.Net.ForHost(ho).Listen(testsite.ReplicaAddress(service, n, "v1"))
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = li.Close() })
-	go func() {
-		for {
-			co, err := li.Accept()
-			if err != nil {
-				return
-			}
-			go rr.serve(co)
-		}
-	}()
+	testsite.AcceptEach(t, li, rr.serve)
 }
 
 func (rr *rawReplica) serve(co net.Conn) {
-	defer func() { _ = co.Close() }()
 	rd := bufio.NewReader(co)
 	for {
 		rq, err := http.ReadRequest(rd)
--- a/router/connection_end_test.go
+++ b/router/connection_end_test.go
@@ -80,8 +80,11 @@
 		id := testsite.ReplicaID(testsite.PlainService, 1, "v1")
 		li, err := rs.Net.ForHost(testsite.Host(id)).Listen(testsite.ReplicaAddress(testsite.PlainService, 1, "v1"))
 		qt.Assert(t, err, qt.IsNil)
-		defer func() { _ = li.Close() }()
-		go answerAll(li, "HTTP/1.1 099 None\r\nResponse-Signature: signed\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+		testsite.AcceptEach(t, li, func(co net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
+				_, _ = io.WriteString(co, "HTTP/1.1 099 None\r\nResponse-Signature: signed\r\nAttempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
 		rs.Register(testsite.PlainService, 1, "v1", "ready")
 		time.Sleep(applyLimit)
 		an := do(rs, request{id: "a", path: testsite.UnsafeRoute})
@@ -90,19 +93,6 @@
 	})
 }
 
-// answerAll answers the first request on each connection with a text.
-func answerAll(li net.Listener, text string) {
-	for {
-		co, err := li.Accept()
-		if err != nil {
-			return
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(co)); err == nil {
-			_, _ = io.WriteString(co, text)
-		}
-	}
-}
-
 // TestStreamWhoseEndComesLateIsComplete pauses a replica between the last event of its stream and
 // the end. The end was not written to the caller, for whom the stream broke off.
 func TestStreamWhoseEndComesLateIsComplete(t *testing.T) {
--- a/soak/crashing_test.go
+++ b/soak/crashing_test.go
@@ -70,6 +70,8 @@
 	store   *standin.Store
 	engines []*engineProcess
 	routers []*process
+	// group runs the servers of the store and of the engines, and their returns after crashes.
+	group *worker.Group
 
 	mu sync.Mutex
 	// sent and served hold the times of the sound requests, refused those that were refused
@@ -86,7 +88,7 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	for _, moment := range []standin.CrashMoment{standin.CrashBeforeHead, standin.CrashInHead, standin.CrashAfterMany, standin.CrashAtSilentEnd} {
 		t.Run(string(moment), func(t *testing.T) {
-			cs := &crashSite{t: t, dir: program, moment: moment, store: standin.NewStore()}
+			cs := &crashSite{t: t, dir: program, moment: moment, store: standin.NewStore(), group: worker.NewGroup()}
 			cs.start()
 			cs.run()
 		})
@@ -96,27 +98,21 @@
 // start starts the store, the engines and the routers, and gives these two seconds.
 func (cs *crashSite) start() {
 	kv := cs.listen("127.0.0.1:0")
-	sv := &http.Server{Handler: cs.store.KVHandler(), ReadHeaderTimeout: time.Minute}
-	cs.t.Cleanup(func() { _ = sv.Close() })
-	go func() { _ = sv.Serve(kv) }()
+	cs.t.Cleanup(cs.group.Close)
+	serveOn(cs.group, kv, cs.store.KVHandler())
 	for n := range crashEngines {
 		ep := &engineProcess{cs: cs, number: n}
 		li := cs.listen("127.0.0.1:0")
 		ep.address = li.Addr().String()
 		ep.start(li)
 		cs.engines = append(cs.engines, ep)
-		cs.t.Cleanup(ep.stop)
 	}
 	cs.store.Write("op/config", fmt.Appendf(nil, `{"version":1,"routes":[{"name":"r","host":%q,"prefix":"/","kind":"streaming","service":"scribes","target_latency_ms":1000,"timeout_ms":20000,"max_attempts":3,`+
 		`"sizes":["small","large"],"stream_resume":true,"session_affinity":true,"target_gap_ms":800}],"services":[{"name":"scribes","engine":{"slots":16}}],`+
 		`"limits":{"max_body_bytes":65536,"idle_timeout_ms":15000},"tenants":[{"name":"own","api_keys":["own"]}]}`, routeHost))
 	for n := range crashRouters {
-		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", crashPort+10*n+k) }
 		file := filepath.Join(cs.dir, fmt.Sprintf("crash-%d.ini", n))
-		text := fmt.Sprintf("[vm]\nid = router-%d\nsite = soak\nfailure_domain = fd-%d\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
-			"[store]\nurls = http://%s\n[peers]\nshared_key = soak-shared-key-123\nseeds = 127.0.0.1:%d\n[serving]\nretry_ratio = 0.9\nretry_slack = 56\n[log]\nformat = json\n",
-			n, n%3, port(0), port(1), port(2), port(3), port(4), kv.Addr(), crashPort+3)
-		qt.Assert(cs.t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+		writeRouterSettings(cs.t, file, crashPort, n, kv.Addr().String())
 		pr := &process{name: "crash-" + strings.ReplaceAll(string(cs.moment), " ", "-") + fmt.Sprint("-", n), args: []string{"tanager-router", "run", "-c", file}}
 		pr.start(cs.t, cs.dir)
 		cs.routers = append(cs.routers, pr)
@@ -143,23 +139,21 @@
 	id := fmt.Sprintf("i-%d-%d", ep.number, len(ep.replicas))
 	re := standin.NewReplica(standin.ReplicaOptions{
 		ID: id, Events: 30, Gap: 40 * time.Millisecond, Delay: 150 * time.Millisecond,
-		Confidence: map[string]string{"small": "90", "large": "95"}, OnCrash: func() { go ep.crash(id) },
+		Confidence: map[string]string{"small": "90", "large": "95"}, OnCrash: func() { ep.cs.group.Go(func(ctx context.Context) { ep.crash(ctx, id) }) },
 	})
 	re.SetFaults(standin.ReplicaFaults{CrashPart: crashPart, CrashMoment: ep.cs.moment})
 	ep.replicas = append(ep.replicas, re)
-	ep.server = &http.Server{Handler: re.Handler(), ReadHeaderTimeout: time.Minute}
-	go func(sv *http.Server) { _ = sv.Serve(li) }(ep.server)
+	ep.server = serveOn(ep.cs.group, li, re.Handler())
 	ep.cs.store.Write("servers/"+id, fmt.Appendf(nil, `{"service":"scribes","address":%q,"zone":"fd-%d","version":"v1","slots":16,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":%d,`+
 		`"models":[{"name":"small","version":1},{"name":"large","version":1}]}`, ep.address, ep.number%3, time.Now().UnixMilli()))
 }
 
 // crash closes all connections of the engine, and starts a new instance later.
-func (ep *engineProcess) crash(id string) {
+func (ep *engineProcess) crash(ctx context.Context, id string) {
 	ep.stop()
-	time.Sleep(engineAway / 2)
+	worker.Sleep(ctx, engineAway/2)
 	ep.cs.store.Write("servers/"+id, nil)
-	time.Sleep(engineAway / 2)
-	if ep.cs.t.Context().Err() != nil {
+	if !worker.Sleep(ctx, engineAway/2) {
 		return
 	}
 	if li, err := net.Listen("tcp", ep.address); err == nil {
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 
 	"tanagerpoint.example/tanager/network"
 	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/worker"
 )
 
 const (
@@ -124,14 +126,36 @@
 func (rs *routerSite) serve(ha http.Handler) string {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(rs.t, err, qt.IsNil)
-	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
-	rs.t.Cleanup(func() { _ = sv.Close() })
-	go func() { _ = sv.Serve(li) }()
+	gr := worker.NewGroup()
+	rs.t.Cleanup(gr.Close)
+	serveOn(gr, li, ha)
 	px := newProxy(rs.t, li.Addr().String())
 	rs.proxies = append(rs.proxies, px)
 	return px.address()
 }
 
+// serveOn serves a handler on a listener until the returned server or the group is closed.
+func serveOn(gr *worker.Group, li net.Listener, ha http.Handler) *http.Server {
+	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
+	gr.Go(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = sv.Close() })
+		defer stop()
+		_ = sv.Serve(li)
+	})
+	return sv
+}
+
+// writeRouterSettings writes the settings of router n of a site to a file. Each router has five of the ten
+// ports from its own on; kv is the store's address.
+func writeRouterSettings(t *testing.T, file string, firstPort, n int, kv string) {
+	t.Helper()
+	port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+10*n+k) }
+	text := fmt.Sprintf("[vm]\nid = router-%d\nsite = soak\nfailure_domain = fd-%d\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
+		"[store]\nurls = http://%s\n[peers]\nshared_key = soak-shared-key-123\nseeds = 127.0.0.1:%d\n[serving]\nretry_ratio = 0.9\nretry_slack = 56\n[log]\nformat = json\n",
+		n, n%3, port(0), port(1), port(2), port(3), port(4), kv, firstPort+3)
+	qt.Assert(t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+}
+
 // start starts the stand-ins and the routers, and gives the routers two seconds.
 func (rs *routerSite) start() {
 	kv := rs.serve(rs.store.KVHandler())
@@ -142,12 +166,8 @@
 	rs.configure("key-0")
 	rs.copyStore()
 	for n := range soakRouters {
-		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", *firstPort+10*n+k) }
 		file := fmt.Sprintf("%s/router-%d.ini", rs.dir, n)
-		text := fmt.Sprintf("[vm]\nid = router-%d\nsite = soak\nfailure_domain = fd-%d\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
-			"[store]\nurls = http://%s\n[peers]\nshared_key = soak-shared-key-123\nseeds = 127.0.0.1:%d\n[serving]\nretry_ratio = 0.9\nretry_slack = 56\n[log]\nformat = json\n",
-			n, n%3, port(0), port(1), port(2), port(3), port(4), kv, *firstPort+3)
-		(&site{t: rs.t, dir: rs.dir}).write(fmt.Sprintf("router-%d.ini", n), text)
+		writeRouterSettings(rs.t, file, *firstPort, n, kv)
 		pr := &process{name: fmt.Sprint("router-", n), args: []string{"tanager-router", "run", "-c", file}}
 		pr.start(rs.t, rs.dir)
 		rs.routers = append(rs.routers, pr)
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -21,6 +21,7 @@
 
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/standin"
+	"tanagerpoint.example/tanager/worker"
 )
 
 // landingBefore is the commit whose routers the upgrade starts with.
@@ -108,12 +109,8 @@
 	up.register()
 	up.configure(1, "own", plainTimeout, "taken away")
 	for n := range upgradeRouters {
-		port := func(k int) string { return fmt.Sprintf("127.0.0.1:%d", upgradePort+10*n+k) }
 		file := filepath.Join(up.dir, fmt.Sprintf("%d.ini", n))
-		text := fmt.Sprintf("[vm]\nid = router-%d\nsite = soak\nfailure_domain = fd-%d\n[listen]\ncallers = %s\nreadiness = %s\ndirectory = %s\npeers = %s\nadmin = %s\n"+
-			"[store]\nurls = http://%s\n[peers]\nshared_key = soak-shared-key-123\nseeds = 127.0.0.1:%d\n[serving]\nretry_ratio = 0.9\nretry_slack = 56\n[log]\nformat = json\n",
-			n, n%3, port(0), port(1), port(2), port(3), port(4), kv, upgradePort+3)
-		qt.Assert(up.t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+		writeRouterSettings(up.t, file, upgradePort, n, kv)
 		pr := &process{name: fmt.Sprint("router-", n), args: []string{"before", "run", "-c", file}}
 		pr.start(up.t, up.dir)
 		up.routers = append(up.routers, pr)
@@ -138,9 +135,9 @@
 func (up *upgrade) serve(ha http.Handler) string {
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(up.t, err, qt.IsNil)
-	sv := &http.Server{Handler: ha, ReadHeaderTimeout: time.Minute}
-	up.t.Cleanup(func() { _ = sv.Close() })
-	go func() { _ = sv.Serve(li) }()
+	gr := worker.NewGroup()
+	up.t.Cleanup(gr.Close)
+	serveOn(gr, li, ha)
 	return li.Addr().String()
 }
 
