--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -18,10 +18,16 @@
 	exitNotRun = 2
 )
 
-// play plays a case and returns whether the rule was broken.
-type play func(si *site, trouble bool) (broken bool, err error)
+// play plays a case on a number of routers, and returns whether the rule was broken.
+type play struct {
+	routers int
+	run     func(si *site, trouble bool) (broken bool, err error)
+}
 
-var plays = map[string]play{"crashing-part": playCrashingPart}
+var plays = map[string]play{
+	"crashing-part":   {routerCount, playCrashingPart},
+	"silent-watchers": {routerCount + spareCount, playSilentWatchers},
+}
 
 func main() { os.Exit(run()) }
 
@@ -55,11 +61,11 @@
 		return false, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	si, err := newSite(root, dir)
+	si, err := newSite(root, dir, pl.routers)
 	if err != nil {
 		return false, err
 	}
 	defer si.close()
-	broken, err = pl(si, trouble)
+	broken, err = pl.run(si, trouble)
 	return broken, errors.Join(err, si.record.write(recordFile))
 }
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -20,6 +20,7 @@
 // The deployment: machines and bounds of the site bagmati-drawers.
 const (
 	routerCount = 8
+	spareCount  = 3
 	zoneCount   = 3
 	// contact is contact_ms, the time after which a machine that was killed is in touch again.
 	contact = 3 * time.Second
@@ -54,8 +55,8 @@
 	cmd                         *exec.Cmd
 }
 
-// newSite starts the store and prepares the routers' settings.
-func newSite(root, dir string) (*site, error) {
+// newSite starts the store and prepares the settings of a number of routers.
+func newSite(root, dir string, routers int) (*site, error) {
 	si := &site{root: root, dir: dir, record: newRecord(), store: standin.NewStore(), group: worker.NewGroup()}
 	li, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freeAddresses(routerCount * portsEach)
+	ports, err := freeAddresses(routers * portsEach)
 	if err != nil {
 		return nil, err
 	}
@@ -75,7 +76,7 @@
 	for n := range seedCount {
 		seeds = append(seeds, ports[n*portsEach+3])
 	}
-	for n := range routerCount {
+	for n := range routers {
 		if err := si.addRouter(n, string(template), ports[n*portsEach:][:portsEach], strings.Join(seeds, ",")); err != nil {
 			return nil, err
 		}
@@ -144,6 +145,12 @@
 	return nil
 }
 
+// signal sends a signal to the router's process.
+func (rp *routerProcess) signal(sg syscall.Signal) {
+	_ = rp.cmd.Process.Signal(sg)
+	rp.site.record.add("%s: %v", rp.name, sg)
+}
+
 // kill ends the router's process at once.
 func (rp *routerProcess) kill() {
 	if rp.cmd == nil || rp.cmd.Process == nil {
