Take a step of a version's roll-out only when its answers permit the next one

Callers: a version of a model that fails some of its answers could become the version in use, as a step took answers_per_step answers and 20 ratings at most, whatever they showed, and each entry judged by its own.

Change: the steward adds up what all entries have counted by rank of work, and takes a step when the expected loss, times the share that comes next, is small.

--- a/proof/steward_test.go
+++ b/proof/steward_test.go
@@ -322,3 +322,30 @@
 		}
 	})
 }
+
+// TestVersionThatFailsSomeAnswersIsNotRolledOutOnFewAnswers guards against a bad version that
+// becomes the version in use because a step takes few answers, which do not show that it is bad.
+func TestVersionThatFailsSomeAnswersIsNotRolledOutOnFewAnswers(t *testing.T) {
+	for n := range 5 {
+		t.Run(fmt.Sprint("roll-out ", n), checkFailingVersionIsNotRolledOut)
+	}
+}
+
+// checkFailingVersionIsNotRolledOut rolls out a version of which a part of the answers fail, under a
+// load of ten requests a second.
+func checkFailingVersionIsNotRolledOut(t *testing.T) {
+	withSite(t, testsite.Options{Entries: 3, Stewards: 2, Engines: 3}, func(t *testing.T, si *testsite.Site) {
+		for _, en := range si.Engines {
+			en.SetFaults(standin.Faults{FailModel: "m-2", FailShare: 0.15})
+		}
+		si.Apply(testsite.Record("rollout", "r",
+			`{"model":"m","from_version":"m-1","to_version":"m-2","share":0.1,"state":"RUNNING","steps":[0.1,0.5,1],"answers_per_step":5}`))
+		ro, _ := rolloutState(t, si)
+		for n := 0; ro.Active() && n < 3000; n++ {
+			si.Chat(testsite.Call{Entry: 1 + n%3, Prompt: fmt.Sprint("sheet ", n)})
+			time.Sleep(100 * time.Millisecond)
+			ro, _ = rolloutState(t, si)
+		}
+		qt.Assert(t, ro.State, qt.Equals, rpc.RolloutState_ABORTED)
+	})
+}
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -219,6 +219,13 @@
 	return pr.StableInFlight == 0 || now.After(pr.timeAt(forcedEnd))
 }
 
+// Safe reports whether a candidate may get a share of all sessions, for roll-outs by steps. Of a
+// small share less is lost if the candidate is bad after all, so fewer answers must have shown that
+// it is good.
+func (re Report) Safe(share float64) bool {
+	return share*Compare(re.Routes).ExpectedLoss <= provenLoss
+}
+
 // Exposure bounds the requests that an unproved candidate may get.
 type Exposure struct {
 	// Share is the share of all requests of the roll-out that it may get, Requests the number
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -173,7 +173,7 @@
 	if n := gjson.GetBytes(body, "max_tokens").Int(); n > 0 {
 		ge.tokens = int(n)
 	}
-	if ge.model == en.Faults().FailModel && ge.model != "" {
+	if en.Faults().fails(ge.model) {
 		http.Error(wr, `{"error":{"message":"model failed"}}`, http.StatusInternalServerError)
 		return
 	}
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -45,6 +46,8 @@
 	LateAbout string `json:"late_about"`
 	// FailModel is the model whose requests an engine answers with status 500.
 	FailModel string `json:"fail_model"`
+	// FailShare is the share of these requests, chosen at random; 0 selects all.
+	FailShare float64 `json:"fail_share"`
 	// CutAfter is the number of events after which the next CutStreams streams of
 	// an engine are aborted.
 	CutAfter   int `json:"cut_after"`
@@ -155,6 +158,11 @@
 	return rq.Method == http.MethodPost
 }
 
+// fails reports whether a request for a model fails.
+func (fa Faults) fails(model string) bool {
+	return model != "" && model == fa.FailModel && (fa.FailShare == 0 || rand.Float64() < fa.FailShare)
+}
+
 // handleFaults replaces the faults in force by those in the body.
 func (fi *FaultInjector) handleFaults(wr http.ResponseWriter, rq *http.Request) {
 	var fa Faults
--- a/steward/rollout.go
+++ b/steward/rollout.go
@@ -74,14 +74,23 @@
 }
 
 // stepComplete reports whether the candidate has enough answers and ratings at the
-// current step.
+// current step, and its answers show that it is good enough for the next one.
 func (rt *rolloutTask) stepComplete(ro policy.Rollout) bool {
-	if rt.answers < ro.AnswersPerStep {
+	if rt.answers < ro.AnswersPerStep || !rt.total.Safe(nextShare(ro)) {
 		return false
 	}
 	return rt.daemon.ratings == nil || rt.rated >= min(minRatingsPerStep, ro.AnswersPerStep)
 }
 
+// nextShare returns the share of sessions that the candidate gets once the current step is complete:
+// after the last step it becomes the version in use.
+func nextShare(ro policy.Rollout) float64 {
+	if share, more := rollout.NextShare(ro); more {
+		return share
+	}
+	return 1
+}
+
 // readHealth adds the candidate's answers that the entries have reported since the last
 // call. The first report of an entry only sets the count to compare with. It returns
 // the reason if the candidate is to be rejected by the outcomes at all entries, and ""
