Measure which releases of a small service are completed

The measures of roll-outs counted answers until a stop and knew no deadline, so that a release that is taken for good on few answers did not show.

--- a/measure/report.go
+++ b/measure/report.go
@@ -24,6 +24,7 @@
 	out = append(out, measureCascade(seed), measureDrift(seed), measureModelRemoval(seed), measureStoppedRatings(seed))
 	out = append(out, measureEscalation(seed)...)
 	out = append(out, measureExposure(seed)...)
+	out = append(out, measureSmallRollouts(seed)...)
 	return append(out, measureRetries(seed), measureQuarantine(seed, "requests with a prompt part", crashingPart, crashesToKnow),
 		measureQuarantine(seed, "a request that comes again", crashingRequest, crashesOfRequest), measureLimits(seed), measureAddresses(seed), measureShortage(seed))
 }
