Say in plain words when a promoted release goes back

proven compared two floating-point limits for equality to see that the time is over. It asks for the time now; nothing else changes.

--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -32,8 +32,8 @@
 	// acceptedOdds are the odds of a bad candidate up to which it is taken for good. A route with
 	// few requests adds little to the loss, however bad the candidate is there.
 	acceptedOdds = 1
-	// revertedLoss and revertedOdds are those above which a candidate does not complete that has
-	// been promoted. To go back moves all requests once more.
+	// revertedLoss and revertedOdds are the limits after forcedEnd for a candidate that has been
+	// promoted. They are higher, as to go back moves all requests once more.
 	revertedLoss = 0.03
 	revertedOdds = 3
 )
@@ -178,11 +178,11 @@
 // proven reports whether the candidate's answers show that it is good. That they do not show it
 // to be bad is not enough.
 func (pr Progress) proven(now time.Time) bool {
-	op, limit := Compare(pr.Routes), pr.lossLimit(now)
-	if pr.promoted(now) && limit == acceptedLoss {
+	op := Compare(pr.Routes)
+	if pr.promoted(now) && now.After(pr.timeAt(forcedEnd)) {
 		return op.ExpectedLoss <= revertedLoss && op.Odds <= revertedOdds
 	}
-	return op.ExpectedLoss <= limit && op.Odds <= acceptedOdds
+	return op.ExpectedLoss <= pr.lossLimit(now) && op.Odds <= acceptedOdds
 }
 
 // readyToPromote reports whether the end of the trial is to be decided: the candidate
