Bound the reports of roll-outs

A report held one for each route and endpoint up to 16 endpoints, and the sums of a large group go around four times a second.

Reports now have them only up to 32 in all, as services with few routes and endpoints need them to tell trouble of one endpoint from a bad release. TestReportsOfManyEndpointsStaySmall fails without the bound (12 endpoints), and passes with it.

--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -1,11 +1,13 @@
 package rollout_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
@@ -175,3 +177,23 @@
 		}
 	}
 }
+
+// TestReportsOfManyEndpointsStaySmall guards against reports that grow with the routes and endpoints of a
+// service: in large groups their sums took more bytes between failure domains than all else.
+func TestReportsOfManyEndpointsStaySmall(t *testing.T) {
+	const routes, maxBytes = 32, 4096
+	for _, endpoints := range []int{1, 3, 12, 100} {
+		re := rollout.Report{Routes: map[policy.RouteID]rollout.RouteTallies{}}
+		for ro := range routes {
+			rt := rollout.RouteTallies{Endpoints: map[policy.EndpointID]rollout.Tally{}}
+			for en := range endpoints {
+				ta := rollout.Tally{Answers: 50, Failures: 3, Timed: 40, Slow: 2, Whole: 47, WholeSeconds: 1.25}
+				rt.Candidate, rt.Stable = rt.Candidate.Add(ta), rt.Stable.Add(ta)
+				rt.Endpoints[policy.EndpointID(fmt.Sprint("endpoint-", en))] = ta
+			}
+			re.Routes[policy.RouteID(fmt.Sprint("route-", ro))] = rt
+		}
+		size := proto.Size(re.Message("v2"))
+		qt.Check(t, size <= maxBytes, qt.IsTrue, qt.Commentf("%d endpoints: %d bytes", endpoints, size))
+	}
+}
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -98,8 +98,9 @@
 	return Tally{Answers: ta.Answers - other.Answers, Failures: ta.Failures - other.Failures}.bounded()
 }
 
-// maxReportedEndpoints bounds the endpoints whose answers are reported by themselves.
-const maxReportedEndpoints = 16
+// maxEndpointTallies is the number of tallies by route and endpoint up to which they are reported. The
+// sums of a large group would carry far more, again and again, between failure domains.
+const maxEndpointTallies = 32
 
 // Message returns the report of a candidate as a message.
 func (re Report) Message(candidate string) *rpc.VersionHealth {
@@ -111,10 +112,13 @@
 		Suspect: re.RejectionReason != "", Reason: re.RejectionReason,
 		SlowEvidence: re.Evidence.Slow.LogWealth(), PaceEvidence: re.Evidence.Pace.LogWealth(),
 	}
-	fewEndpoints := len(sum.Endpoints) <= maxReportedEndpoints
+	tallies := 0
+	for _, rt := range re.Routes {
+		tallies += len(rt.Endpoints)
+	}
 	for id, rt := range re.Routes {
 		if id != "" {
-			out.Routes = append(out.Routes, rt.message(id, fewEndpoints))
+			out.Routes = append(out.Routes, rt.message(id, tallies <= maxEndpointTallies))
 		}
 	}
 	return out
