Write the moving mean and the rest of a report once

Cause: wrote again what package rollout had: the moving mean of Baseline as a type of its own, and a second way to take answers off a tally. compare summed whole tallies, with copies of their maps, to count answers.

Change: Baseline and the mean time to first token share movingMean; the rest of a report is taken off with subtract; compare counts answers without copies. No behaviour changes.

--- a/relay/health.go
+++ b/relay/health.go
@@ -81,8 +81,8 @@
 		st.total = re
 		st.health.SetUsualTimes(re)
 		st.openShare = ro.TrialShare
-		if pl := rs.plan(ro, st); complete {
-			st.openShare = pl.OpenShare(now, st.firstSeenAt, re, rs.exposure())
+		if complete {
+			st.openShare = rs.plan(ro, st).OpenShare(now, st.firstSeenAt, re, rs.exposure())
 		}
 		if reason := re.Verdict(); reason != "" {
 			rs.reject(ro, st, reason)
--- a/rollout/comparison.go
+++ b/rollout/comparison.go
@@ -93,7 +93,7 @@
 // far more often than others on any version.
 func Compare(routes map[policy.RouteID]RouteTallies) Opinion {
 	failures, slow := failureDefect.compare(routes), slowDefect.compare(routes)
-	if slowDefect.traffic(sumOf(routes)) == 0 {
+	if slowDefect.totalTraffic(routes) == 0 {
 		// All answers are streams; see HealthTest.
 		return failures
 	}
@@ -149,7 +149,7 @@
 // of its endpoints perhaps in trouble, or it is bad on all routes alike, or bad on a single route.
 // A priori it is as likely good as bad, and as likely bad on all routes as on one.
 func (de defect) compare(routes map[policy.RouteID]RouteTallies) Opinion {
-	total := de.traffic(sumOf(routes))
+	total := de.totalTraffic(routes)
 	if total == 0 {
 		return Opinion{Odds: 1, ExpectedLoss: 1}
 	}
@@ -207,6 +207,15 @@
 	return float64(candidate + stable)
 }
 
+// totalTraffic returns the sum of traffic over all routes.
+func (de defect) totalTraffic(routes map[policy.RouteID]RouteTallies) float64 {
+	sum := 0.0
+	for _, rt := range routes {
+		sum += de.traffic(rt)
+	}
+	return sum
+}
+
 // evidence returns the logarithm of the likelihood ratio of a candidate that spoils a share of
 // its answers on a route, and of a good one. A good one spoils none or the accepted share,
 // whichever explains the answers better.
--- a/rollout/report.go
+++ b/rollout/report.go
@@ -30,16 +30,15 @@
 		Sent:           countBounds.Clamp(he.GetSent()),
 		StableInFlight: countBounds.Clamp(he.GetStableInFlight()),
 	}
-	rest := RouteTallies{
-		Candidate: Tally{Answers: he.GetAnswers(), Failures: he.GetFailures()}.bounded(),
-		Stable:    Tally{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()}.bounded(),
-	}
+	candidate := Tally{Answers: he.GetAnswers(), Failures: he.GetFailures()}.bounded()
+	stable := Tally{Answers: he.GetStableAnswers(), Failures: he.GetStableFailures()}.bounded()
 	for _, rh := range he.GetRoutes() {
 		rt := routeTalliesOf(rh)
 		re.addRoute(policy.RouteID(rh.GetRoute()), rt)
-		rest.Candidate, rest.Stable = rest.Candidate.less(rt.Candidate), rest.Stable.less(rt.Stable)
+		candidate.subtract(rt.Candidate)
+		stable.subtract(rt.Stable)
 	}
-	re.addRoute("", rest)
+	re.addRoute("", RouteTallies{Candidate: candidate.bounded(), Stable: stable.bounded()})
 	if he.GetSuspect() {
 		re.RejectionReason = he.GetReason()
 	}
@@ -93,11 +92,6 @@
 	return ta
 }
 
-// less returns the answers that are not among others.
-func (ta Tally) less(other Tally) Tally {
-	return Tally{Answers: ta.Answers - other.Answers, Failures: ta.Failures - other.Failures}.bounded()
-}
-
 // maxEndpointTallies is the number of tallies by route and endpoint up to which they are reported. The
 // sums of a large group would carry far more, again and again, between failure domains.
 const maxEndpointTallies = 32
--- a/rollout/sequential.go
+++ b/rollout/sequential.go
@@ -79,20 +79,30 @@
 // Rejects reports whether the evidence suffices to reject the candidate.
 func (st *SequentialTest) Rejects() bool { return st.LogEvidence() > -math.Log(alpha) }
 
-// Baseline estimates the mean loss of the version in use.
-type Baseline struct {
+// movingMean is the mean of the most recent values.
+type movingMean struct {
 	count float64
 	mean  float64
 }
 
-// baselineWindow is the number of most recent losses that the baseline averages.
-const baselineWindow = 2000
+// observe adds a value to the mean of so many.
+func (mm *movingMean) observe(value, window float64) {
+	mm.count = min(window, mm.count+1)
+	mm.mean += (value - mm.mean) / mm.count
+}
+
+const (
+	// baselineWindow and firstTokenWindow are the numbers of most recent losses, and of most
+	// recent times to first token, that are averaged.
+	baselineWindow   = 2000
+	firstTokenWindow = 50
+)
+
+// Baseline estimates the mean loss of the version in use.
+type Baseline struct{ movingMean }
 
 // Observe adds a loss from 0 to 1.
-func (ba *Baseline) Observe(loss float64) {
-	ba.count = min(baselineWindow, ba.count+1)
-	ba.mean += (loss - ba.mean) / ba.count
-}
+func (ba *Baseline) Observe(loss float64) { ba.observe(loss, baselineWindow) }
 
 // AcceptedLoss returns the largest mean loss of a good candidate: the baseline's
 // mean plus two standard errors and the margin. prior is the mean assumed before
@@ -147,7 +157,7 @@
 	pace           SequentialTest
 	stableSlow     Baseline
 	stablePace     Baseline
-	meanFirstToken mean
+	meanFirstToken movingMean
 }
 
 // routeOutcomes are the outcomes on one route.
@@ -157,17 +167,6 @@
 	usual time.Duration
 }
 
-// mean is a mean that forgets old values.
-type mean struct {
-	count, value float64
-}
-
-func (me *mean) observe(value float64) {
-	const window = 50
-	me.count = min(window, me.count+1)
-	me.value += (value - me.value) / me.count
-}
-
 // maxRoutes bounds the routes that are counted by themselves.
 const maxRoutes = 32
 
@@ -236,7 +235,7 @@
 		ht.stableSlow.Observe(loss(ht.isSlow(ou)))
 	}
 	if ou.FirstToken > 0 {
-		ht.meanFirstToken.observe(ou.FirstToken)
+		ht.meanFirstToken.observe(ou.FirstToken, firstTokenWindow)
 	}
 }
 
@@ -269,7 +268,7 @@
 }
 
 func (ht *HealthTest) isSlow(ou Outcome) bool {
-	return ou.TimedOut || ht.meanFirstToken.count > 0 && ou.FirstToken > slowFactor*ht.meanFirstToken.value
+	return ou.TimedOut || ht.meanFirstToken.count > 0 && ou.FirstToken > slowFactor*ht.meanFirstToken.mean
 }
 
 // Evidence is the evidence against a candidate by its times, of one daemon or of several.
