Derive what a simulated roll-out counted from its report

Cause: measure/small_rollout.go of kept the start, the requests and the exposed ones beside the plan and the tallies that have them, and a duration where the house style stores a time.

Change: the start is one constant of the simulation, a fault has the time from which the release is bad, and the counts are read from the report.

--- a/measure/small_rollout.go
+++ b/measure/small_rollout.go
@@ -30,32 +30,34 @@
 
 var smallService = []smallRoute{{"checkout", 12, 0.004}, {"look-up", 5.3, 0.14}}
 
+// smallStart is when the simulated roll-outs start.
+var smallStart = time.Unix(0, 0)
+
 // releaseFault is how a release of the small service is bad: it fails a share of the requests of
-// one route, or of all if route is empty, from a time of the roll-out on.
+// one route, or of all if route is empty, from a time on.
 type releaseFault struct {
-	name  string
-	share float64
-	route policy.RouteID
-	from  time.Duration
+	name    string
+	share   float64
+	route   policy.RouteID
+	badFrom time.Time
 }
 
-func (rf releaseFault) concerns(id policy.RouteID) bool { return rf.route == "" || rf.route == id }
+// concerns reports whether requests of a route fail at a time.
+func (rf releaseFault) concerns(now time.Time, id policy.RouteID) bool {
+	return (rf.route == "" || rf.route == id) && !now.Before(rf.badFrom)
+}
 
 // smallRollout is a simulated roll-out of a release of the small service.
 type smallRollout struct {
-	rng       *rand.Rand
-	fault     releaseFault
-	startedAt time.Time
-	progress  rollout.Progress
-	// exposed is the number of requests that the candidate got, requests that of all.
-	exposed, requests int64
+	rng      *rand.Rand
+	fault    releaseFault
+	progress rollout.Progress
 }
 
 func newSmallRollout(rng *rand.Rand, rf releaseFault) *smallRollout {
-	startedAt := time.Unix(0, 0)
-	return &smallRollout{rng: rng, fault: rf, startedAt: startedAt, progress: rollout.Progress{
+	return &smallRollout{rng: rng, fault: rf, progress: rollout.Progress{
 		Started: true,
-		Plan:    rollout.Plan{StartedAt: startedAt, TrialAt: startedAt.Add(trialDelay), DeadlineAt: startedAt.Add(smallDuration), TrialShare: 0.1},
+		Plan:    rollout.Plan{StartedAt: smallStart, TrialAt: smallStart.Add(trialDelay), DeadlineAt: smallStart.Add(smallDuration), TrialShare: 0.1},
 		Report:  rollout.Report{Routes: map[policy.RouteID]rollout.RouteTallies{}},
 	}}
 }
@@ -63,7 +65,7 @@
 // run simulates the roll-out until it ends, and returns whether it completed.
 func (sr *smallRollout) run() bool {
 	pr := &sr.progress
-	for now := sr.startedAt; ; now = now.Add(roundInterval) {
+	for now := smallStart; ; now = now.Add(roundInterval) {
 		pr.RejectionReason = pr.Verdict()
 		switch pr.Next(now) {
 		case rollout.ActionAbort:
@@ -75,7 +77,7 @@
 		}
 		share := pr.Share(now)
 		if share < 1 {
-			share = pr.OpenShare(now, sr.startedAt, pr.Report, rollout.Exposure{Share: 0.15, Requests: 30})
+			share = pr.OpenShare(now, smallStart, pr.Report, rollout.Exposure{Share: 0.15, Requests: 30})
 		}
 		for _, ro := range smallService {
 			sr.sendRound(now, ro, share)
@@ -90,16 +92,14 @@
 		ta := rollout.Tally{Answers: 1}
 		candidate := sr.rng.Float64() < share
 		failed := sr.rng.Float64() < ro.failed
-		if candidate && sr.fault.concerns(ro.id) && now.Sub(sr.startedAt) >= sr.fault.from {
+		if candidate && sr.fault.concerns(now, ro.id) {
 			failed = failed || sr.rng.Float64() < sr.fault.share
 		}
 		if failed {
 			ta.Failures = 1
 		}
 		rt := sr.progress.Routes[ro.id]
-		sr.requests++
 		if candidate {
-			sr.exposed++
 			sr.progress.Sent++
 			rt.Candidate = rt.Candidate.Add(ta)
 		} else {
@@ -117,7 +117,7 @@
 		measureSmallRollout(seed, releaseFault{name: "20% errors", share: 0.2}, 0, 0.01),
 		measureSmallRollout(seed, releaseFault{name: "33% errors", share: 0.33}, 0, 0.01),
 		measureSmallRollout(seed, releaseFault{name: "33% errors on one route", share: 0.33, route: "checkout"}, 0, 0.01),
-		measureSmallRollout(seed, releaseFault{name: "33% errors from 8 s on", share: 0.33, from: 8 * time.Second}, 0, 0.03),
+		measureSmallRollout(seed, releaseFault{name: "33% errors from 8 s on", share: 0.33, badFrom: smallStart.Add(8 * time.Second)}, 0, 0.03),
 	}
 }
 
@@ -131,7 +131,9 @@
 		if sr.run() {
 			completed++
 		}
-		exposed, requests = exposed+float64(sr.exposed), requests+float64(sr.requests)
+		total := sr.progress.Total()
+		exposed += float64(total.Candidate.Answers)
+		requests += float64(total.Candidate.Answers + total.Stable.Answers)
 	}
 	completed /= smallRollouts
 	return Row{
