Read the reports on a candidate in one place

Cause: routers and entries each had a loop over the published items that decodes them, passes over other candidates and bounds what they say; wrote the second one.

Change: peer.Table.Reports serves routers, entries and stewards. No behaviour changes, but that entries now add up the reports in the order of their keys.

--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -3,14 +3,11 @@
 import (
 	"sync"
 
-	"google.golang.org/protobuf/proto"
-
 	"tanagerpoint.example/tanager/configuration"
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
-	"tanagerpoint.example/tanager/rpc"
 )
 
 // HealthPrefix is the key prefix of the items in which entries publish the health
@@ -115,29 +112,17 @@
 	return ob
 }
 
-// Reports returns the reports on a roll-out's candidate that the entries have published, by the
-// keys of their items.
-func Reports(ta *peer.Table, rec policy.Rollout) map[string]rollout.Report {
-	out := map[string]rollout.Report{}
-	for _, it := range ta.List(healthKeys(rec.ID)) {
-		var he rpc.VersionHealth
-		if proto.Unmarshal(it.Value, &he) == nil && he.GetVersion() == rec.ToVersion {
-			out[it.Key] = rollout.ReportOf(&he)
-		}
-	}
-	return out
-}
-
-// healthKeys returns the prefix of the keys of all entries for a roll-out.
-func healthKeys(id policy.RolloutID) string { return HealthPrefix + string(id) + "/" }
+// HealthKeys returns the prefix of the keys under which all entries publish their reports on a
+// roll-out.
+func HealthKeys(id policy.RolloutID) string { return HealthPrefix + string(id) + "/" }
 
 // ownKey returns the key under which this entry publishes its report on a roll-out.
-func (ro *rollouts) ownKey(id policy.RolloutID) string { return healthKeys(id) + string(ro.peers.VM()) }
+func (ro *rollouts) ownKey(id policy.RolloutID) string { return HealthKeys(id) + string(ro.peers.VM()) }
 
 // verdict returns why a candidate is to be rejected, by the outcomes at all entries, "" if it is not.
 func (ro *rollouts) verdict(rec policy.Rollout, own rollout.Report) string {
-	for key, re := range Reports(ro.peers.Table(), rec) {
-		if key != ro.ownKey(rec.ID) {
+	for it, re := range ro.peers.Table().Reports(HealthKeys(rec.ID), rec.ToVersion) {
+		if it.Key != ro.ownKey(rec.ID) {
 			own = own.Add(re)
 		}
 	}
--- a/relay/health.go
+++ b/relay/health.go
@@ -5,13 +5,10 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"tanagerpoint.example/tanager/event"
 	"tanagerpoint.example/tanager/peer"
 	"tanagerpoint.example/tanager/policy"
 	"tanagerpoint.example/tanager/rollout"
-	"tanagerpoint.example/tanager/rpc"
 )
 
 // healthPrefix is the key prefix under which each router publishes its results of
@@ -133,12 +130,10 @@
 	var out rollout.Report
 	pe := rs.router.peers
 	own := healthKey(ro.Service, string(pe.VM()))
-	for _, it := range pe.Table().List(healthKeys(ro.Service)) {
-		var he rpc.VersionHealth
-		if it.Key == own || proto.Unmarshal(it.Value, &he) != nil || he.GetVersion() != ro.ToVersion {
+	for it, re := range pe.Table().Reports(healthKeys(ro.Service), ro.ToVersion) {
+		if it.Key == own {
 			continue
 		}
-		re := rollout.ReportOf(&he)
 		if time.Since(it.WrittenAt) >= inFlightTTL {
 			re.StableInFlight = 0
 		}
--- a/steward/rollout.go
+++ b/steward/rollout.go
@@ -97,13 +97,13 @@
 // otherwise.
 func (rt *rolloutTask) readHealth(ro policy.Rollout) string {
 	rt.total = rollout.Report{}
-	for key, re := range entry.Reports(rt.daemon.peers.Table(), ro) {
+	for it, re := range rt.daemon.peers.Table().Reports(entry.HealthKeys(ro.ID), ro.ToVersion) {
 		answers := re.Total().Candidate.Answers
-		before, known := rt.answersByItem[key]
+		before, known := rt.answersByItem[it.Key]
 		if known && answers > before {
 			rt.answers += answers - before
 		}
-		rt.answersByItem[key] = answers
+		rt.answersByItem[it.Key] = answers
 		rt.total = rt.total.Add(re)
 	}
 	return rt.total.Verdict()
